Serve a request from end to end through separate processes

The whole path comes first: caller, entry host, engine or service, with contracts, upstreams, claims and outcomes in the state node and a capacity process that passes reclaim notices on. One state node votes; the other two follow.

--- /dev/null
+++ b/crates/contract/src/config.rs
@@ -0,0 +1,85 @@
+//! The configuration that the replicated log produces, and the changes that it is made of.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{ChangeId, Contract, CustomerId, Problems, Revision, UpstreamId, UpstreamSpec};
+
+/// Contracts and upstreams at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// The newest change that is contained.
+    pub revision: Revision,
+    /// Contracts by customer.
+    pub contracts: BTreeMap<CustomerId, Contract>,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<UpstreamId, UpstreamSpec>,
+}
+
+/// One change of the configuration.
+#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Creates or replaces a contract.
+    #[display("put contract {}", _0.customer)]
+    PutContract(Contract),
+    /// Ends a contract.
+    #[display("drop contract {_0}")]
+    DropContract(CustomerId),
+    /// Registers or replaces an upstream.
+    #[display("put upstream {}", _0.id)]
+    PutUpstream(UpstreamSpec),
+    /// Removes an upstream.
+    #[display("drop upstream {_0}")]
+    DropUpstream(UpstreamId),
+}
+
+/// A change that was accepted, with who made it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    /// Its position.
+    pub revision: Revision,
+    /// The id that the operator gave it.
+    pub id: ChangeId,
+    /// The operator.
+    pub operator: String,
+    /// What changed.
+    pub change: Change,
+}
+
+impl Change {
+    /// Checks the content of the change.
+    ///
+    /// # Errors
+    /// Returns the fields that failed validation.
+    pub fn validate(&self) -> Result<(), Problems> {
+        match self {
+            Self::PutContract(contract) => contract.validate(),
+            Self::PutUpstream(spec) => spec.validate(),
+            Self::DropContract(_) | Self::DropUpstream(_) => Ok(()),
+        }
+    }
+}
+
+impl Config {
+    /// Applies the next change and moves the revision to it.
+    pub fn apply(&mut self, record: &ChangeRecord) {
+        match &record.change {
+            Change::PutContract(contract) => {
+                self.contracts.insert(contract.customer.clone(), contract.clone());
+            }
+            Change::DropContract(customer) => {
+                self.contracts.remove(customer);
+            }
+            Change::PutUpstream(spec) => {
+                self.upstreams.insert(spec.id.clone(), spec.clone());
+            }
+            Change::DropUpstream(id) => {
+                self.upstreams.remove(id);
+            }
+        }
+        self.revision = record.revision;
+    }
+}
--- /dev/null
+++ b/crates/contract/src/lib.rs
@@ -0,0 +1,22 @@
+//! Contracts of customers, descriptions of upstreams and checked settings.
+//!
+//! Everything that the other packages agree on without talking to each other lives here: names, contracts,
+//! the configuration that the replicated log produces, and the way settings are read and checked.
+
+mod config;
+mod customer;
+mod error;
+mod name;
+pub mod settings;
+mod upstream;
+
+pub use config::{Change, ChangeRecord, Config};
+pub use customer::{
+    Account, Class, Contract, KeyHash, Limits, MAX_ACCOUNTS, MAX_CLASSES, Matcher, Repeat, Request, Targets,
+};
+pub use error::{FieldError, Problems};
+pub use name::{
+    AccountName, ChangeId, ClassName, CustomerId, DataCenter, HostId, ModelName, NodeId, RequestId, Revision,
+    ServiceName, UpstreamId, Zone,
+};
+pub use upstream::{HostSpec, MachineClass, UpstreamKind, UpstreamSpec};
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,6 @@
+//! The operator's command line.
+
+pub mod admin;
+pub mod cli;
+pub mod contracts;
+pub mod upstreams;
--- /dev/null
+++ b/crates/entry/src/cli.rs
@@ -0,0 +1,47 @@
+//! The command line.
+
+use argh::FromArgs;
+
+/// Serve callers on an entry host.
+#[derive(Debug, Default, FromArgs)]
+pub struct Options {
+    /// name of this node
+    #[argh(option)]
+    pub node: Option<String>,
+    /// data centre of this host
+    #[argh(option)]
+    pub data_center: Option<String>,
+    /// IP:PORT for callers
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// IP:PORT for health checks and metrics
+    #[argh(option)]
+    pub ops: Option<String>,
+    /// IP:PORT of the inner protocol
+    #[argh(option)]
+    pub inner: Option<String>,
+    /// inner addresses of the state group
+    #[argh(option)]
+    pub state: Option<String>,
+    /// inner addresses of the other entry hosts
+    #[argh(option)]
+    pub peers: Option<String>,
+    /// cost, least-loaded or round-robin
+    #[argh(option)]
+    pub routing: Option<String>,
+    /// requests that may run at once
+    #[argh(option)]
+    pub running: Option<String>,
+    /// requests that may wait
+    #[argh(option)]
+    pub waiting: Option<String>,
+    /// json or terminal
+    #[argh(option)]
+    pub log: Option<String>,
+    /// check the settings and end
+    #[argh(switch)]
+    pub check_settings: bool,
+    /// print the settings with their origin and end
+    #[argh(switch)]
+    pub print_settings: bool,
+}
--- /dev/null
+++ b/crates/entry/src/current.rs
@@ -0,0 +1,135 @@
+//! The configuration in force, and the thread that keeps it current.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use contract::{AccountName, Config, Contract, CustomerId, KeyHash, Revision};
+use metrics::gauge;
+use policy::Tick;
+use slog::{Logger, info, warn};
+use telemetry::Clock;
+use wire::client::StateClient;
+use wire::state::{Watch, Watched};
+
+/// How long a node of the state group may hold the question.
+const WAIT_MS: u64 = 1_000;
+/// Pause after a node that didn't answer.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// One revision of the configuration with what is looked up in it.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Contracts and upstreams.
+    pub config: Config,
+    accounts: HashMap<KeyHash, (CustomerId, AccountName)>,
+}
+
+/// The newest configuration that the process has seen.
+#[derive(Debug, Default)]
+pub struct Current {
+    view: ArcSwap<View>,
+    heard_ms: AtomicU64,
+}
+
+impl View {
+    /// Makes the view of a configuration.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        let rows = config.contracts.values().flat_map(|contract| {
+            let owner = |name: &AccountName| (contract.customer.clone(), name.clone());
+            contract
+                .accounts
+                .iter()
+                .map(move |account| (account.key_hash.clone(), owner(&account.name)))
+        });
+        let accounts = rows.collect();
+        Self { config, accounts }
+    }
+
+    /// Finds the contract and account of a bearer key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<(&Contract, &AccountName)> {
+        // The map is keyed by the hash, so the time of a look-up tells nothing about a key.
+        let (customer, account) = self.accounts.get(&KeyHash::of(key))?;
+        Some((self.config.contracts.get(customer)?, account))
+    }
+}
+
+impl Current {
+    /// Gives the view in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Gives the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.view.load().config.revision
+    }
+
+    /// Tells whether any configuration was heard yet.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.heard_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Gives the time since the newest revision was last confirmed.
+    #[must_use]
+    pub fn age(&self, now: Tick) -> Duration {
+        now.since(Tick::from_millis(self.heard_ms.load(Ordering::Relaxed)))
+    }
+
+    /// Takes over news; a configuration that is older than the one in force is dropped, so that none ever reverts.
+    pub fn take(&self, news: Watched, now: Tick) {
+        let before = self.view();
+        let mut config = news.snapshot.unwrap_or_else(|| before.config.clone());
+        for record in &news.records {
+            if record.revision == config.revision.next() {
+                config.apply(record);
+            }
+        }
+        if config.revision > before.config.revision {
+            self.view.store(Arc::new(View::new(config)));
+        }
+        let heard = now - Duration::from_millis(news.age_ms);
+        let heard_ms = u64::try_from(heard.0.as_millis()).unwrap_or(u64::MAX).max(1);
+        self.heard_ms.fetch_max(heard_ms, Ordering::Relaxed);
+    }
+}
+
+/// Follows the state group until told to stop.
+pub fn follow(current: &Current, state: &StateClient, clock: &Clock, logger: &Logger, stop: &AtomicBool) {
+    let mut node = 0;
+    let mut lost = false;
+    while !stop.load(Ordering::Relaxed) {
+        let revision = current.revision();
+        match state.watch(
+            node,
+            revision,
+            Watch {
+                after: revision,
+                wait_ms: WAIT_MS,
+            },
+        ) {
+            Ok(news) => {
+                current.take(news.body, clock.now());
+                if std::mem::take(&mut lost) {
+                    info!(logger, "state group answers again"; "revision" => current.revision().0);
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    warn!(logger, "state node does not answer"; "error" => %error);
+                }
+                node += 1;
+                std::thread::sleep(PAUSE);
+            }
+        }
+        gauge!("gentian_config_revision").set(current.revision().0 as f64);
+        gauge!("gentian_config_age_seconds").set(current.age(clock.now()).as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,86 @@
+//! Everything that the threads of an entry host share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use contract::RequestId;
+use slog::Logger;
+use telemetry::Clock;
+use telemetry::clock::wall_ms;
+use upstream::engine::EngineClient;
+use upstream::service::ServiceClient;
+use wire::client::{CallError, Calls, StateClient};
+
+use crate::admission::Admission;
+use crate::current::Current;
+use crate::fleet::Fleet;
+use crate::journal::Journals;
+use crate::settings::Settings;
+
+/// Longest wait for a connection to an upstream.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// The shared state of an entry host.
+#[derive(Debug)]
+pub struct Entry {
+    /// Checked settings.
+    pub settings: Settings,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// The root logger.
+    pub logger: Logger,
+    /// The configuration in force.
+    pub current: Arc<Current>,
+    /// Admission of requests.
+    pub admission: Admission,
+    /// What is known of the upstreams.
+    pub fleet: Fleet,
+    /// Streamed answers.
+    pub journals: Journals,
+    /// The state group.
+    pub state: StateClient,
+    /// Engines.
+    pub engines: EngineClient,
+    /// Services.
+    pub services: ServiceClient,
+    /// Whether the process takes no new work.
+    pub leaving: AtomicBool,
+    /// Whether the threads are to end.
+    pub stop: AtomicBool,
+    started_ms: u64,
+    requests: AtomicU64,
+}
+
+impl Entry {
+    /// Makes the shared state.
+    ///
+    /// # Errors
+    /// Fails when an address of the state group can't be used.
+    pub fn new(settings: Settings, logger: Logger, calls: &Calls) -> Result<Self, CallError> {
+        let clock = Clock::start();
+        let state = StateClient::new(calls, &settings.node, &settings.state)?;
+        Ok(Self {
+            admission: Admission::new(clock.clone(), settings.running, settings.waiting),
+            settings,
+            clock,
+            logger,
+            current: Arc::default(),
+            fleet: Fleet::default(),
+            journals: Journals::default(),
+            state,
+            engines: EngineClient::new(CONNECT),
+            services: ServiceClient::new(CONNECT),
+            leaving: AtomicBool::new(false),
+            stop: AtomicBool::new(false),
+            started_ms: wall_ms(),
+            requests: AtomicU64::new(0),
+        })
+    }
+
+    /// Makes a request id that no other entry host and no earlier process of this one has used.
+    pub fn request_id(&self) -> RequestId {
+        let count = self.requests.fetch_add(1, Ordering::Relaxed);
+        RequestId::from(format!("{}-{:x}-{count}", self.settings.node, self.started_ms))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,16 @@
+//! The entry: callers' HTTP, admission, routing, attempts and streams.
+
+pub mod admission;
+pub mod attempt;
+pub mod callers;
+pub mod claims;
+pub mod cli;
+pub mod current;
+pub mod entry;
+pub mod fleet;
+pub mod journal;
+pub mod ops;
+pub mod rpc;
+pub mod settings;
+
+pub use entry::Entry;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,109 @@
+//! `gentian-entry`: serves callers on an entry host.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use contract::settings::Sheet;
+use entry::cli::Options;
+use entry::rpc::Rpc;
+use entry::settings::Settings;
+use entry::{Entry, callers, current, fleet, ops};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use slog::info;
+use telemetry::log;
+use telemetry::scrape::Scrape;
+use tiny_http::Server;
+use wire::client::Calls;
+use wire::entry::EntryRpcServer;
+
+/// Longest wait for an inner call.
+const TIMEOUT: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(50);
+const OPS_THREADS: usize = 4;
+
+fn main() -> anyhow::Result<()> {
+    let options: Options = argh::from_env();
+    let mut sheet = Sheet::default();
+    let settings = Settings::read(&options, &mut sheet);
+    if options.print_settings {
+        print!("{}", sheet.render());
+    }
+    let settings = settings?;
+    if options.check_settings || options.print_settings {
+        return Ok(());
+    }
+    let logger = log::start(settings.log, "gentian-entry", settings.node.as_str());
+    let calls = Calls::start(2, TIMEOUT)?;
+    let entry = Arc::new(Entry::new(settings, logger, &calls)?);
+    serve(&entry, &calls)
+}
+
+fn serve(entry: &Arc<Entry>, calls: &Calls) -> anyhow::Result<()> {
+    let stop = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
+    signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
+    let scrape = Scrape::install()?;
+    let listen = entry.settings.listen;
+    let server = Server::http(listen).map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?;
+    let ops = start_ops(entry, scrape)?;
+    let inner = calls.wait(jsonrpsee::server::Server::builder().build(entry.settings.inner))?;
+    let inner_address = inner.local_addr()?;
+    let rpc = Rpc::new(Arc::clone(entry));
+    let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
+    start_duties(entry)?;
+    let ring = callers::start_workers(entry)?;
+    info!(entry.logger, "serving"; "callers" => %server.server_addr(), "ops" => %ops,
+        "inner" => %inner_address);
+    thread::scope(|scope| {
+        let acceptor = scope.spawn(|| callers::accept(entry, &server, &ring));
+        while !stop.load(Ordering::Relaxed) && !acceptor.is_finished() {
+            thread::sleep(STEP);
+        }
+        entry.leaving.store(true, Ordering::Relaxed);
+        info!(entry.logger, "leaving");
+        while entry.admission.is_busy() {
+            thread::sleep(STEP);
+        }
+        entry.stop.store(true, Ordering::Relaxed);
+    });
+    // A second request to stop changes nothing.
+    let _ = handle.stop();
+    info!(entry.logger, "stopped");
+    Ok(())
+}
+
+fn start_ops(entry: &Arc<Entry>, scrape: Scrape) -> anyhow::Result<std::net::SocketAddr> {
+    let shared = Arc::clone(entry);
+    let listen = entry.settings.ops;
+    let server = rouille::Server::new(listen, move |request| ops::answer(&shared, &scrape, request))
+        .map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?
+        .pool_size(OPS_THREADS);
+    let address = server.server_addr();
+    let entry = Arc::clone(entry);
+    thread::Builder::new().name("ops".to_owned()).spawn(move || {
+        while !entry.stop.load(Ordering::Relaxed) {
+            server.poll_timeout(STEP);
+        }
+    })?;
+    Ok(address)
+}
+
+fn start_duties(entry: &Arc<Entry>) -> std::io::Result<()> {
+    let learner = Arc::clone(entry);
+    thread::Builder::new().name("learner".to_owned()).spawn(move || {
+        current::follow(
+            &learner.current,
+            &learner.state,
+            &learner.clock,
+            &learner.logger,
+            &learner.stop,
+        );
+    })?;
+    let poller = Arc::clone(entry);
+    thread::Builder::new()
+        .name("loads".to_owned())
+        .spawn(move || fleet::poll(&poller.fleet, &poller.current, &poller.clock, &poller.stop))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/rpc.rs
@@ -0,0 +1,75 @@
+//! The inner protocol's calls to an entry host.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use contract::RequestId;
+use jsonrpsee::core::{RpcResult, async_trait};
+use serde_json::json;
+use wire::Envelope;
+use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk, Sign};
+
+use crate::Entry;
+
+/// Answers other processes of the system.
+#[derive(Clone, Debug)]
+pub struct Rpc {
+    entry: Arc<Entry>,
+}
+
+impl Rpc {
+    /// Makes the server side of an entry host.
+    #[must_use]
+    pub const fn new(entry: Arc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    fn wrap<T>(&self, body: T) -> Envelope<T> {
+        Envelope::new(&self.entry.settings.node, self.entry.current.revision(), body)
+    }
+}
+
+#[async_trait]
+impl EntryRpcServer for Rpc {
+    async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
+        for sign in signs.body.iter().filter(|sign| sign.sign != Sign::Serving) {
+            self.entry.fleet.leave(&sign.host, sign.incarnation);
+        }
+        Ok(self.wrap(()))
+    }
+
+    async fn journal(&self, ask: Envelope<JournalAsk>) -> RpcResult<Envelope<Option<Journal>>> {
+        let from = usize::try_from(ask.body.from).unwrap_or(usize::MAX);
+        let found = self.entry.journals.find(&ask.body.request).map(|journal| {
+            let part = journal.from(from);
+            Journal {
+                owner: journal.owner.clone(),
+                tokens: part.tokens,
+                done: part.whole,
+            }
+        });
+        Ok(self.wrap(found))
+    }
+
+    /// Declines every handover: an entry host finishes its own streams before it stops.
+    async fn adopt(&self, _handover: Envelope<Handover>) -> RpcResult<Envelope<bool>> {
+        Ok(self.wrap(false))
+    }
+
+    async fn explain(&self, request: Envelope<RequestId>) -> RpcResult<Envelope<Option<serde_json::Value>>> {
+        let found = self.entry.journals.find(&request.body);
+        Ok(self.wrap(found.map(|journal| json!(journal.choices()))))
+    }
+
+    async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
+        let entry = &self.entry;
+        let status = json!({
+            "node": entry.settings.node,
+            "data_center": entry.settings.data_center,
+            "revision": entry.current.revision(),
+            "config_age_ms": entry.current.age(entry.clock.now()).as_millis() as u64,
+            "leaving": entry.leaving.load(Ordering::Relaxed),
+        });
+        Ok(self.wrap(status))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,201 @@
+//! Settings of the program.
+
+use std::net::SocketAddr;
+
+use contract::settings::{List, Setting, Sheet};
+use contract::{DataCenter, NodeId, Problems};
+use policy::route::Routing;
+use telemetry::log::Format;
+
+use crate::cli::Options;
+
+macro_rules! setting {
+    ($name:ident, $flag:literal, $env:literal, $default:expr, $allowed:literal, $help:literal) => {
+        const $name: Setting = Setting {
+            flag: $flag,
+            env: $env,
+            default: $default,
+            allowed: $allowed,
+            help: $help,
+            secret: false,
+        };
+    };
+}
+
+setting!(
+    NODE,
+    "node",
+    "GENTIAN_NODE",
+    None,
+    "a name of letters, digits and -_.:/",
+    "Name of this node."
+);
+setting!(
+    DATA_CENTER,
+    "data-center",
+    "GENTIAN_DATA_CENTER",
+    None,
+    "a name of letters, digits and -_.:/",
+    "Data centre of this host."
+);
+setting!(
+    LISTEN,
+    "listen",
+    "GENTIAN_LISTEN",
+    Some("127.0.0.1:0"),
+    "IP:PORT",
+    "Address for callers."
+);
+setting!(
+    OPS,
+    "ops",
+    "GENTIAN_OPS",
+    Some("127.0.0.1:0"),
+    "IP:PORT",
+    "Address for health checks and metrics."
+);
+setting!(
+    INNER,
+    "inner",
+    "GENTIAN_INNER",
+    Some("127.0.0.1:0"),
+    "IP:PORT",
+    "Address of the inner protocol."
+);
+setting!(
+    STATE,
+    "state",
+    "GENTIAN_STATE",
+    None,
+    "IP:PORT,…",
+    "Inner addresses of the state group."
+);
+setting!(
+    PEERS,
+    "peers",
+    "GENTIAN_PEERS",
+    Some(""),
+    "IP:PORT,…",
+    "Inner addresses of the other entry hosts."
+);
+setting!(
+    ROUTING,
+    "routing",
+    "GENTIAN_ROUTING",
+    Some("cost"),
+    "cost, least-loaded or round-robin",
+    "How an upstream is chosen."
+);
+setting!(
+    RUNNING,
+    "running",
+    "GENTIAN_RUNNING",
+    Some("256"),
+    "1 to 4096",
+    "Requests that run at once."
+);
+setting!(
+    WAITING,
+    "waiting",
+    "GENTIAN_WAITING",
+    Some("256"),
+    "1 to 4096",
+    "Requests that wait at most."
+);
+setting!(
+    LOG,
+    "log",
+    "GENTIAN_LOG",
+    Some("json"),
+    "json or terminal",
+    "How log lines are written."
+);
+
+/// Every setting of the program, in the order of the reference page.
+pub static ALL: [&Setting; 11] = [
+    &NODE,
+    &DATA_CENTER,
+    &LISTEN,
+    &OPS,
+    &INNER,
+    &STATE,
+    &PEERS,
+    &ROUTING,
+    &RUNNING,
+    &WAITING,
+    &LOG,
+];
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this node.
+    pub node: NodeId,
+    /// Data centre of this host.
+    pub data_center: DataCenter,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for health checks and metrics.
+    pub ops: SocketAddr,
+    /// Address of the inner protocol.
+    pub inner: SocketAddr,
+    /// Inner addresses of the state group.
+    pub state: Vec<SocketAddr>,
+    /// Inner addresses of the other entry hosts.
+    pub peers: Vec<SocketAddr>,
+    /// How an upstream is chosen.
+    pub routing: Routing,
+    /// Requests that run at once.
+    pub running: usize,
+    /// Requests that wait at most.
+    pub waiting: usize,
+    /// How log lines are written.
+    pub log: Format,
+}
+
+impl Settings {
+    /// Reads and checks every setting; the sheet also renders them.
+    ///
+    /// # Errors
+    /// Returns every setting that is missing or not allowed.
+    pub fn read(options: &Options, sheet: &mut Sheet) -> Result<Self, Problems> {
+        let some = 1..=4_096;
+        let node = sheet.read::<String>(&NODE, options.node.as_deref()).map(NodeId::from);
+        let node = sheet.check(&NODE, node, NodeId::is_valid);
+        let place = sheet
+            .read::<String>(&DATA_CENTER, options.data_center.as_deref())
+            .map(DataCenter::from);
+        let place = sheet.check(&DATA_CENTER, place, DataCenter::is_valid);
+        let listen = sheet.read(&LISTEN, options.listen.as_deref());
+        let ops = sheet.read(&OPS, options.ops.as_deref());
+        let inner = sheet.read(&INNER, options.inner.as_deref());
+        let state = sheet.read::<List<SocketAddr>>(&STATE, options.state.as_deref());
+        if state.as_ref().is_some_and(|list| list.0.is_empty()) {
+            sheet.reject(&STATE, &"an empty list");
+        }
+        let peers = sheet.read::<List<SocketAddr>>(&PEERS, options.peers.as_deref());
+        let routing = sheet.read(&ROUTING, options.routing.as_deref());
+        let running = sheet.read(&RUNNING, options.running.as_deref());
+        let running = sheet.check(&RUNNING, running, |count| some.contains(count));
+        let waiting = sheet.read(&WAITING, options.waiting.as_deref());
+        let waiting = sheet.check(&WAITING, waiting, |count| some.contains(count));
+        let log = sheet.read(&LOG, options.log.as_deref());
+        sheet.finish()?;
+        let settings = || {
+            Some(Self {
+                node: node?,
+                data_center: place?,
+                listen: listen?,
+                ops: ops?,
+                inner: inner?,
+                state: state?.0,
+                peers: peers?.0,
+                routing: routing?,
+                running: running?,
+                waiting: waiting?,
+                log: log?,
+            })
+        };
+        settings().ok_or_else(Problems::default)
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,4 @@
+//! Load and experiment tool.
+
+pub mod cli;
+pub mod demo;
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,11 @@
+//! `gentian-load`: loads gentianspring and measures what comes out.
+
+use load::cli::{Command, Options};
+use load::demo;
+
+fn main() -> anyhow::Result<()> {
+    let options: Options = argh::from_env();
+    match options.command {
+        Command::Demo(options) => demo::run(&options),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,14 @@
+//! Pure decisions: admission, limits, routing, retries and the life cycle of hosts.
+//!
+//! Nothing here does I/O or reads a clock; the time comes in as a [`Tick`], so that every decision can be tested and
+//! replayed.
+
+pub mod breaker;
+pub mod budget;
+pub mod fair;
+pub mod life;
+pub mod limits;
+pub mod route;
+mod time;
+
+pub use time::Tick;
--- /dev/null
+++ b/crates/policy/src/limits.rs
@@ -0,0 +1,68 @@
+//! A customer's limits: token buckets, and the part of a limit that one entry host may admit.
+
+use std::time::Duration;
+
+use crate::Tick;
+
+/// Time over which a bucket can save up unused allowance.
+pub const BURST: Duration = Duration::from_secs(1);
+
+/// A token bucket whose rate may change at any time.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    filled: Tick,
+}
+
+impl Bucket {
+    /// Makes a full bucket for a rate a second.
+    #[must_use]
+    pub fn new(rate: f64, now: Tick) -> Self {
+        Self {
+            rate,
+            level: burst(rate),
+            filled: now,
+        }
+    }
+
+    /// Changes the rate; what is saved up beyond the new burst is lost.
+    pub fn set_rate(&mut self, rate: f64, now: Tick) {
+        self.fill(now);
+        self.rate = rate;
+        self.level = self.level.min(burst(rate));
+    }
+
+    /// Takes an amount if there is any allowance left.
+    ///
+    /// The level may fall below zero by one request, so that a request larger than the burst is not refused for ever.
+    ///
+    /// # Errors
+    /// Returns the time after which it is worth asking again.
+    pub fn take(&mut self, amount: f64, now: Tick) -> Result<(), Duration> {
+        self.fill(now);
+        let needed = amount.min(burst(self.rate));
+        if self.level < needed {
+            return Err(Duration::from_secs_f64(
+                ((needed - self.level) / self.rate.max(1e-9)).min(3_600.0),
+            ));
+        }
+        self.level -= amount;
+        Ok(())
+    }
+
+    /// Gives back an amount that was taken and not used, or takes what was used beyond it when negative.
+    pub fn correct(&mut self, amount: f64) {
+        self.level = (self.level + amount).min(burst(self.rate));
+    }
+
+    fn fill(&mut self, now: Tick) {
+        let gained = now.since(self.filled).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(burst(self.rate));
+        self.filled = self.filled.max(now);
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * BURST.as_secs_f64()).max(1.0)
+}
--- /dev/null
+++ b/crates/policy/src/time.rs
@@ -0,0 +1,41 @@
+//! Time as the decisions see it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Time since the process started.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{:.3} s", _0.as_secs_f64())]
+pub struct Tick(pub Duration);
+
+impl Tick {
+    /// Makes a tick from milliseconds.
+    #[must_use]
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+
+    /// Gives the time since an earlier tick, or zero if it is not earlier.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Duration> for Tick {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs))
+    }
+}
+
+impl Sub<Duration> for Tick {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,13 @@
+//! `gentian-standin`: engines, services and a cloud for tests and trials.
+
+use standin::cli::{Options, Role};
+use standin::{cloud, engine, service};
+
+fn main() -> anyhow::Result<()> {
+    let options: Options = argh::from_env();
+    match options.role {
+        Role::Engine(options) => engine::serve(&options),
+        Role::Service(options) => service::serve(&options),
+        Role::Cloud(options) => cloud::serve(&options),
+    }
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,10 @@
+//! Replicated state: contracts and upstreams, claims and outcomes, leases with fencing tokens.
+
+pub mod admin;
+pub mod applied;
+pub mod cli;
+pub mod core;
+pub mod disk;
+pub mod learner;
+pub mod rpc;
+pub mod settings;
--- /dev/null
+++ b/crates/state/src/rpc.rs
@@ -0,0 +1,97 @@
+//! The inner protocol's calls, passed to the thread that owns the state.
+
+use contract::{NodeId, Revision};
+use crossbeam_channel::Sender;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::sync::oneshot;
+use wire::Envelope;
+use wire::state::{
+    Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
+    Watched,
+};
+
+use crate::applied::{Command, Reply};
+use crate::core::Ask;
+
+/// JSON-RPC code for a node that is stopping.
+const STOPPING: i32 = -32_001;
+
+/// Answers the calls of the inner protocol.
+#[derive(Clone, Debug)]
+pub struct Rpc {
+    me: NodeId,
+    ring: Sender<Ask>,
+}
+
+impl Rpc {
+    /// Makes the server side for a ring.
+    #[must_use]
+    pub const fn new(me: NodeId, ring: Sender<Ask>) -> Self {
+        Self { me, ring }
+    }
+
+    fn wrap<T>(&self, body: T) -> Envelope<T> {
+        Envelope::new(&self.me, Revision::default(), body)
+    }
+
+    /// Appends a command; a full ring is a refusal, since the command was not written.
+    async fn command(&self, command: Command) -> RpcResult<Result<Reply, Unavailable>> {
+        let (reply, answer) = oneshot::channel();
+        if self.ring.try_send(Ask::Command(Box::new(command), reply)).is_err() {
+            return Ok(Err(Unavailable::NoQuorum {
+                reason: "too many requests wait".to_owned(),
+            }));
+        }
+        answer.await.map_err(|_closed| stopping())
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> RpcResult<Envelope<T>> {
+        let (reply, answer) = oneshot::channel();
+        self.ring.try_send(ask(reply)).map_err(|_full| stopping())?;
+        let body = answer.await.map_err(|_closed| stopping())?;
+        Ok(self.wrap(body))
+    }
+}
+
+macro_rules! answer {
+    ($rpc:ident, $command:expr, $kind:ident) => {{
+        let body = match $rpc.command($command).await? {
+            Ok(Reply::$kind(body)) => body,
+            Ok(_) => return Err(stopping()),
+            Err(why) => $kind::Unavailable(why),
+        };
+        Ok($rpc.wrap(body))
+    }};
+}
+
+#[async_trait]
+impl StateRpcServer for Rpc {
+    async fn propose(&self, request: Envelope<Propose>) -> RpcResult<Envelope<Proposed>> {
+        answer!(self, Command::Propose(request.body), Proposed)
+    }
+
+    async fn watch(&self, request: Envelope<Watch>) -> RpcResult<Envelope<Watched>> {
+        self.ask(|reply| Ask::Watch(request.body, reply)).await
+    }
+
+    async fn claim(&self, request: Envelope<Claim>) -> RpcResult<Envelope<Claimed>> {
+        answer!(self, Command::Claim(request.body), Claimed)
+    }
+
+    async fn settle(&self, request: Envelope<Settle>) -> RpcResult<Envelope<Settled>> {
+        answer!(self, Command::Settle(request.body), Settled)
+    }
+
+    async fn lease(&self, request: Envelope<Lease>) -> RpcResult<Envelope<Leased>> {
+        answer!(self, Command::Lease(request.body), Leased)
+    }
+
+    async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<StateStatus>> {
+        self.ask(Ask::Status).await
+    }
+}
+
+fn stopping() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(STOPPING, "the node is stopping or overloaded", None::<()>)
+}
--- /dev/null
+++ b/crates/state/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of the program.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use contract::settings::{List, Setting, Sheet};
+use contract::{KeyHash, NodeId, Problems};
+use telemetry::log::Format;
+
+use crate::cli::Options;
+
+const NODE: Setting = Setting {
+    flag: "node",
+    env: "GENTIAN_NODE",
+    default: None,
+    allowed: "a name of letters, digits and -_.:/",
+    help: "Name of this node, unique in the group.",
+    secret: false,
+};
+const PEERS: Setting = Setting {
+    flag: "peers",
+    env: "GENTIAN_PEERS",
+    default: None,
+    allowed: "IP:PORT,… with this node's own address among them",
+    help: "Inner addresses of the group.",
+    secret: false,
+};
+const LISTEN: Setting = Setting {
+    flag: "listen",
+    env: "GENTIAN_LISTEN",
+    default: None,
+    allowed: "IP:PORT",
+    help: "Address of the inner protocol.",
+    secret: false,
+};
+const ADMIN: Setting = Setting {
+    flag: "admin",
+    env: "GENTIAN_ADMIN",
+    default: Some("127.0.0.1:0"),
+    allowed: "IP:PORT",
+    help: "Address of the administration API.",
+    secret: false,
+};
+const DATA: Setting = Setting {
+    flag: "data",
+    env: "GENTIAN_DATA",
+    default: None,
+    allowed: "a folder that can be written",
+    help: "Folder of log and snapshots.",
+    secret: false,
+};
+const OPERATOR_KEY: Setting = Setting {
+    flag: "operator-key",
+    env: "GENTIAN_OPERATOR_KEY",
+    default: None,
+    allowed: "16 characters or more",
+    help: "Bearer key that operators show.",
+    secret: true,
+};
+const LOG: Setting = Setting {
+    flag: "log",
+    env: "GENTIAN_LOG",
+    default: Some("json"),
+    allowed: "json or terminal",
+    help: "How log lines are written.",
+    secret: false,
+};
+
+/// Every setting of the program, in the order of the reference page.
+pub static ALL: [&Setting; 7] = [&NODE, &PEERS, &LISTEN, &ADMIN, &DATA, &OPERATOR_KEY, &LOG];
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this node.
+    pub node: NodeId,
+    /// Inner addresses of the group.
+    pub peers: Vec<SocketAddr>,
+    /// Address of the inner protocol.
+    pub listen: SocketAddr,
+    /// Address of the administration API.
+    pub admin: SocketAddr,
+    /// Folder of log and snapshots.
+    pub data: PathBuf,
+    /// Hash of the operators' key.
+    pub operator: KeyHash,
+    /// How log lines are written.
+    pub log: Format,
+}
+
+impl Settings {
+    /// Reads and checks every setting; the sheet also renders them.
+    ///
+    /// # Errors
+    /// Returns every setting that is missing or not allowed.
+    pub fn read(options: &Options, sheet: &mut Sheet) -> Result<Self, Problems> {
+        let node = sheet.read::<String>(&NODE, options.node.as_deref()).map(NodeId::from);
+        let node = sheet.check(&NODE, node, NodeId::is_valid);
+        let peers = sheet.read::<List<SocketAddr>>(&PEERS, options.peers.as_deref());
+        let listen = sheet.read::<SocketAddr>(&LISTEN, options.listen.as_deref());
+        if let (Some(peers), Some(listen)) = (&peers, &listen)
+            && !peers.0.contains(listen)
+        {
+            sheet.reject(&PEERS, &format!("no {listen}"));
+        }
+        let admin = sheet.read(&ADMIN, options.admin.as_deref());
+        let data = sheet.read(&DATA, options.data.as_deref());
+        let key = sheet.read::<String>(&OPERATOR_KEY, options.operator_key.as_deref());
+        let key = sheet.check(&OPERATOR_KEY, key, |key| key.len() >= 16);
+        let log = sheet.read(&LOG, options.log.as_deref());
+        sheet.finish()?;
+        let settings = || {
+            Some(Self {
+                node: node?,
+                peers: peers?.0,
+                listen: listen?,
+                admin: admin?,
+                data: data?,
+                operator: KeyHash::of(&key?),
+                log: log?,
+            })
+        };
+        settings().ok_or_else(Problems::default)
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Clock, logs, metrics and the service-level burn report.
+
+pub mod clock;
+pub mod log;
+pub mod scrape;
+
+pub use clock::Clock;
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,8 @@
+//! Clients for engines, services, the cloud API and the weight store, each by its published protocol.
+
+pub mod cloud;
+pub mod engine;
+mod error;
+pub mod service;
+
+pub use error::{Fate, UpstreamError};
