--- a/crates/state/src/core.rs
+++ b/crates/state/src/core.rs
@@ -12,7 +12,7 @@
 use wire::state::{StateStatus, Unavailable, Watch, Watched};
 
 use crate::applied::{Applied, Command, Entry, Reply};
-use crate::disk::{DiskError, Log};
+use crate::single::{DiskError, Log};
 
 /// Questions that may wait for the thread; more are refused.
 pub const RING: usize = 4_096;
--- /dev/null
+++ b/crates/state/src/disk/mod.rs
@@ -0,0 +1,18 @@
+//! The data folder: identity, log segments and snapshots.
+//!
+//! Nothing is acknowledged before it is synced. Segments are only appended to: a record with an index that is there
+//! already replaces it and all behind it, so that no write ever changes bytes that were synced before.
+
+mod check;
+mod error;
+mod folder;
+mod frame;
+mod identity;
+mod segment;
+mod snapshot;
+mod space;
+
+pub use check::{Report, check};
+pub use error::DiskError;
+pub use folder::{Folder, Limits};
+pub use space::{Space, Unlimited};
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod core;
 pub mod disk;
 pub mod learner;
+pub mod raft;
 pub mod rpc;
 pub mod settings;
+pub mod single;
--- a/crates/state/tests/log_recovery.rs
+++ b/crates/state/tests/log_recovery.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Seek, SeekFrom, Write};
 
 use state::applied::{Command, Entry};
-use state::disk::{DiskError, Log};
+use state::single::{DiskError, Log};
 use wire::state::Lease;
 
 fn entry(number: u64) -> Entry {
