Let the state nodes vote, and keep their log in checked segments

Three processes now agree on every entry: blank disks form the group once all have announced themselves, messages travel through a bounded ring for each peer, a follower names the leader, a node without one says no quorum (nothing written) and a leader that lost its majority says undecided. Log time follows the leader's monotonic clock instead of the wall clock. Claims end by retention, a holder that is overdue turns into an unknown outcome and never into a second grant, and a claim that was given back is not granted to a late copy of its question. Operators have roles, changes an audit trail.

gentianctl asks on for longer than an election takes.

--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -8,8 +8,8 @@
 use ureq::Agent;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
-/// Rounds over all addresses before giving up.
-const ROUNDS: u32 = 3;
+/// Rounds over all addresses before giving up; with the pauses longer than an election takes.
+const ROUNDS: u32 = 20;
 const PAUSE: Duration = Duration::from_millis(200);
 const UNAVAILABLE: u16 = 503;
 const CONFLICT: u16 = 409;
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -59,6 +59,7 @@
         key: call.key.to_owned(),
         digest: digest.to_owned(),
         request: call.request.clone(),
+        hold_ms: until.saturating_duration_since(Instant::now()).as_millis() as u64,
     };
     loop {
         match state.claim(revision, &ask) {
--- /dev/null
+++ b/crates/state/src/admin/members.rs
@@ -0,0 +1,75 @@
+//! Members of the group and the replacement of lost disks.
+
+use contract::NodeId;
+use rouille::{Request, Response};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use super::{Admin, answer, body, problem};
+use crate::core::{Ask, MemberList, Replace, ReplaceError};
+use crate::raft::ChangeError;
+use wire::state::Unavailable;
+
+/// Body of a replacement.
+#[derive(Debug, Deserialize)]
+struct Asked {
+    /// The member whose disk is lost.
+    old: NodeId,
+    /// The node that takes its place; the same name when it is left out.
+    new: Option<NodeId>,
+}
+
+impl Admin {
+    pub(super) fn members(&self) -> Response {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.ring.try_send(Ask::Members(reply));
+        match sent.ok().and_then(|()| answer.blocking_recv().ok()) {
+            Some(list) => Response::json(&render(&list)),
+            None => problem(503, "the node is stopping or overloaded"),
+        }
+    }
+
+    pub(super) fn replace(&self, request: &Request) -> Response {
+        let asked: Asked = match body(request) {
+            Ok(asked) => asked,
+            Err(refusal) => return refusal,
+        };
+        let new = asked.new.unwrap_or_else(|| asked.old.clone());
+        let (reply, answer) = oneshot::channel();
+        let sent = self.ring.try_send(Ask::Replace(Replace { old: asked.old, new }, reply));
+        match sent.ok().and_then(|()| answer.blocking_recv().ok()) {
+            Some(Ok(replaced)) => Response::json(&json!({"replacing": replaced})),
+            Some(Err(ReplaceError::Change(ChangeError::NotLeading))) => {
+                answer::unavailable(&Unavailable::NotLeader { leader: None })
+            }
+            Some(Err(error @ ReplaceError::Change(ChangeError::Busy))) => problem(503, &error.to_string()),
+            Some(Err(error)) => problem(422, &error.to_string()),
+            None => problem(503, "the node is stopping or overloaded"),
+        }
+    }
+}
+
+fn render(list: &MemberList) -> serde_json::Value {
+    let members: Vec<_> = list
+        .members
+        .0
+        .iter()
+        .map(|(id, member)| {
+            json!({
+                "id": id.to_string(),
+                "node": member.node,
+                "address": member.address,
+                "votes": member.votes,
+                "leads": list.leader == Some(*id),
+                "replaces": member.replaces.map(|old| old.to_string()),
+            })
+        })
+        .collect();
+    let blank: Vec<_> = list
+        .blank
+        .iter()
+        .map(|(id, node, address)| json!({"id": id.to_string(), "node": node, "address": address}))
+        .collect();
+    json!({"item": {"members": members, "blank": blank}})
+}
--- /dev/null
+++ b/crates/state/src/admin/mod.rs
@@ -0,0 +1,216 @@
+//! The administration API over HTTP.
+
+mod access;
+mod answer;
+mod members;
+
+use std::io::Read;
+
+use contract::{Change, ChangeId, Config, Contract, CustomerId, KeyHash, Revision, UpstreamId, UpstreamSpec};
+use crossbeam_channel::Sender;
+use rouille::{Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use telemetry::scrape::Scrape;
+use tokio::sync::oneshot;
+use wire::state::Propose;
+
+use crate::applied::{Applied, Command, Operator, PutOperator, Reply};
+use crate::core::Ask;
+use access::{Caller, Right};
+use answer::{problem, proposed, unavailable};
+
+/// Largest body, in bytes.
+const MAX_BODY: u64 = 1024 * 1024;
+
+/// Answers operators.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    ring: Sender<Ask>,
+    key: KeyHash,
+    scrape: Scrape,
+}
+
+impl Admin {
+    /// Makes the API for a ring; whoever shows the key as a bearer token may do everything.
+    #[must_use]
+    pub const fn new(ring: Sender<Ask>, key: KeyHash, scrape: Scrape) -> Self {
+        Self { ring, key, scrape }
+    }
+
+    /// Answers one request.
+    #[must_use]
+    pub fn answer(&self, request: &Request) -> Response {
+        let url = request.url();
+        match url.as_str() {
+            "/livez" => return Response::text("ok"),
+            "/metrics" => return Response::text(self.scrape.render()),
+            _ => {}
+        }
+        let parts: Vec<&str> = url.trim_matches('/').split('/').collect();
+        let caller = match self.caller(request) {
+            Ok(caller) => caller,
+            Err(refusal) => return refusal,
+        };
+        let needed = Right::of(request.method(), &parts);
+        if !caller.may(needed) {
+            return problem(
+                403,
+                &format!("operator {} may not do this, it needs the role {needed}", caller.name),
+            );
+        }
+        self.route(request, &parts, &caller)
+    }
+
+    fn route(&self, request: &Request, parts: &[&str], caller: &Caller) -> Response {
+        match (request.method(), parts) {
+            ("GET", ["v1", "config"]) => self.config(|config| Some(config.clone())),
+            ("GET", ["v1", "contracts"]) => self.config(|config| Some(config.contracts.clone())),
+            ("GET", ["v1", "contracts", id]) => {
+                let id = CustomerId::from(*id);
+                self.config(move |config| config.contracts.get(&id).cloned())
+            }
+            ("GET", ["v1", "upstreams"]) => self.config(|config| Some(config.upstreams.clone())),
+            ("GET", ["v1", "history"]) => self.history(request),
+            ("GET", ["v1", "operators"]) => self.read(|applied| Some(applied.operators.clone())),
+            ("GET", ["v1", "members"]) => self.members(),
+            ("POST", ["v1", "members", "replace"]) => self.replace(request),
+            ("PUT", ["v1", "contracts", id]) => self.put::<Contract>(request, caller, |contract| {
+                (contract.customer.as_str() == *id).then_some(Change::PutContract(contract))
+            }),
+            ("PUT", ["v1", "upstreams", id]) => self.put::<UpstreamSpec>(request, caller, |spec| {
+                (spec.id.as_str() == *id).then_some(Change::PutUpstream(spec))
+            }),
+            ("DELETE", ["v1", "contracts", id]) => self.change(request, caller, Change::DropContract((*id).into())),
+            ("DELETE", ["v1", "upstreams", id]) => {
+                self.change(request, caller, Change::DropUpstream(UpstreamId::from(*id)))
+            }
+            ("PUT", ["v1", "operators", name]) => match body::<Operator>(request) {
+                Ok(operator) => self.put_operator(request, caller, name, Some(operator)),
+                Err(refusal) => refusal,
+            },
+            ("DELETE", ["v1", "operators", name]) => self.put_operator(request, caller, name, None),
+            _ => problem(404, "no such path"),
+        }
+    }
+
+    /// Answers with a part of the configuration as this node knows it, and the age of that.
+    fn config<T: Serialize + Send + 'static>(
+        &self,
+        part: impl FnOnce(&Config) -> Option<T> + Send + 'static,
+    ) -> Response {
+        self.read(|applied| part(&applied.config))
+    }
+
+    fn read<T: Serialize + Send + 'static>(
+        &self,
+        part: impl FnOnce(&Applied) -> Option<T> + Send + 'static,
+    ) -> Response {
+        let read = |applied: &Applied, age_ms| (applied.config.revision, part(applied), age_ms);
+        match self.ask(read) {
+            Some((revision, Some(item), age_ms)) => {
+                Response::json(&json!({"revision": revision, "age_ms": age_ms, "item": item}))
+            }
+            Some((_, None, _)) => problem(404, "no such item"),
+            None => problem(503, "the node is stopping or overloaded"),
+        }
+    }
+
+    fn ask<T: Send + 'static>(&self, read: impl FnOnce(&Applied, u64) -> T + Send + 'static) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let read = Box::new(move |applied: &Applied, age: std::time::Duration| {
+            // An asker that has gone away needs no answer.
+            let _ = reply.send(read(applied, age.as_millis() as u64));
+        });
+        self.ring.try_send(Ask::Read(read)).ok()?;
+        answer.blocking_recv().ok()
+    }
+
+    fn history(&self, request: &Request) -> Response {
+        let after = request
+            .get_param("after")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        self.read(move |applied| {
+            let news = applied
+                .audits
+                .iter()
+                .filter(|audit| audit.revision.0 > after || after == 0);
+            Some(news.cloned().collect::<Vec<_>>())
+        })
+    }
+
+    fn put<T: DeserializeOwned>(
+        &self,
+        request: &Request,
+        caller: &Caller,
+        change: impl FnOnce(T) -> Option<Change>,
+    ) -> Response {
+        match body(request).map(change) {
+            Ok(Some(change)) => self.change(request, caller, change),
+            Ok(None) => problem(400, "the name in the path and the name in the body differ"),
+            Err(refusal) => refusal,
+        }
+    }
+
+    fn change(&self, request: &Request, caller: &Caller, change: Change) -> Response {
+        let id = match change_id(request) {
+            Ok(id) => id,
+            Err(refusal) => return refusal,
+        };
+        let base = match request.get_param("base").map(|text| text.parse().map(Revision)) {
+            None => None,
+            Some(Ok(base)) => Some(base),
+            Some(Err(_)) => return problem(400, "base is not a revision"),
+        };
+        let operator = caller.name.clone();
+        self.command(Command::Propose(Propose {
+            id,
+            base,
+            operator,
+            change,
+        }))
+    }
+
+    fn put_operator(&self, request: &Request, caller: &Caller, name: &str, operator: Option<Operator>) -> Response {
+        match change_id(request) {
+            Ok(id) => {
+                let (by, name) = (caller.name.clone(), name.to_owned());
+                self.command(Command::Operator(PutOperator { id, by, name, operator }))
+            }
+            Err(refusal) => refusal,
+        }
+    }
+
+    fn command(&self, command: Command) -> Response {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.ring.try_send(Ask::Command(Box::new(command), reply));
+        match sent.ok().and_then(|()| answer.blocking_recv().ok()) {
+            Some(Ok(Reply::Proposed(answer))) => proposed(&answer),
+            Some(Err(why)) => unavailable(&why),
+            _ => problem(
+                503,
+                "the node is stopping or overloaded; resend with the same Change-Id",
+            ),
+        }
+    }
+}
+
+/// Reads a JSON body.
+fn body<T: DeserializeOwned>(request: &Request) -> Result<T, Response> {
+    let mut text = String::new();
+    let read = request.data().map(|data| data.take(MAX_BODY).read_to_string(&mut text));
+    if !matches!(read, Some(Ok(_))) {
+        return Err(problem(400, "the body can't be read as text"));
+    }
+    serde_json::from_str(&text).map_err(|error| problem(400, &error.to_string()))
+}
+
+fn change_id(request: &Request) -> Result<ChangeId, Response> {
+    let id = request
+        .header("Change-Id")
+        .map(ChangeId::from)
+        .filter(ChangeId::is_valid);
+    id.ok_or_else(|| problem(400, "header Change-Id is needed: a name of letters, digits and -_.:/"))
+}
--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -2,18 +2,27 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use contract::{Change, ChangeId, ChangeRecord, Config, CustomerId, NodeId, RequestId, Revision};
+use contract::{Change, ChangeId, ChangeRecord, Config, CustomerId, KeyHash, NodeId, RequestId, Revision};
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use wire::state::{Claim, Claimed, Lease, Leased, Outcome, Propose, Proposed, Settle, Settled, Watched};
 
 /// Changes that are kept for learners; one further behind gets the whole configuration.
 const KEPT_RECORDS: usize = 256;
+/// Changes that the audit trail keeps.
+const KEPT_AUDITS: usize = 4_096;
+/// How long a claim and its outcome are kept, in milliseconds of log time; after that the key may be used anew.
+pub const CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
+/// How long the answer to a change is kept for resends, in milliseconds of log time.
+pub const CHANGE_RETENTION_MS: u64 = 7 * CLAIM_RETENTION_MS;
 
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Log time in milliseconds, set by the leader; it never goes back.
     pub at_ms: u64,
+    /// The leader's wall clock in milliseconds since 1970; only for people who read the audit trail.
+    pub wall_ms: u64,
     /// What to do.
     pub command: Command,
 }
@@ -29,6 +38,45 @@
     Settle(Settle),
     /// Acquires, renews or releases a lease.
     Lease(Lease),
+    /// Adds, changes or removes an operator.
+    Operator(PutOperator),
+}
+
+/// What an operator may do.
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Read everything.
+    #[display("view")]
+    View,
+    /// Read everything and change contracts.
+    #[display("contract")]
+    Contract,
+    /// Read everything and change upstreams.
+    #[display("capacity")]
+    Capacity,
+}
+
+/// An operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operator {
+    /// What the operator may do.
+    pub role: Role,
+    /// Hash of the bearer key.
+    pub key_hash: KeyHash,
+}
+
+/// A change of the operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PutOperator {
+    /// Id of the change.
+    pub id: ChangeId,
+    /// Who makes it.
+    pub by: String,
+    /// The operator's name.
+    pub name: String,
+    /// What the operator is from now on; `None` removes the operator.
+    pub operator: Option<Operator>,
 }
 
 /// What an entry answers.
@@ -44,6 +92,21 @@
     Leased(Leased),
 }
 
+/// Who changed what, as operators read it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Audit {
+    /// The revision that the change led to, or the newest one for other changes.
+    pub revision: Revision,
+    /// The change's id.
+    pub id: ChangeId,
+    /// The operator whose key was shown.
+    pub operator: String,
+    /// What changed, in words.
+    pub change: String,
+    /// Wall clock of the leader in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
 /// Everything that the log has produced so far.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Applied {
@@ -55,18 +118,28 @@
     pub config: Config,
     /// The newest changes.
     pub records: VecDeque<ChangeRecord>,
+    /// Operators by name.
+    pub operators: BTreeMap<String, Operator>,
+    /// The audit trail.
+    pub audits: VecDeque<Audit>,
     answered: BTreeMap<ChangeId, Proposed>,
+    answered_at: VecDeque<(u64, ChangeId)>,
     touched: BTreeMap<String, Revision>,
-    claims: BTreeMap<(CustomerId, String), Held>,
+    claims: BTreeMap<Key, Held>,
+    claimed_at: VecDeque<(u64, Key)>,
     leases: BTreeMap<String, Granted>,
 }
 
+type Key = (CustomerId, String);
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Held {
     digest: String,
     request: RequestId,
     outcome: Option<Outcome>,
     at_ms: u64,
+    /// Until when the holder may send, in log time.
+    until_ms: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -77,12 +150,20 @@
 }
 
 impl Applied {
+    /// Applies the entry at an index of the log; indexes in between held no entries.
+    pub fn apply_at(&mut self, index: u64, entry: &Entry) -> Reply {
+        self.index = index.saturating_sub(1);
+        self.apply(entry)
+    }
+
     /// Applies the entry at the next index.
     pub fn apply(&mut self, entry: &Entry) -> Reply {
         self.index += 1;
         self.at_ms = self.at_ms.max(entry.at_ms);
+        self.expire();
         match &entry.command {
-            Command::Propose(ask) => Reply::Proposed(self.propose(ask)),
+            Command::Propose(ask) => Reply::Proposed(self.propose(ask, entry.wall_ms)),
+            Command::Operator(ask) => Reply::Proposed(self.put_operator(ask, entry.wall_ms)),
             Command::Claim(ask) => Reply::Claimed(self.claim(ask)),
             Command::Settle(ask) => Reply::Settled(self.settle(ask)),
             Command::Lease(ask) => Reply::Leased(self.lease(ask)),
@@ -129,7 +210,7 @@
         self.claims.len() as u64
     }
 
-    fn propose(&mut self, ask: &Propose) -> Proposed {
+    fn propose(&mut self, ask: &Propose, wall_ms: u64) -> Proposed {
         // The answer to a change may be lost; the operator's resend must neither apply twice nor be told of a conflict
         // with itself.
         if let Some(first) = self.answered.get(&ask.id) {
@@ -140,13 +221,13 @@
         let answer = match ask.change.validate() {
             Err(problems) => Proposed::Invalid(problems.to_string()),
             Ok(()) if ask.base.is_some_and(|base| base < touched) => Proposed::Conflict(touched),
-            Ok(()) => self.accept(ask, item),
+            Ok(()) => self.accept(ask, item, wall_ms),
         };
-        self.answered.insert(ask.id.clone(), answer.clone());
+        self.remember(&ask.id, &answer);
         answer
     }
 
-    fn accept(&mut self, ask: &Propose, item: String) -> Proposed {
+    fn accept(&mut self, ask: &Propose, item: String, wall_ms: u64) -> Proposed {
         let revision = self.config.revision.next();
         let record = ChangeRecord {
             revision,
@@ -160,46 +241,131 @@
             self.records.pop_front();
         }
         self.touched.insert(item, revision);
+        self.audit(&ask.id, &ask.operator, ask.change.to_string(), wall_ms);
         Proposed::Accepted(revision)
     }
 
+    fn put_operator(&mut self, ask: &PutOperator, wall_ms: u64) -> Proposed {
+        if let Some(first) = self.answered.get(&ask.id) {
+            return first.clone();
+        }
+        let change = if let Some(operator) = &ask.operator {
+            self.operators.insert(ask.name.clone(), operator.clone());
+            format!("put operator {} as {}", ask.name, operator.role)
+        } else {
+            self.operators.remove(&ask.name);
+            format!("drop operator {}", ask.name)
+        };
+        self.audit(&ask.id, &ask.by, change, wall_ms);
+        let answer = Proposed::Accepted(self.config.revision);
+        self.remember(&ask.id, &answer);
+        answer
+    }
+
+    fn audit(&mut self, id: &ChangeId, operator: &str, change: String, wall_ms: u64) {
+        self.audits.push_back(Audit {
+            revision: self.config.revision,
+            id: id.clone(),
+            operator: operator.to_owned(),
+            change,
+            wall_ms,
+        });
+        if self.audits.len() > KEPT_AUDITS {
+            self.audits.pop_front();
+        }
+    }
+
+    fn remember(&mut self, id: &ChangeId, answer: &Proposed) {
+        self.answered.insert(id.clone(), answer.clone());
+        self.answered_at.push_back((self.at_ms, id.clone()));
+    }
+
+    /// Forgets what has been kept for its time.
+    fn expire(&mut self) {
+        let now = self.at_ms;
+        while let Some((at, id)) = self.answered_at.front()
+            && at.saturating_add(CHANGE_RETENTION_MS) < now
+        {
+            self.answered.remove(id);
+            self.answered_at.pop_front();
+        }
+        while let Some((at, key)) = self.claimed_at.front()
+            && at.saturating_add(CLAIM_RETENTION_MS) < now
+        {
+            // A key that became free may have been claimed anew since.
+            if self.claims.get(key).is_some_and(|held| held.at_ms == *at) {
+                self.claims.remove(key);
+            }
+            self.claimed_at.pop_front();
+        }
+    }
+
     fn claim(&mut self, ask: &Claim) -> Claimed {
         let key = (ask.customer.clone(), ask.key.clone());
-        let Some(held) = self.claims.get(&key) else {
-            let held = Held {
-                digest: ask.digest.clone(),
-                request: ask.request.clone(),
-                outcome: None,
-                at_ms: self.at_ms,
-            };
-            self.claims.insert(key, held);
-            return Claimed::Granted;
+        let now = self.at_ms;
+        let Some(held) = self.claims.get_mut(&key) else {
+            return self.grant(key, ask);
         };
+        if held.outcome == Some(Outcome::NotRun) {
+            // The holder gave its claim back and has told its caller so. A copy of its question that arrives late would
+            // otherwise hold the key for nobody.
+            if held.request == ask.request {
+                return Claimed::Done(Outcome::NotRun);
+            }
+            return self.grant(key, ask);
+        }
         if held.digest != ask.digest {
             return Claimed::Mismatch;
         }
         match &held.outcome {
             Some(outcome) => Claimed::Done(outcome.clone()),
             None if held.request == ask.request => Claimed::Granted,
+            None if held.until_ms < now => {
+                // The holder has died or was frozen. It may have sent the call, so the key is never granted again; the
+                // caller learns that the outcome is not known, and the service is asked where it can tell.
+                held.outcome = Some(Outcome::Unknown);
+                Claimed::Done(Outcome::Unknown)
+            }
             None => Claimed::Running(held.request.clone()),
         }
     }
 
+    fn grant(&mut self, key: Key, ask: &Claim) -> Claimed {
+        self.hold(key, ask.digest.clone(), &ask.request, None, ask.hold_ms);
+        Claimed::Granted
+    }
+
+    fn hold(&mut self, key: Key, digest: String, request: &RequestId, outcome: Option<Outcome>, hold_ms: u64) {
+        let held = Held {
+            digest,
+            request: request.clone(),
+            outcome,
+            at_ms: self.at_ms,
+            until_ms: self.at_ms.saturating_add(hold_ms),
+        };
+        self.claimed_at.push_back((self.at_ms, key.clone()));
+        self.claims.insert(key, held);
+    }
+
     fn settle(&mut self, ask: &Settle) -> Settled {
         let key = (ask.customer.clone(), ask.key.clone());
         let Some(held) = self.claims.get_mut(&key) else {
+            if ask.outcome == Outcome::NotRun {
+                // The claim that is given back may still be on its way; it must not be granted when it arrives.
+                self.hold(key, String::new(), &ask.request, Some(Outcome::NotRun), 0);
+                return Settled::Stored;
+            }
             return Settled::NotHeld;
         };
-        if held.request != ask.request {
+        let told = held.outcome == Some(Outcome::Unknown) && matches!(ask.outcome, Outcome::Answered { .. });
+        if held.request != ask.request && !told {
             return Settled::NotHeld;
         }
-        if ask.outcome == Outcome::NotRun && held.outcome.is_none() {
-            self.claims.remove(&key);
-            return Settled::Stored;
-        }
-        // A known answer is final; an unknown outcome may still be settled by what the service tells later.
-        if !matches!(held.outcome, Some(Outcome::Answered { .. })) {
-            held.outcome = Some(ask.outcome.clone());
+        // A known answer is final; an unknown outcome may still be settled by what the service tells later. Only a
+        // holder that has not sent anything says that the call was not run, which it can't after anything else.
+        match (&held.outcome, &ask.outcome) {
+            (None, _) | (Some(Outcome::Unknown), Outcome::Answered { .. }) => held.outcome = Some(ask.outcome.clone()),
+            _ => {}
         }
         Settled::Stored
     }
--- /dev/null
+++ b/crates/state/src/core/mod.rs
@@ -0,0 +1,268 @@
+//! The thread that owns the state: it drives the agreement, makes it durable, applies what is agreed and answers.
+
+mod ask;
+mod forming;
+mod log_time;
+mod pending;
+mod serve;
+mod watchers;
+
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use metrics::{counter, gauge};
+use policy::Tick;
+use slog::{Logger, error, info, warn};
+use telemetry::Clock;
+
+pub use ask::{Ask, MemberList, Replace, ReplaceError, Replaced, ring};
+use forming::Forming;
+pub use forming::{Hello, Me};
+use log_time::LogTime;
+use pending::Pending;
+use watchers::Watchers;
+
+use crate::applied::{Applied, Entry};
+use crate::disk::{DiskError, Folder};
+use crate::peers::{Parcel, Peers};
+use crate::raft::{Message, Node, Payload, Ready, Record, Restored, Timing};
+
+/// Most questions that are taken before they are worked on; their entries share a sync.
+const BATCH: usize = 1_024;
+/// How often time moves on when nothing is asked.
+const STEP: Duration = Duration::from_millis(10);
+/// Pause before a write is tried again on a full disk.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// The state together with its agreement and disk.
+#[derive(Debug)]
+pub struct Core {
+    me: Me,
+    node: Node,
+    folder: Folder,
+    applied: Applied,
+    peers: Peers,
+    forming: Forming,
+    pending: Pending,
+    watchers: Watchers,
+    time: LogTime,
+    clock: Clock,
+    logger: Logger,
+    /// When this node last knew that it had everything that is agreed.
+    heard: Tick,
+    /// Writes that found no room, and when they are tried again.
+    stalled: Option<(Ready, Tick)>,
+    /// When a snapshot may be tried again.
+    snapshot_at: Tick,
+    role: &'static str,
+}
+
+impl Core {
+    /// Makes the state from what the data folder holds.
+    ///
+    /// # Errors
+    /// Fails when the snapshot holds something else than this program's state.
+    pub fn new(
+        me: Me,
+        folder: Folder,
+        restored: Restored,
+        peers: Peers,
+        clock: Clock,
+        logger: Logger,
+    ) -> Result<Self, DiskError> {
+        let applied = decode(&restored.snapshot.data)?;
+        let now = clock.now();
+        let seed = clock.now().0.as_nanos() as u64;
+        let forming = Forming::new(restored.id);
+        let node = Node::new(restored, Timing::default(), seed, now);
+        Ok(Self {
+            me,
+            time: LogTime::new(applied.at_ms, now),
+            node,
+            folder,
+            applied,
+            peers,
+            forming,
+            pending: Pending::default(),
+            watchers: Watchers::default(),
+            clock,
+            logger,
+            heard: now,
+            stalled: None,
+            snapshot_at: now,
+            role: "",
+        })
+    }
+
+    /// Serves until every sender of the ring is gone.
+    ///
+    /// # Errors
+    /// Fails when the data folder can't be written any more for another reason than lack of room.
+    pub fn run(mut self, asks: &Receiver<Ask>) -> Result<(), DiskError> {
+        loop {
+            let batch: Vec<Ask> = match asks.recv_timeout(STEP) {
+                Ok(first) => std::iter::once(first).chain(asks.try_iter().take(BATCH - 1)).collect(),
+                Err(RecvTimeoutError::Timeout) => Vec::new(),
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            if let Err(error) = self.turn(batch) {
+                error!(self.logger, "data folder cannot be written"; "error" => %error);
+                return Err(error);
+            }
+        }
+    }
+
+    fn turn(&mut self, batch: Vec<Ask>) -> Result<(), DiskError> {
+        self.retry()?;
+        self.serve(batch);
+        if self.stalled.is_none() {
+            let now = self.clock.now();
+            self.node.tick(now);
+            self.form(now);
+            self.drive()?;
+        }
+        let now = self.clock.now();
+        if !self.node.leads(now) {
+            self.pending.give_up();
+        }
+        self.note_role(now);
+        let age = self.age(now);
+        self.watchers.answer(&self.applied, age, now);
+        Ok(())
+    }
+
+    /// Carries out what the agreement wants until it wants nothing more.
+    fn drive(&mut self) -> Result<(), DiskError> {
+        loop {
+            let ready = self.node.ready(self.clock.now());
+            let busy = ready.writes() || !ready.early.is_empty() || !ready.late.is_empty();
+            self.send(&ready.early);
+            if !self.write(ready)? {
+                return Ok(());
+            }
+            let applied = self.apply();
+            self.take_snapshot();
+            if !busy && !applied {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Makes writes durable, then sends what depends on them; returns whether there was room.
+    fn write(&mut self, ready: Ready) -> Result<bool, DiskError> {
+        match self.folder.write(&ready) {
+            Ok(()) => {}
+            Err(error) if error.is_full() => {
+                // Nothing depends on these writes yet: they stay here, nobody is answered, and the group goes on
+                // without this node until there is room.
+                if self.stalled.is_none() {
+                    warn!(self.logger, "no room on the disk"; "error" => %error);
+                }
+                counter!("gentian_state_disk_full_total").increment(1);
+                self.stalled = Some((ready, self.clock.now() + RETRY));
+                return Ok(false);
+            }
+            Err(error) => return Err(error),
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            self.applied = decode(&snapshot.data)?;
+            self.time = LogTime::new(self.applied.at_ms, self.clock.now());
+        }
+        if ready.writes() {
+            self.node.saved(ready.until, self.clock.now());
+        }
+        self.send(&ready.late);
+        Ok(true)
+    }
+
+    fn retry(&mut self) -> Result<(), DiskError> {
+        let now = self.clock.now();
+        let Some((ready, _)) = self.stalled.take_if(|(_, at)| *at <= now) else {
+            return Ok(());
+        };
+        if self.write(ready)? {
+            info!(self.logger, "room on the disk again");
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, messages: &[Message]) {
+        for message in messages {
+            let member = self.node.members().0.get(&message.to);
+            let address = member
+                .map(|member| member.address)
+                .or_else(|| self.forming.address(message.to));
+            if let Some(address) = address {
+                self.peers.send(address, Parcel::Agree(message.clone()));
+            }
+        }
+    }
+
+    /// Applies what was committed and answers who waits for it.
+    fn apply(&mut self) -> bool {
+        let records = self.node.take_committed();
+        for record in &records {
+            self.apply_one(record);
+        }
+        !records.is_empty()
+    }
+
+    fn apply_one(&mut self, record: &Record) {
+        let Payload::Command(bytes) = &record.payload else {
+            return;
+        };
+        let entry: Entry = postcard::from_bytes(bytes).expect("the leader encoded this entry in the same version");
+        let now = self.clock.now();
+        self.time.heard(entry.at_ms, self.role == "leader", now);
+        let reply = self.applied.apply_at(record.at.index.0, &entry);
+        self.pending.answer(record.at, reply);
+    }
+
+    fn take_snapshot(&mut self) {
+        let now = self.clock.now();
+        if !self.folder.wants_snapshot() || now < self.snapshot_at {
+            return;
+        }
+        let data = encode(&self.applied);
+        let snapshot = self.node.compact(data).clone();
+        if let Err(error) = self.folder.keep(&snapshot) {
+            warn!(self.logger, "snapshot was not written"; "error" => %error);
+            self.snapshot_at = now + RETRY;
+        }
+    }
+
+    /// Gives for how long news may have passed this node by.
+    fn age(&mut self, now: Tick) -> Duration {
+        if self.node.leads(now) {
+            self.heard = now;
+        }
+        now.since(self.heard)
+    }
+
+    fn note_role(&mut self, now: Tick) {
+        let leads = self.node.leads(now);
+        let role = if self.node.role() == "leader" && !leads {
+            "follower"
+        } else {
+            self.node.role()
+        };
+        if role != self.role {
+            info!(self.logger, "role changed"; "role" => role, "term" => self.node.term().0);
+            self.role = role;
+        }
+        gauge!("gentian_state_leads").set(if leads { 1.0 } else { 0.0 });
+        gauge!("gentian_state_committed").set(self.node.committed().0 as f64);
+    }
+}
+
+/// Encodes the applied state for a snapshot.
+fn encode(applied: &Applied) -> Vec<u8> {
+    postcard::to_stdvec(applied).expect("every part of the state can be encoded")
+}
+
+fn decode(data: &[u8]) -> Result<Applied, DiskError> {
+    if data.is_empty() {
+        return Ok(Applied::default());
+    }
+    postcard::from_bytes(data).map_err(|source| DiskError::Codec { source })
+}
--- /dev/null
+++ b/crates/state/src/core/serve.rs
@@ -0,0 +1,149 @@
+//! Answers to what is asked of the thread.
+
+use contract::NodeId;
+use policy::Tick;
+use telemetry::clock::wall_ms;
+use wire::state::{StateStatus, Unavailable};
+
+use super::ask::{MemberList, ReplaceError};
+use super::{Ask, Core, Replace, Replaced};
+use crate::applied::{Command, Entry};
+use crate::raft::{ChangeError, Member, MemberId};
+
+impl Core {
+    /// Takes a batch of questions; the commands among them are proposed together.
+    pub(super) fn serve(&mut self, batch: Vec<Ask>) {
+        let mut commands = Vec::new();
+        let mut replies = Vec::new();
+        let now = self.clock.now();
+        for ask in batch {
+            match ask {
+                Ask::Command(command, reply) => {
+                    commands.push(*command);
+                    replies.push(reply);
+                }
+                Ask::Watch(watch, reply) => self.watchers.add(watch, reply, now),
+                // Askers that have gone away need no answer.
+                Ask::Status(reply) => drop(reply.send(self.status(now))),
+                Ask::Read(read) => {
+                    let age = self.age(now);
+                    read(&self.applied, age);
+                }
+                Ask::Members(reply) => drop(reply.send(self.member_list(now))),
+                Ask::Replace(replace, reply) => drop(reply.send(self.replace(&replace, now))),
+                // Messages that find the node waiting for room are lost, as on a bad link.
+                Ask::Deliver(_) if self.stalled.is_some() => {}
+                Ask::Deliver(delivery) => self.deliver(delivery, now),
+            }
+        }
+        if commands.is_empty() {
+            return;
+        }
+        match self.propose(commands, now) {
+            Ok(first) => self.pending.add(self.node.term(), first, replies),
+            Err(why) => replies.into_iter().for_each(|reply| drop(reply.send(Err(why.clone())))),
+        }
+    }
+
+    fn propose(&mut self, commands: Vec<Command>, now: Tick) -> Result<crate::raft::Index, Unavailable> {
+        if self.stalled.is_some() {
+            return Err(Unavailable::NoQuorum {
+                reason: "the disk is full".to_owned(),
+            });
+        }
+        let at_ms = self.time.now_ms(now);
+        let wall_ms = wall_ms();
+        let encode = |command| {
+            postcard::to_stdvec(&Entry {
+                at_ms,
+                wall_ms,
+                command,
+            })
+            .expect("every command can be encoded")
+        };
+        let encoded = commands.into_iter().map(encode).collect();
+        self.node.propose(encoded, now).map_err(|refused| match refused.leader {
+            Some(leader) => {
+                let leader = self.node.members().0.get(&leader).map(|member| member.address);
+                Unavailable::NotLeader { leader }
+            }
+            None => Unavailable::NoQuorum {
+                reason: "no leader is known".to_owned(),
+            },
+        })
+    }
+
+    fn status(&self, now: Tick) -> StateStatus {
+        let members = self.node.members();
+        let leader = self.leader(now);
+        StateStatus {
+            role: if self.node.role() == "leader" && leader.is_none() {
+                "follower"
+            } else {
+                self.node.role()
+            }
+            .to_owned(),
+            term: self.node.term().0,
+            committed: self.node.committed().0,
+            leader: leader
+                .and_then(|id| members.0.get(&id))
+                .map(|member| member.node.clone()),
+            voters: members
+                .0
+                .values()
+                .filter(|member| member.votes)
+                .map(|member| member.node.clone())
+                .collect(),
+            claims: self.applied.claim_count(),
+        }
+    }
+
+    fn leader(&self, now: Tick) -> Option<MemberId> {
+        let leader = self.node.leader()?;
+        (leader != self.node.id() || self.node.leads(now)).then_some(leader)
+    }
+
+    fn member_list(&self, now: Tick) -> MemberList {
+        let members = self.node.members().clone();
+        let blank = self
+            .forming
+            .blank(now)
+            .filter(|(id, _, _)| !members.0.contains_key(id))
+            .map(|(id, node, address)| (id, node.clone(), address))
+            .collect();
+        MemberList {
+            members,
+            blank,
+            leader: self.leader(now),
+        }
+    }
+
+    fn replace(&mut self, replace: &Replace, now: Tick) -> Result<Replaced, ReplaceError> {
+        if !self.node.leads(now) || self.stalled.is_some() {
+            return Err(ReplaceError::Change(ChangeError::NotLeading));
+        }
+        let list = self.member_list(now);
+        let named = |node: &NodeId, name: &NodeId| node == name;
+        let old = list
+            .members
+            .0
+            .iter()
+            .find(|(_, member)| named(&member.node, &replace.old));
+        let (old, _) = old.ok_or_else(|| ReplaceError::NoMember(replace.old.clone()))?;
+        let blank = list.blank.iter().find(|(_, node, _)| named(node, &replace.new));
+        let (new, node, address) = blank.ok_or_else(|| ReplaceError::NotBlank(replace.new.clone()))?;
+        let member = Member {
+            node: node.clone(),
+            address: *address,
+            votes: false,
+            replaces: Some(*old),
+        };
+        self.node
+            .replace(*old, *new, member, now)
+            .map_err(ReplaceError::Change)?;
+        Ok(Replaced {
+            old: old.to_string(),
+            new: new.to_string(),
+        })
+    }
+}
--- a/crates/state/src/disk/folder.rs
+++ b/crates/state/src/disk/folder.rs
@@ -44,6 +44,8 @@
     newest: Index,
     /// Bytes of log since the last snapshot.
     since: u64,
+    /// Bytes of the last snapshot.
+    size: u64,
     /// Keeps other processes out as long as it is open.
     _lock: File,
 }
@@ -69,7 +71,7 @@
             Some(id) => id,
             None => identity::draw(folder)?,
         };
-        let (snapshot, _) = snapshot::read(folder)?;
+        let (snapshot, size) = snapshot::read(folder)?;
         let mut segments = segment::list(folder)?;
         let mut read = Replay::default();
         let mut older = Vec::new();
@@ -107,6 +109,7 @@
             older,
             newest,
             since,
+            size,
             _lock: lock,
         };
         Ok((opened, restored))
@@ -142,8 +145,9 @@
 
     /// Tells whether enough log has been written since the last snapshot.
     #[must_use]
-    pub const fn wants_snapshot(&self) -> bool {
-        self.since >= self.limits.snapshot
+    pub fn wants_snapshot(&self) -> bool {
+        // A large state is written less often, so that snapshots cost no more than the log itself.
+        self.since >= self.limits.snapshot.max(self.size)
     }
 
     /// Writes a snapshot and removes the segments that it covers.
@@ -162,6 +166,7 @@
             fs::remove_file(&path).map_err(DiskError::io("remove", &path))?;
         }
         self.since = 0;
+        self.size = snapshot.data.len() as u64;
         sync_folder(&self.path)
     }
 
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -2,27 +2,33 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-use contract::NodeId;
 use contract::settings::Sheet;
 use crossbeam_channel::{Receiver, Sender};
-use jsonrpsee::server::Server;
+use jsonrpsee::server::{Server, ServerConfig};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
 use state::admin::Admin;
 use state::cli::Options;
-use state::core::{Ask, Core, ring};
-use state::learner;
+use state::core::{Ask, Core, Me, ring};
+use state::disk::{Folder, Limits};
+use state::peers::Peers;
 use state::rpc::Rpc;
 use state::settings::Settings;
-use state::single::Log;
+use telemetry::scrape::Scrape;
 use telemetry::{Clock, log};
-use wire::client::{Calls, StateClient};
+use wire::client::{Calls, MAX_MESSAGE};
+use wire::raft::RaftRpcServer;
 use wire::state::StateRpcServer;
 
 /// Longest wait for another node.
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for another node of the group; a frozen one must not keep newer messages waiting.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most connections of the inner protocol: some hundred learners and callers, each with one or two.
+const MAX_CONNECTIONS: u32 = 2_048;
 /// Threads of the administration API.
 const ADMIN_THREADS: usize = 8;
 
@@ -45,13 +51,21 @@
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
+    let scrape = Scrape::install()?;
     let (sender, asks) = ring();
     let calls = Calls::start(2, TIMEOUT)?;
-    start_owner(settings, logger, &calls, asks, &stop)?;
+    let owner = start_owner(settings, logger, &calls, asks, &stop)?;
     let rpc = Rpc::new(settings.node.clone(), sender.clone());
-    let server = calls.wait(Server::builder().build(settings.listen))?;
-    let handle = calls.wait(async { server.start(rpc.into_rpc()) });
-    let admin = start_admin(settings, sender)?;
+    let mut methods = StateRpcServer::into_rpc(rpc.clone());
+    methods.merge(RaftRpcServer::into_rpc(rpc))?;
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE)
+        .max_response_body_size(MAX_MESSAGE)
+        .max_connections(MAX_CONNECTIONS)
+        .build();
+    let server = calls.wait(Server::builder().set_config(config).build(settings.listen))?;
+    let handle = calls.wait(async { server.start(methods) });
+    let admin = start_admin(settings, sender, scrape)?;
     info!(logger, "serving"; "inner" => %settings.listen, "admin" => %admin.server_addr());
     while !stop.load(Ordering::Relaxed) {
         admin.poll_timeout(Duration::from_millis(50));
@@ -59,6 +73,12 @@
     info!(logger, "stopping");
     // A second request to stop changes nothing.
     let _ = handle.stop();
+    if owner.is_finished() {
+        anyhow::bail!(
+            "the data folder {} cannot be written; the log names the file",
+            settings.data.display()
+        );
+    }
     Ok(())
 }
 
@@ -68,32 +88,35 @@
     calls: &Calls,
     asks: Receiver<Ask>,
     stop: &Arc<AtomicBool>,
-) -> anyhow::Result<()> {
-    let clock = Clock::start();
-    let thread = std::thread::Builder::new().name("state".to_owned());
-    let voter = settings.peers[0];
-    if settings.listen == voter {
-        let (log, entries) = Log::open(&settings.data)?;
-        let core = Core::new(log, &entries, clock, logger.clone());
-        let stop = Arc::clone(stop);
-        thread.spawn(move || {
-            if core.run(&asks).is_err() {
-                stop.store(true, Ordering::Relaxed);
-            }
-        })?;
-    } else {
-        let client = StateClient::new(calls, &settings.node, &[voter])?;
-        let leader = NodeId::from(voter.to_string());
-        thread.spawn(move || learner::run(voter, &leader, &client, &clock, &asks))?;
-    }
-    Ok(())
+) -> anyhow::Result<JoinHandle<()>> {
+    let (folder, restored) = Folder::open(&settings.data, Limits::default())?;
+    let me = Me {
+        node: settings.node.clone(),
+        address: settings.listen,
+        peers: settings.peers.clone(),
+    };
+    let peers = Peers::new(
+        calls.with_timeout(PEER_TIMEOUT),
+        me.node.clone(),
+        restored.id,
+        me.address,
+    );
+    let core = Core::new(me, folder, restored, peers, Clock::start(), logger.clone())?;
+    let stop = Arc::clone(stop);
+    let work = move || {
+        if core.run(&asks).is_err() {
+            stop.store(true, Ordering::Relaxed);
+        }
+    };
+    Ok(std::thread::Builder::new().name("state".to_owned()).spawn(work)?)
 }
 
 fn start_admin(
     settings: &Settings,
     ring: Sender<Ask>,
+    scrape: Scrape,
 ) -> anyhow::Result<rouille::Server<impl Fn(&rouille::Request) -> rouille::Response + Send + Sync + 'static>> {
-    let admin = Admin::new(ring, settings.operator.clone());
+    let admin = Admin::new(ring, settings.operator.clone(), scrape);
     let server = rouille::Server::new(settings.admin, move |request| admin.answer(request))
         .map_err(|error| anyhow::anyhow!("listen on {}: {error}", settings.admin))?;
     Ok(server.pool_size(ADMIN_THREADS))
--- a/crates/state/src/raft/lead.rs
+++ b/crates/state/src/raft/lead.rs
@@ -18,6 +18,8 @@
 pub(super) struct Leading {
     pub(super) others: BTreeMap<MemberId, Progress>,
     pub(super) next_beat: Tick,
+    /// Commit index of the last heartbeat.
+    pub(super) told: Index,
     since: Tick,
 }
 
@@ -57,6 +59,7 @@
         Self {
             others,
             next_beat: now,
+            told: Index(0),
             since,
         }
     }
@@ -79,6 +82,15 @@
         Some(since + self.timing.lease())
     }
 
+    /// Tells whether it is time for a heartbeat, which comes sooner when there is a newer commit index to tell.
+    pub(super) fn beat_due(&self, now: Tick) -> bool {
+        let Role::Leader(leading) = &self.role else {
+            return false;
+        };
+        let early = self.timing.beat.saturating_sub(self.timing.tell);
+        leading.next_beat <= now || (leading.told < self.commit && leading.next_beat <= now + early)
+    }
+
     /// Sends a heartbeat to every other member.
     pub(super) fn beat(&mut self, now: Tick) {
         self.match_members();
@@ -86,6 +98,7 @@
             return;
         };
         leading.next_beat = now + self.timing.beat;
+        leading.told = self.commit;
         let others: Vec<MemberId> = leading.others.keys().copied().collect();
         for id in others {
             self.send(id, true, now);
--- a/crates/state/src/raft/node.rs
+++ b/crates/state/src/raft/node.rs
@@ -188,8 +188,8 @@
     /// Moves time on.
     pub fn tick(&mut self, now: Tick) {
         self.check_lease(now);
-        if let Role::Leader(leading) = &self.role {
-            if leading.next_beat <= now {
+        if matches!(self.role, Role::Leader(_)) {
+            if self.beat_due(now) {
                 self.beat(now);
             }
             self.continue_change(now);
--- a/crates/state/src/raft/timing.rs
+++ b/crates/state/src/raft/timing.rs
@@ -13,6 +13,8 @@
 pub struct Timing {
     /// Pause between two heartbeats.
     pub beat: Duration,
+    /// Pause before followers are told of a newer commit index, so that their watchers hear of it soon.
+    pub tell: Duration,
     /// Shortest time without a leader after which a node may help to elect another; the longest is twice that.
     pub election: Duration,
 }
@@ -21,6 +23,7 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(100),
+            tell: Duration::from_millis(20),
             election: Duration::from_millis(600),
         }
     }
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -4,8 +4,10 @@
 use crossbeam_channel::Sender;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
+use metrics::counter;
 use tokio::sync::oneshot;
 use wire::Envelope;
+use wire::raft::{Packet, RaftRpcServer};
 use wire::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
     Watched,
@@ -13,9 +15,12 @@
 
 use crate::applied::{Command, Reply};
 use crate::core::Ask;
+use crate::peers::Delivery;
 
 /// JSON-RPC code for a node that is stopping.
 const STOPPING: i32 = -32_001;
+/// JSON-RPC code for messages of another version.
+const UNREADABLE: i32 = -32_002;
 
 /// Answers the calls of the inner protocol.
 #[derive(Clone, Debug)]
@@ -92,6 +97,19 @@
     }
 }
 
+#[async_trait]
+impl RaftRpcServer for Rpc {
+    async fn deliver(&self, batch: Envelope<Packet>) -> RpcResult<()> {
+        let delivery: Delivery = postcard::from_bytes(&batch.body.messages).map_err(|error| {
+            ErrorObjectOwned::owned(UNREADABLE, format!("messages of {}: {error}", batch.from), None::<()>)
+        })?;
+        if self.ring.try_send(Ask::Deliver(delivery)).is_err() {
+            counter!("gentian_state_messages_dropped_total").increment(1);
+        }
+        Ok(())
+    }
+}
+
 fn stopping() -> ErrorObjectOwned {
     ErrorObjectOwned::owned(STOPPING, "the node is stopping or overloaded", None::<()>)
 }
--- a/crates/state/tests/claims_once.rs
+++ b/crates/state/tests/claims_once.rs
@@ -10,9 +10,11 @@
         key: "deposit-1".to_owned(),
         digest: digest.to_owned(),
         request: request.into(),
+        hold_ms: 1_000,
     };
     Entry {
         at_ms: 1,
+        wall_ms: 0,
         command: Command::Claim(ask),
     }
 }
@@ -27,6 +29,7 @@
     };
     Entry {
         at_ms: 2,
+        wall_ms: 0,
         command: Command::Settle(ask),
     }
 }
--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -235,7 +235,7 @@
             60..=64 if lose_disks && self.whole() => self.wipe(n),
             65..=165 => self.repair(),
             // Where nothing is written for a while, a node that missed a heartbeat is as good a candidate as any.
-            _ if self.now / QUIET_MS % 2 == 0 => self.propose(),
+            _ if (self.now / QUIET_MS).is_multiple_of(2) => self.propose(),
             _ => {}
         }
     }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -19,6 +19,9 @@
 /// Largest inner message, in bytes.
 pub const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
 
+/// Longest that a node may hold a watch.
+pub const MAX_WAIT: Duration = Duration::from_secs(5);
+
 /// A call that got no answer.
 #[derive(Debug, Display, Error)]
 #[display("{step} at {peer}: {source}")]
@@ -55,6 +58,15 @@
         })
     }
 
+    /// Gives the same threads with another longest wait for an answer.
+    #[must_use]
+    pub fn with_timeout(&self, timeout: Duration) -> Self {
+        Self {
+            runtime: Arc::clone(&self.runtime),
+            timeout,
+        }
+    }
+
     /// Opens a client; the connection itself is made at the first call.
     ///
     /// # Errors
@@ -85,6 +97,8 @@
     me: NodeId,
     peers: Vec<SocketAddr>,
     clients: Vec<HttpClient>,
+    /// Clients whose calls may be held by the node for a while; kept, so that a watch costs no new connection.
+    watchers: Vec<HttpClient>,
     leader: Mutex<usize>,
 }
 
@@ -115,15 +129,20 @@
     /// # Errors
     /// Fails when an address cannot be used.
     pub fn new(calls: &Calls, me: &NodeId, peers: &[SocketAddr]) -> Result<Self, CallError> {
-        let clients = peers
-            .iter()
-            .map(|peer| calls.client(*peer, Duration::ZERO))
-            .collect::<Result<_, _>>()?;
+        let open = |extra| {
+            peers
+                .iter()
+                .map(|peer| calls.client(*peer, extra))
+                .collect::<Result<_, _>>()
+        };
+        let clients = open(Duration::ZERO)?;
+        let watchers = open(MAX_WAIT)?;
         Ok(Self {
             calls: calls.clone(),
             me: me.clone(),
             peers: peers.to_vec(),
             clients,
+            watchers,
             leader: Mutex::new(0),
         })
     }
@@ -153,8 +172,8 @@
     /// # Errors
     /// Returns the failure of that node.
     pub fn watch(&self, node: usize, revision: Revision, ask: Watch) -> Result<Envelope<Watched>, CallError> {
-        let peer = self.peers[node % self.peers.len()];
-        let client = self.calls.client(peer, Duration::from_millis(ask.wait_ms))?;
+        let at = node % self.peers.len();
+        let (peer, client) = (self.peers[at], &self.watchers[at]);
         let message = Envelope::new(&self.me, revision, ask);
         self.calls.wait(client.watch(message)).map_err(|source| CallError {
             step: "watch",
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -120,6 +120,9 @@
     pub digest: String,
     /// The request that asks; a claim that it already holds is granted again.
     pub request: RequestId,
+    /// How long the request may still send, in milliseconds; after that the outcome counts as unknown.
+    #[serde(default)]
+    pub hold_ms: u64,
 }
 
 /// The answer to [`Claim`].
