--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod cli;
 pub mod demo;
+pub mod link;
+pub mod process;
