Measure slopes of control cost

gentian-load slopes starts real processes, counts bytes on the links between them and processor time and memory by the kernel's own counts, and fits lines over entry hosts and upstreams, idle and under changes.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
+use contract::settings::List;
 
 /// Load gentianspring and measure what comes out.
 #[derive(Debug, FromArgs)]
@@ -18,6 +19,8 @@
 pub enum Command {
     /// Demonstration.
     Demo(Demo),
+    /// Slopes of control cost.
+    Slopes(SlopesOptions),
 }
 
 /// Send one request of each kind and check the answers.
@@ -31,3 +34,30 @@
     #[argh(option)]
     pub second: SocketAddr,
 }
+
+/// Measure what each further entry host and upstream costs for control.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+pub struct SlopesOptions {
+    /// numbers of entry hosts, as N,N,…
+    #[argh(option, default = "List(vec![2, 4, 8, 16, 32])")]
+    pub entries: List<usize>,
+    /// numbers of upstreams, as N,N,…
+    #[argh(option, default = "List(vec![10, 50, 100, 200])")]
+    pub upstreams: List<usize>,
+    /// entry hosts while upstreams vary
+    #[argh(option, default = "4")]
+    pub base_entries: usize,
+    /// upstreams while entry hosts vary
+    #[argh(option, default = "10")]
+    pub base_upstreams: usize,
+    /// configuration changes a second in the points with changes
+    #[argh(option, default = "1.0")]
+    pub changes: f64,
+    /// seconds a point
+    #[argh(option, default = "8.0")]
+    pub seconds: f64,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod demo;
 pub mod link;
 pub mod process;
+pub mod slopes;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,11 +1,12 @@
 //! `gentian-load`: loads gentianspring and measures what comes out.
 
 use load::cli::{Command, Options};
-use load::demo;
+use load::{demo, slopes};
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
     match options.command {
         Command::Demo(options) => demo::run(&options),
+        Command::Slopes(options) => slopes::run(&options),
     }
 }
--- /dev/null
+++ b/crates/load/src/slopes/mod.rs
@@ -0,0 +1,151 @@
+//! Slopes of control cost: what each further entry host and each further upstream costs, idle and under changes.
+//!
+//! Real processes run on loopback; the links between them count bytes, the kernel counts processor time and memory.
+
+mod bench;
+mod fit;
+mod usage;
+
+use serde::Serialize;
+
+pub use fit::{Line, fit};
+pub use usage::Usage;
+
+use crate::cli::SlopesOptions;
+
+/// One point that was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    /// Entry hosts.
+    pub entries: usize,
+    /// Registered upstreams.
+    pub upstreams: usize,
+    /// Configuration changes a second.
+    pub changes: f64,
+    /// Seconds that it was measured for.
+    pub seconds: f64,
+    /// The average entry host.
+    pub entry: Cost,
+    /// The average state node.
+    pub state: Cost,
+    /// The state node that spent most.
+    pub busiest: Cost,
+    /// Milliseconds until a change is in force on every entry host: median and most.
+    pub in_force_ms: Option<(f64, f64)>,
+}
+
+/// What one process spends on control.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Cost {
+    /// Thousandths of a core.
+    pub millicores: f64,
+    /// Resident memory in MB.
+    pub memory_mb: f64,
+    /// Bytes a second over its links, both ways.
+    pub bytes_per_s: f64,
+}
+
+/// A fitted line for one quantity.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// What was varied and what was measured.
+    pub quantity: String,
+    /// The line.
+    pub line: Line,
+}
+
+/// Measures every point and fits the lines.
+///
+/// # Errors
+/// Fails when a process can't be started or doesn't answer.
+pub fn run(options: &SlopesOptions) -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for entries in &options.entries.0 {
+        points.push(bench::measure(*entries, options.base_upstreams, 0.0, options.seconds)?);
+        points.push(bench::measure(
+            *entries,
+            options.base_upstreams,
+            options.changes,
+            options.seconds,
+        )?);
+    }
+    for upstreams in &options.upstreams.0 {
+        points.push(bench::measure(options.base_entries, *upstreams, 0.0, options.seconds)?);
+    }
+    let slopes = slopes(&points, options);
+    if options.json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&serde_json::json!({"points": points, "slopes": slopes}))?
+        );
+        return Ok(());
+    }
+    points.iter().for_each(print_point);
+    for slope in &slopes {
+        let line = slope.line;
+        println!(
+            "{:<58} {:>10.3} + {:>9.4} x   r2 {:.3}",
+            slope.quantity, line.start, line.slope, line.fit
+        );
+    }
+    Ok(())
+}
+
+fn print_point(point: &Point) {
+    println!(
+        "entries {:>3} upstreams {:>4} changes/s {:>4.1}: entry {:>6.2} mcore {:>6.1} MB {:>8.0} B/s, \
+         state {:>6.2} mcore {:>6.1} MB {:>8.0} B/s, busiest {:>6.2} mcore, in force {:?} ms",
+        point.entries,
+        point.upstreams,
+        point.changes,
+        point.entry.millicores,
+        point.entry.memory_mb,
+        point.entry.bytes_per_s,
+        point.state.millicores,
+        point.state.memory_mb,
+        point.state.bytes_per_s,
+        point.busiest.millicores,
+        point.in_force_ms,
+    );
+}
+
+fn slopes(points: &[Point], options: &SlopesOptions) -> Vec<Slope> {
+    let by_entries = |changing: bool| {
+        move |point: &&Point| point.upstreams == options.base_upstreams && (point.changes > 0.0) == changing
+    };
+    let idle: Vec<&Point> = points.iter().filter(by_entries(false)).collect();
+    let changing: Vec<&Point> = points.iter().filter(by_entries(true)).collect();
+    let by_upstreams = |point: &&Point| point.entries == options.base_entries && point.changes == 0.0;
+    let fleet: Vec<&Point> = points.iter().filter(by_upstreams).collect();
+    let entries = |point: &Point| point.entries as f64;
+    let upstreams = |point: &Point| point.upstreams as f64;
+    let mut slopes = Vec::new();
+    for (name, chosen, x) in [
+        ("idle, a further entry host", &idle, entries as fn(&Point) -> f64),
+        ("changing, a further entry host", &changing, entries),
+        ("idle, a further upstream", &fleet, upstreams),
+    ] {
+        for (what, y) in QUANTITIES {
+            let pairs: Vec<(f64, f64)> = chosen.iter().map(|point| (x(point), y(point))).collect();
+            if let Some(line) = fit(&pairs) {
+                slopes.push(Slope {
+                    quantity: format!("{name}: {what}"),
+                    line,
+                });
+            }
+        }
+    }
+    slopes
+}
+
+type Quantity = (&'static str, fn(&Point) -> f64);
+
+const QUANTITIES: [Quantity; 7] = [
+    ("entry millicores", |point| point.entry.millicores),
+    ("entry MB", |point| point.entry.memory_mb),
+    ("entry B/s", |point| point.entry.bytes_per_s),
+    ("state node millicores", |point| point.state.millicores),
+    ("busiest state node millicores", |point| point.busiest.millicores),
+    ("state node MB", |point| point.state.memory_mb),
+    ("state node B/s", |point| point.state.bytes_per_s),
+];
