--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -6,7 +6,8 @@
 use contract::{Class, Contract, RequestId, UpstreamId};
 use metrics::counter;
 use policy::Tick;
-use policy::route::Need;
+use policy::prefix::Prefix;
+use policy::route::{Need, Target};
 use serde_json::json;
 use slog::warn;
 use tiny_http::{Header, Request, Response};
@@ -17,6 +18,7 @@
 use super::{MAX_BODY, bearer};
 use crate::Entry;
 use crate::admission::Work;
+use crate::fleet::{Ask, Visit};
 use crate::journal::Journal;
 
 /// Most engines that one request is sent to.
@@ -168,18 +170,21 @@
         let mut tried: Vec<UpstreamId> = Vec::new();
         for _ in 0..ATTEMPTS {
             let view = entry.current.view();
-            let specs = view
-                .config
-                .upstreams
-                .values()
-                .filter(|spec| spec.serves_model(&self.chat.model));
+            let chat = self.continued();
+            let prefix = blocks(&chat.messages);
             let need = Need {
                 prompt_tokens: self.prompt_tokens,
                 answer_tokens: self.chat.max_tokens,
                 turn: 0,
             };
             let now = entry.clock.now();
-            let Some(choice) = entry.fleet.choose(entry.settings.routing, specs, need, &tried, now) else {
+            let ask = Ask {
+                target: &Target::Model(self.chat.model.clone()),
+                prefix: &prefix,
+                need,
+                tried: &tried,
+            };
+            let Some(choice) = entry.fleet.choose(&view, &ask, now) else {
                 break;
             };
             let Some(spec) = view.config.upstreams.get(&choice.chosen) else {
@@ -187,7 +192,12 @@
             };
             self.journal.chose(choice.clone());
             let visit = entry.fleet.visit(&spec.id, now);
-            let result = self.attempt(spec.address, sink);
+            let trip = Trip {
+                visit: &visit,
+                prefix: &prefix,
+                believed: choice.cached,
+            };
+            let result = self.attempt(spec.address, &chat, &trip, sink);
             drop(visit);
             match result {
                 Ok(ended) => {
@@ -208,22 +218,38 @@
         Ended::Failed(Problem::broken("no engine could end the answer"))
     }
 
-    fn attempt(&self, peer: std::net::SocketAddr, sink: &mut dyn Sink) -> Result<Ended, UpstreamError> {
+    fn attempt(
+        &self,
+        peer: std::net::SocketAddr,
+        chat: &Chat,
+        trip: &Trip<'_>,
+        sink: &mut dyn Sink,
+    ) -> Result<Ended, UpstreamError> {
         let whole = Duration::from_millis(self.class.targets.whole_answer_ms);
         let left = (self.arrived + whole).since(self.entry.clock.now());
-        let mut stream = self.entry.engines.stream(peer, self.id, &self.continued(), left)?;
+        let mut stream = self.entry.engines.stream(peer, self.id, chat, left)?;
+        let mut first = true;
         let mut usage = Usage::default();
         loop {
             match stream.next_event()? {
                 Event::Token(token) => {
+                    if std::mem::take(&mut first) {
+                        trip.visit
+                            .first_token(trip.prefix, trip.believed, self.entry.clock.now());
+                    }
                     self.journal.push(&token);
                     // Dropping the stream closes its connection, by which the engine stops making tokens for nobody.
                     if sink.token(&token).is_err() {
                         return Ok(Ended::CallerGone);
                     }
                 }
-                Event::Usage(counts) => usage = counts,
+                Event::Usage(counts) => {
+                    trip.visit.counted(trip.believed, counts.cached_tokens);
+                    usage = counts;
+                }
                 Event::Done => {
+                    let whole = blocks(&self.continued().messages);
+                    trip.visit.whole(&whole, self.entry.clock.now());
                     usage.completion_tokens = self.journal.len() as u64;
                     usage.prompt_tokens = self.prompt_tokens;
                     return Ok(Ended::Whole(usage));
@@ -251,6 +277,18 @@
     }
 }
 
+/// What one attempt tells the fleet.
+struct Trip<'a> {
+    visit: &'a Visit<'a>,
+    prefix: &'a Prefix,
+    believed: u64,
+}
+
+/// Hashes the blocks of a conversation as engines do.
+fn blocks(messages: &[Message]) -> Prefix {
+    Prefix::of(messages.iter().flat_map(|message| message.content.split_whitespace()))
+}
+
 struct Nowhere;
 
 impl Sink for Nowhere {
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -5,7 +5,8 @@
 
 use contract::{Class, Contract, Repeat, RequestId, UpstreamId, UpstreamSpec};
 use metrics::counter;
-use policy::route::Need;
+use policy::prefix::Prefix;
+use policy::route::{Need, Target};
 use tiny_http::{Header, Request, Response, StatusCode};
 use upstream::service::{Answer, Call, KEY_HEADER};
 use wire::state::Outcome;
@@ -16,6 +17,7 @@
 use crate::admission::Work;
 use crate::attempt::Attempt;
 use crate::claims::{self, Keyed, Verdict};
+use crate::fleet::Ask;
 
 /// Headers that are passed on to a service.
 const PASSED: [&str; 4] = ["Accept", "Accept-Language", "Content-Type", KEY_HEADER];
@@ -173,14 +175,13 @@
     fn choose(&self, tried: &[UpstreamId]) -> Option<UpstreamSpec> {
         let entry = self.entry;
         let view = entry.current.view();
-        let specs = view
-            .config
-            .upstreams
-            .values()
-            .filter(|spec| spec.serves_service(self.service));
-        let choice = entry
-            .fleet
-            .choose(entry.settings.routing, specs, Need::default(), tried, entry.clock.now())?;
+        let ask = Ask {
+            target: &Target::Service(self.service.to_owned()),
+            prefix: &Prefix::default(),
+            need: Need::default(),
+            tried,
+        };
+        let choice = entry.fleet.choose(&view, &ask, entry.clock.now())?;
         view.config.upstreams.get(&choice.chosen).cloned()
     }
 
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -29,6 +29,9 @@
     /// cost, least-loaded or round-robin
     #[argh(option)]
     pub routing: Option<String>,
+    /// parts that routing leaves out, for comparisons
+    #[argh(option)]
+    pub without: Option<String>,
     /// requests that may run at once
     #[argh(option)]
     pub running: Option<String>,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use contract::RequestId;
+use policy::route::Rules;
 use slog::Logger;
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
@@ -60,13 +61,18 @@
     pub fn new(settings: Settings, logger: Logger, calls: &Calls) -> Result<Self, CallError> {
         let clock = Clock::start();
         let state = StateClient::new(calls, &settings.node, &settings.state)?;
+        let rules = Rules {
+            routing: settings.routing,
+            without: settings.without.clone(),
+        };
+        let fleet = Fleet::new(clock.clone(), rules, settings.data_center.clone());
         Ok(Self {
             admission: Admission::new(clock.clone(), settings.running, settings.waiting),
             settings,
             clock,
             logger,
             current: Arc::default(),
-            fleet: Fleet::default(),
+            fleet,
             journals: Journals::default(),
             state,
             engines: EngineClient::new(CONNECT),
--- /dev/null
+++ b/crates/entry/src/fleet/mod.rs
@@ -0,0 +1,323 @@
+//! What the entry knows of each upstream beyond the configuration, and the choice that rests on it.
+
+mod index;
+mod leaving;
+mod member;
+pub mod poll;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use contract::{DataCenter, HostId, UpstreamId};
+use metrics::{counter, gauge};
+use parking_lot::{Mutex, RwLock};
+use policy::Tick;
+use policy::load::Report;
+use policy::prefix::{History, Prefix};
+use policy::route::{Candidate, Choice, Group, Need, Proposed, Reason, Routing, Rules, Target, Without, choose};
+use telemetry::Clock;
+use wire::digest::LoadDigest;
+
+use crate::current::View;
+use index::{Index, Numbers, Pool, Row};
+use leaving::Leaving;
+
+/// Blocks of prompts that are remembered; each takes 32 bytes, 8 MiB in all.
+const HISTORY: usize = 256 * 1024;
+/// Age at which a load report no longer counts until the pace of polling is known.
+const EXPIRY_MS: u64 = 3_000;
+/// How often a choice is made anew when another request took the probe of a breaker.
+const PROBE_RACES: usize = 4;
+
+/// All upstreams.
+#[derive(Debug)]
+pub struct Fleet {
+    clock: Clock,
+    rules: Rules,
+    place: DataCenter,
+    index: ArcSwap<Index>,
+    numbers: Mutex<Numbers>,
+    history: Mutex<History>,
+    leaving: RwLock<Leaving>,
+    expiry_ms: AtomicU64,
+    turn: AtomicU64,
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The model or service.
+    pub target: &'a Target,
+    /// The prompt's blocks; empty for services.
+    pub prefix: &'a Prefix,
+    /// Lengths of prompt and answer.
+    pub need: Need,
+    /// Upstreams that were tried already.
+    pub tried: &'a [UpstreamId],
+}
+
+/// One request under way at an upstream; it ends when dropped.
+#[derive(Debug)]
+pub struct Visit<'a> {
+    fleet: &'a Fleet,
+    row: Option<Row>,
+    started: Tick,
+}
+
+impl Fleet {
+    /// Makes an empty fleet.
+    #[must_use]
+    pub fn new(clock: Clock, rules: Rules, place: DataCenter) -> Self {
+        Self {
+            clock,
+            rules,
+            place,
+            index: ArcSwap::default(),
+            numbers: Mutex::default(),
+            history: Mutex::new(History::new(HISTORY)),
+            leaving: RwLock::default(),
+            expiry_ms: AtomicU64::new(EXPIRY_MS),
+            turn: AtomicU64::new(0),
+        }
+    }
+
+    /// Takes over the upstreams of a view if it is newer than the index.
+    pub fn refresh(&self, view: &View) {
+        if self.index.load().revision >= view.config.revision {
+            return;
+        }
+        // Requests go on with the index before while another thread makes the next one.
+        let Some(mut numbers) = self.numbers.try_lock() else {
+            return;
+        };
+        let before = self.index.load_full();
+        if before.revision < view.config.revision {
+            self.index.store(Arc::new(before.next(view, &self.place, &mut numbers)));
+        }
+    }
+
+    /// Chooses an upstream among those that serve what is needed; a probe of an open breaker is taken with it.
+    pub fn choose(&self, view: &View, ask: &Ask<'_>, now: Tick) -> Option<Choice> {
+        self.refresh(view);
+        let index = self.index.load();
+        let pool = index.pools.get(ask.target)?;
+        for _ in 0..PROBE_RACES {
+            let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+            let choice = self.weigh(pool, ask, turn, now)?;
+            let row = index.rows.get(&choice.chosen)?;
+            if row.member.state.lock().breaker.claim(now) {
+                return Some(choice);
+            }
+        }
+        None
+    }
+
+    fn weigh(&self, pool: &Pool, ask: &Ask<'_>, turn: u64, now: Tick) -> Option<Choice> {
+        let need = Need { turn, ..ask.need };
+        let proposed = self.propose(&pool.group, ask.prefix, turn);
+        let rates = *pool.rates.lock();
+        let found = choose(&self.rules, &self.candidates(pool, &proposed, ask, now), &need, &rates);
+        if found.is_some() || proposed.len() == pool.rows.len() {
+            return found;
+        }
+        // All of the few candidates are barred, as when a data centre's hosts leave at once: whoever is left will do.
+        counter!("gentian_choices_widened_total").increment(1);
+        let reason = Reason::All;
+        let all: Vec<Proposed> = (0..pool.rows.len()).map(|at| Proposed { at, reason }).collect();
+        let mut open = self.candidates(pool, &all, ask, now);
+        open.retain(|candidate| candidate.barred.is_none());
+        choose(&self.rules, &open, &need, &rates)
+    }
+
+    fn propose(&self, group: &Group, prefix: &Prefix, turn: u64) -> Vec<Proposed> {
+        if self.rules.routing != Routing::Cost {
+            return group.window(turn);
+        }
+        let with_prefix = !prefix.blocks().is_empty();
+        let holders: Vec<u32> = if with_prefix && self.rules.with(Without::Affinity) {
+            let held = self.history.lock().holders(prefix);
+            held.iter().map(|holder| holder.upstream).collect()
+        } else {
+            Vec::new()
+        };
+        let lead = (with_prefix && self.rules.with(Without::Rendezvous)).then(|| prefix.lead());
+        group.propose(lead, &holders, turn)
+    }
+
+    fn candidates<'a>(&self, pool: &'a Pool, proposed: &[Proposed], ask: &Ask<'_>, now: Tick) -> Vec<Candidate<'a>> {
+        let numbers: Vec<u32> = proposed.iter().map(|p| pool.rows[p.at].member.number).collect();
+        let held = if self.rules.with(Without::Affinity) {
+            self.history.lock().held(ask.prefix, &numbers)
+        } else {
+            vec![0; numbers.len()]
+        };
+        let expiry = self.expiry();
+        let leaving = self.leaving.read();
+        let candidate = |(proposed, held): (&Proposed, u64)| {
+            let row = &pool.rows[proposed.at];
+            let spec = row.spec.as_ref();
+            let state = row.member.state.lock();
+            let trust = if self.rules.with(Without::CacheEvents) {
+                state.trust.share()
+            } else {
+                1.0
+            };
+            Candidate {
+                id: &spec.id,
+                reason: proposed.reason,
+                class: spec.host.class,
+                price: spec.host.price,
+                slots: spec.slots,
+                near: spec.host.data_center == self.place,
+                reclaims: leaving.reclaims(&spec.host.zone, now),
+                load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
+                cached: (held as f64 * trust) as u64,
+                barred: state.barred(leaving.contains(spec), ask.tried.contains(&spec.id), now),
+            }
+        };
+        proposed.iter().zip(held).map(candidate).collect()
+    }
+
+    /// Notes that a request goes to an upstream.
+    pub fn visit(&self, upstream: &UpstreamId, now: Tick) -> Visit<'_> {
+        let row = self.index.load().rows.get(upstream).cloned();
+        if let Some(row) = &row {
+            let mut state = row.member.state.lock();
+            state.load.sent(now);
+            state.sent = Some(now);
+        }
+        Visit {
+            fleet: self,
+            row,
+            started: now,
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn ended(&self, upstream: &UpstreamId, good: bool, now: Tick) {
+        if let Some(row) = self.index.load().rows.get(upstream) {
+            let mut state = row.member.state.lock();
+            if good {
+                state.breaker.succeeded();
+            } else {
+                state.breaker.failed(now);
+            }
+        }
+    }
+
+    /// Notes a host that takes no new work.
+    pub fn leave(&self, host: &HostId, incarnation: u64) {
+        let index = self.index.load();
+        let zone = index.host(host).map(|spec| &spec.host.zone);
+        self.leaving.write().note(host, incarnation, zone, self.clock.now());
+    }
+
+    /// Takes over a load report from a peer; the age is that at the time of arrival.
+    pub fn hear(&self, load: &LoadDigest, now: Tick) {
+        let index = self.index.load();
+        let Some(row) = index.keys.get(&load.upstream).and_then(|id| index.rows.get(id)) else {
+            counter!("gentian_digest_loads_unknown_total").increment(1);
+            return;
+        };
+        let report = Report {
+            measured: now - Duration::from_millis(u64::from(load.age_ms)),
+            running: load.running,
+            waiting: load.waiting,
+            kv_used: f32::from(load.kv_used) / 1_000.0,
+        };
+        row.member.state.lock().load.report(report);
+    }
+
+    /// Gives the slots that upstreams which are up have free of other entry hosts' requests, by what they serve.
+    ///
+    /// The other entry hosts' requests are what a report shows beyond our own; of an upstream that is full with them we
+    /// still count the part that would be ours if all entry hosts had the same, so that a full one is shared fairly
+    /// and not kept by whoever came first.
+    #[must_use]
+    pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<(Target, usize)> {
+        let index = self.index.load();
+        let leaving = self.leaving.read();
+        let expiry = self.expiry();
+        let size = |row: &Row| {
+            let state = row.member.state.lock();
+            if leaving.contains(&row.spec) {
+                return 0.0;
+            }
+            if !state.breaker.allows(now) || state.breaker.probe_at().is_some() {
+                // A probe needs a slot, or the breaker would never close.
+                return 1.0;
+            }
+            let slots = f64::from(row.spec.slots);
+            let load = state.load.predict(now, expiry, true);
+            let others = load
+                .reported
+                .map_or(0.0, |reported| (reported - f64::from(load.own)).max(0.0));
+            (slots - others).max(slots / hosts.max(1) as f64)
+        };
+        let total = |pool: &Pool| pool.rows.iter().map(size).sum::<f64>().floor() as usize;
+        index
+            .pools
+            .iter()
+            .map(|(target, pool)| (target.clone(), total(pool)))
+            .collect()
+    }
+
+    /// Gives the memory that the history of prefixes takes, in bytes.
+    #[must_use]
+    pub fn history_bytes(&self) -> usize {
+        self.history.lock().bytes()
+    }
+
+    fn expiry(&self) -> Duration {
+        if self.rules.with(Without::ReportExpiry) {
+            Duration::from_millis(self.expiry_ms.load(Ordering::Relaxed))
+        } else {
+            Duration::MAX
+        }
+    }
+}
+
+impl Visit<'_> {
+    /// Notes the first token of an answer: by now the engine holds the prompt.
+    pub fn first_token(&self, prefix: &Prefix, cached: u64, now: Tick) {
+        let Some(row) = &self.row else { return };
+        let fresh = prefix.words().saturating_sub(cached);
+        let free = row.member.state.lock().load.predict(now, self.fleet.expiry(), true);
+        if free.reported.is_some_and(|load| load <= f64::from(row.spec.slots)) {
+            row.rates
+                .lock()
+                .prefilled(fresh, now.since(self.started).as_secs_f64() * 1_000.0);
+        }
+        self.fleet.history.lock().store(prefix, row.member.number, now);
+    }
+
+    /// Notes an answer that is whole: the engine holds the prompt with the answer.
+    pub fn whole(&self, prefix: &Prefix, now: Tick) {
+        if let Some(row) = &self.row {
+            self.fleet.history.lock().store(prefix, row.member.number, now);
+        }
+    }
+
+    /// Takes in the engine's own count of the words of a prompt that were cached before.
+    pub fn counted(&self, believed: u64, cached: u64) {
+        gauge!("gentian_cached_tokens_believed").increment(believed as f64);
+        gauge!("gentian_cached_tokens_counted").increment(cached as f64);
+        if let Some(row) = &self.row
+            && self.fleet.rules.with(Without::CacheEvents)
+        {
+            row.member.state.lock().trust.counted(believed, cached);
+        }
+    }
+}
+
+impl Drop for Visit<'_> {
+    fn drop(&mut self) {
+        let now = self.fleet.clock.now();
+        if let Some(row) = &self.row {
+            row.member.state.lock().load.ended(now);
+            row.rates.lock().held(now.since(self.started).as_secs_f64() * 1_000.0);
+        }
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -104,6 +104,6 @@
     let poller = Arc::clone(entry);
     thread::Builder::new()
         .name("loads".to_owned())
-        .spawn(move || fleet::poll(&poller.fleet, &poller.current, &poller.clock, &poller.stop))?;
+        .spawn(move || fleet::poll::poll(&poller.fleet, &poller.current, &poller.stop))?;
     Ok(())
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,7 +4,7 @@
 
 use contract::settings::{List, Setting, Sheet};
 use contract::{DataCenter, NodeId, Problems};
-use policy::route::Routing;
+use policy::route::{Routing, Without};
 use telemetry::log::Format;
 
 use crate::cli::Options;
@@ -86,6 +86,14 @@
     "cost, least-loaded or round-robin",
     "How an upstream is chosen."
 );
+setting!(
+    WITHOUT,
+    "without",
+    "GENTIAN_WITHOUT",
+    Some(""),
+    "affinity, rendezvous, risk, price, distance, report-expiry, corrections, cache-events",
+    "Parts that routing by cost leaves out; for comparisons only."
+);
 setting!(
     RUNNING,
     "running",
@@ -112,7 +120,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 11] = [
+pub static ALL: [&Setting; 12] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -121,6 +129,7 @@
     &STATE,
     &PEERS,
     &ROUTING,
+    &WITHOUT,
     &RUNNING,
     &WAITING,
     &LOG,
@@ -145,6 +154,8 @@
     pub peers: Vec<SocketAddr>,
     /// How an upstream is chosen.
     pub routing: Routing,
+    /// Parts that routing by cost leaves out.
+    pub without: Vec<Without>,
     /// Requests that run at once.
     pub running: usize,
     /// Requests that wait at most.
@@ -175,6 +186,7 @@
         }
         let peers = sheet.read::<List<SocketAddr>>(&PEERS, options.peers.as_deref());
         let routing = sheet.read(&ROUTING, options.routing.as_deref());
+        let without = sheet.read::<List<Without>>(&WITHOUT, options.without.as_deref());
         let running = sheet.read(&RUNNING, options.running.as_deref());
         let running = sheet.check(&RUNNING, running, |count| some.contains(count));
         let waiting = sheet.read(&WAITING, options.waiting.as_deref());
@@ -191,6 +203,7 @@
                 state: state?.0,
                 peers: peers?.0,
                 routing: routing?,
+                without: without?.0,
                 running: running?,
                 waiting: waiting?,
                 log: log?,
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -5,46 +5,89 @@
 use crate::Tick;
 
 /// Failures in a row after which the breaker opens.
-const FAILURES: u32 = 3;
+pub const FAILURES: u32 = 3;
 /// Shortest and longest time for which it stays open.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(30));
+pub const PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(30));
 
 /// Keeps requests away from an upstream that fails, and lets single probes through.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Breaker {
-    failures: u32,
-    probe_at: Option<Tick>,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// Requests pass; so many failed in a row.
+    Closed { failures: u32 },
+    /// No request passes until the time; it has opened so many times in a row.
+    Open { until: Tick, times: u32 },
+    /// One probe is under way; if nothing is heard of it until the time, another may go.
+    Probing { until: Tick, times: u32 },
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self::Closed { failures: 0 }
+    }
 }
 
 impl Breaker {
-    /// Tells whether a request may go there; while the breaker is open, one probe passes for each pause.
+    /// Tells whether a request may go there now.
     #[must_use]
     pub fn allows(&self, now: Tick) -> bool {
-        self.probe_at.is_none_or(|at| at <= now)
+        match self.state {
+            State::Closed { .. } => true,
+            State::Open { until, .. } | State::Probing { until, .. } => until <= now,
+        }
     }
 
-    /// Notes that a request was sent there, so that a probe stays single.
-    pub fn sent(&mut self, now: Tick) {
-        if self.probe_at.is_some() {
-            self.probe_at = Some(now + self.pause());
+    /// Gives the time at which the next probe may go; absent while the breaker is closed.
+    #[must_use]
+    pub const fn probe_at(&self) -> Option<Tick> {
+        match self.state {
+            State::Closed { .. } => None,
+            State::Open { until, .. } | State::Probing { until, .. } => Some(until),
         }
     }
 
+    /// Takes the right to send one request, if there is one.
+    ///
+    /// Asking and taking are one step. If they were two, every thread that asks while the probe is due would send one,
+    /// and an upstream that struggles to its feet would be hit by as many requests as there are threads.
+    pub fn claim(&mut self, now: Tick) -> bool {
+        let allowed = self.allows(now);
+        if allowed && let State::Open { times, .. } | State::Probing { times, .. } = self.state {
+            let until = now + pause(times);
+            self.state = State::Probing { until, times };
+        }
+        allowed
+    }
+
     /// Notes an answer.
     pub fn succeeded(&mut self) {
         *self = Self::default();
     }
 
     /// Notes a failure.
+    ///
+    /// Requests that were under way when the breaker opened fail too; they change nothing, so that a hundred of them
+    /// don't lengthen the pause a hundred times.
     pub fn failed(&mut self, now: Tick) {
-        self.failures = self.failures.saturating_add(1);
-        if self.failures >= FAILURES {
-            self.probe_at = Some(now + self.pause());
-        }
+        self.state = match self.state {
+            State::Closed { failures } if failures + 1 < FAILURES => State::Closed { failures: failures + 1 },
+            State::Closed { .. } => State::Open {
+                until: now + pause(0),
+                times: 0,
+            },
+            State::Probing { times, .. } => State::Open {
+                until: now + pause(times + 1),
+                times: times + 1,
+            },
+            open @ State::Open { .. } => open,
+        };
     }
+}
 
-    fn pause(&self) -> Duration {
-        let doublings = self.failures.saturating_sub(FAILURES).min(6);
-        (PAUSE.0 * 2_u32.pow(doublings)).min(PAUSE.1)
-    }
+fn pause(times: u32) -> Duration {
+    (PAUSE.0 * 2_u32.pow(times.min(6))).min(PAUSE.1)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,9 +5,13 @@
 
 pub mod breaker;
 pub mod budget;
+pub mod cache;
+pub mod divide;
 pub mod fair;
 pub mod life;
 pub mod limits;
+pub mod load;
+pub mod prefix;
 pub mod route;
 mod time;
 
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits/bucket.rs
@@ -1,4 +1,4 @@
-//! A customer's limits: token buckets, and the part of a limit that one entry host may admit.
+//! A token bucket.
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/policy/src/prefix.rs
@@ -0,0 +1,246 @@
+//! Which prompt prefixes are believed to be cached at which upstream, in bounded memory.
+//!
+//! A prompt is cut into blocks of [`BLOCK`] words. The hash of a block covers everything up to its end, as engines
+//! publish it with their cache events: XXH3 (64 bits) of the block's words joined by single spaces, seeded with the
+//! hash of the block before, or zero for the first.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Tick;
+
+/// Words in one block.
+pub const BLOCK: usize = 16;
+/// Most blocks of one prompt that are looked at; what lies beyond counts as not cached.
+pub const MAX_BLOCKS: usize = 4_096;
+/// Upstreams that are remembered for one block.
+const HOLDERS: usize = 4;
+/// Blocks that share one set of places; the least recently used of them makes room.
+const WAYS: usize = 8;
+/// Marks an unused place for a holder.
+const NOBODY: u32 = u32::MAX;
+
+/// The hashes of a prompt's whole blocks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prefix {
+    blocks: Vec<u64>,
+    words: u64,
+}
+
+impl Prefix {
+    /// Hashes the words of a prompt.
+    #[must_use]
+    pub fn of<'a>(words: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut prefix = Self::default();
+        let mut block = String::new();
+        let mut hash = 0;
+        for word in words {
+            prefix.words += 1;
+            if !block.is_empty() {
+                block.push(' ');
+            }
+            block.push_str(word);
+            if prefix.words.is_multiple_of(BLOCK as u64) {
+                hash = xxh3_64_with_seed(block.as_bytes(), hash);
+                block.clear();
+                if prefix.blocks.len() < MAX_BLOCKS {
+                    prefix.blocks.push(hash);
+                }
+            }
+        }
+        prefix
+    }
+
+    /// Gives the number of words.
+    #[must_use]
+    pub const fn words(&self) -> u64 {
+        self.words
+    }
+
+    /// Gives the hashes of the blocks.
+    #[must_use]
+    pub fn blocks(&self) -> &[u64] {
+        &self.blocks
+    }
+
+    /// Gives a number that prompts with the same beginning share; prompts shorter than a block share one.
+    ///
+    /// Two blocks are taken where there are as many, so that conversations that only share their first words are
+    /// still spread.
+    #[must_use]
+    pub fn lead(&self) -> u64 {
+        self.blocks.get(1).or(self.blocks.first()).copied().unwrap_or_default()
+    }
+}
+
+/// How many words at the start of a prompt an upstream is believed to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Number of the upstream.
+    pub upstream: u32,
+    /// Words that it holds.
+    pub words: u64,
+}
+
+/// The blocks that upstreams are believed to hold.
+///
+/// The memory is taken once: 32 bytes for each block.
+#[derive(Debug)]
+pub struct History {
+    sets: Vec<[Place; WAYS]>,
+}
+
+/// One block; the holders are in order of their last use, newest first.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    hash: u64,
+    holders: [u32; HOLDERS],
+    used_ms: u32,
+    /// A holder was forgotten because there were too many, so that absence tells nothing.
+    crowded: bool,
+}
+
+const EMPTY: Place = Place {
+    hash: 0,
+    holders: [NOBODY; HOLDERS],
+    used_ms: 0,
+    crowded: false,
+};
+
+impl History {
+    /// Makes an empty history for about so many blocks, rounded up to a power of two.
+    #[must_use]
+    pub fn new(blocks: usize) -> Self {
+        let sets = blocks.div_ceil(WAYS).next_power_of_two();
+        Self {
+            sets: vec![[EMPTY; WAYS]; sets],
+        }
+    }
+
+    /// Gives the memory that it takes, in bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.sets.len() * size_of::<[Place; WAYS]>()
+    }
+
+    /// Notes that an upstream holds every block of a prefix.
+    pub fn store(&mut self, prefix: &Prefix, upstream: u32, now: Tick) {
+        for hash in &prefix.blocks {
+            self.store_block(*hash, upstream, now);
+        }
+    }
+
+    /// Notes that an upstream holds a block.
+    pub fn store_block(&mut self, hash: u64, upstream: u32, now: Tick) {
+        let set = self.set(hash);
+        let at = set.iter().position(|place| place.is(hash)).unwrap_or_else(|| {
+            let oldest = (0..WAYS).min_by_key(|at| (set[*at].is_used(), set[*at].used_ms));
+            let at = oldest.unwrap_or_default();
+            set[at] = Place { hash, ..EMPTY };
+            at
+        });
+        set[at].add(upstream, now);
+    }
+
+    /// Notes that an upstream holds a block no longer.
+    pub fn evict_block(&mut self, hash: u64, upstream: u32) {
+        if let Some(place) = self.set(hash).iter_mut().find(|place| place.is(hash)) {
+            place.remove(upstream);
+        }
+    }
+
+    /// Forgets everything about an upstream, for instance because it was restarted with an empty cache.
+    pub fn forget(&mut self, upstream: u32) {
+        for place in self.sets.iter_mut().flatten() {
+            place.remove(upstream);
+        }
+    }
+
+    /// Finds the upstreams that hold the longest beginnings of a prompt, longest first.
+    #[must_use]
+    pub fn holders(&self, prefix: &Prefix) -> Vec<Held> {
+        let mut held: Vec<Held> = Vec::with_capacity(HOLDERS);
+        let known: Vec<&Place> = prefix.blocks.iter().map_while(|hash| self.find(*hash)).collect();
+        // The deepest blocks are the rarest and tell best where a conversation lives.
+        for place in known.iter().rev() {
+            for upstream in place.holders.iter().filter(|holder| **holder != NOBODY) {
+                if held.len() < 2 * HOLDERS && held.iter().all(|other| other.upstream != *upstream) {
+                    let words = depth(&known, *upstream) * BLOCK as u64;
+                    held.push(Held {
+                        upstream: *upstream,
+                        words,
+                    });
+                }
+            }
+            if held.len() >= 2 * HOLDERS {
+                break;
+            }
+        }
+        held.sort_by_key(|holder| std::cmp::Reverse(holder.words));
+        held.truncate(HOLDERS);
+        held
+    }
+
+    /// Gives the words at the start of a prompt that each of some upstreams is believed to hold, in their order.
+    #[must_use]
+    pub fn held(&self, prefix: &Prefix, upstreams: &[u32]) -> Vec<u64> {
+        let known: Vec<&Place> = prefix.blocks.iter().map_while(|hash| self.find(*hash)).collect();
+        let words = upstreams.iter().map(|number| depth(&known, *number) * BLOCK as u64);
+        words.collect()
+    }
+
+    fn find(&self, hash: u64) -> Option<&Place> {
+        let set = &self.sets[self.position(hash)];
+        set.iter().find(|place| place.is(hash))
+    }
+
+    fn set(&mut self, hash: u64) -> &mut [Place; WAYS] {
+        let at = self.position(hash);
+        &mut self.sets[at]
+    }
+
+    const fn position(&self, hash: u64) -> usize {
+        (hash as usize) & (self.sets.len() - 1)
+    }
+}
+
+/// Counts the leading blocks that an upstream holds.
+///
+/// A crowded block does not end the count: the upstream may have been forgotten there only because too many hold it.
+/// The count ends after the deepest block for which it is certainly a holder.
+fn depth(known: &[&Place], upstream: u32) -> u64 {
+    let mut certain = 0;
+    for (at, place) in known.iter().enumerate() {
+        if place.holders.contains(&upstream) {
+            certain = at as u64 + 1;
+        } else if !place.crowded {
+            break;
+        }
+    }
+    certain
+}
+
+impl Place {
+    fn is(&self, hash: u64) -> bool {
+        self.hash == hash && self.is_used()
+    }
+
+    fn is_used(&self) -> bool {
+        self.holders[0] != NOBODY
+    }
+
+    fn add(&mut self, upstream: u32, now: Tick) {
+        let known = self.holders.iter().position(|holder| *holder == upstream);
+        let last = known.unwrap_or(HOLDERS - 1);
+        self.crowded |= known.is_none() && self.holders[last] != NOBODY;
+        self.holders.copy_within(..last, 1);
+        self.holders[0] = upstream;
+        self.used_ms = now.0.as_millis() as u32;
+    }
+
+    fn remove(&mut self, upstream: u32) {
+        if let Some(at) = self.holders.iter().position(|holder| *holder == upstream) {
+            self.holders.copy_within(at + 1.., at);
+            self.holders[HOLDERS - 1] = NOBODY;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/cost.rs
@@ -0,0 +1,113 @@
+//! The predicted cost of sending a request to a candidate, in milliseconds.
+
+use contract::MachineClass;
+use serde::{Deserialize, Serialize};
+
+use super::{Candidate, Need, Rules, Without};
+
+/// Weight of a measurement against all earlier ones.
+const WEIGHT: f64 = 0.1;
+/// Milliseconds that a fully used upstream answers later than an idle one; it spreads requests between equals.
+const CROWD_MS: f64 = 20.0;
+/// Share of its slots that an upstream without a valid report is taken to use, beside own requests.
+const UNKNOWN_LOAD: f64 = 0.5;
+/// Milliseconds that one micro-dollar is worth.
+const MS_PER_MICRODOLLAR: f64 = 1.0;
+/// Milliseconds that a request to another data centre takes longer, both ways.
+const DISTANCE_MS: f64 = 5.0;
+const MS_PER_HOUR: f64 = 3_600_000.0;
+
+/// What was measured of one model or service.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    /// Milliseconds that one prompt token takes to prefill.
+    pub prefill_ms: f64,
+    /// Milliseconds between two tokens.
+    pub decode_ms: f64,
+    /// Milliseconds for which a request keeps its slot.
+    pub hold_ms: f64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self {
+            prefill_ms: 0.25,
+            decode_ms: 20.0,
+            hold_ms: 1_000.0,
+        }
+    }
+}
+
+impl Rates {
+    /// Takes in how long a request kept its slot.
+    pub fn held(&mut self, ms: f64) {
+        self.hold_ms += WEIGHT * (ms - self.hold_ms);
+    }
+
+    /// Takes in the time to the first token of a request that found a free slot.
+    pub fn prefilled(&mut self, tokens: u64, ms: f64) {
+        // With few tokens the connection takes most of the time, which would be taken for slow prefill.
+        if tokens >= 64 {
+            self.prefill_ms += WEIGHT * (ms / tokens as f64 - self.prefill_ms);
+        }
+    }
+}
+
+/// What the cost of one candidate is made of, in milliseconds; the load is in requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cost {
+    /// Predicted requests there, own and reported.
+    pub load: f64,
+    /// Predicted wait for a slot, and the crowd in the batch.
+    pub wait: f64,
+    /// Prefill of the prompt tokens that are not cached there.
+    pub prefill: f64,
+    /// Price of the host's share that the request takes.
+    pub price: f64,
+    /// Expected loss by a reclaim while it runs.
+    pub risk: f64,
+    /// Distance to its data centre.
+    pub distance: f64,
+}
+
+impl Cost {
+    pub(super) fn of(candidate: &Candidate<'_>, need: &Need, rates: &Rates, rules: &Rules) -> Self {
+        let slots = f64::from(candidate.slots.max(1));
+        // An expired report tells nothing; a cautious constant stands in, so that neither an upstream that fell silent
+        // while idle draws all requests nor one that fell silent while busy is never asked again.
+        let unknown = || slots * UNKNOWN_LOAD + f64::from(candidate.load.own);
+        let load = candidate.load.reported.unwrap_or_else(unknown);
+        let queued = (load + 1.0 - slots).max(0.0);
+        let fresh = need.prompt_tokens.saturating_sub(candidate.cached) as f64;
+        let prefill = fresh * rates.prefill_ms;
+        let answer = need.answer_tokens as f64 * rates.decode_ms;
+        let hold = if need.answer_tokens == 0 {
+            rates.hold_ms
+        } else {
+            prefill + answer
+        };
+        let count = |part, value: f64| if rules.with(part) { value } else { 0.0 };
+        let reclaims = match candidate.class {
+            MachineClass::Reclaimable => candidate.reclaims,
+            MachineClass::OnDemand => 0.0,
+        };
+        // A reclaim halfway costs the prefill again, and half of the answer's time if its cache can't be moved.
+        let redo = need.prompt_tokens as f64 * rates.prefill_ms + answer / 2.0;
+        let chance = (reclaims * hold / MS_PER_HOUR).min(1.0);
+        let rent = candidate.price as f64 * hold / MS_PER_HOUR / slots;
+        Self {
+            load,
+            wait: queued / slots * rates.hold_ms + (load / slots).min(1.0) * CROWD_MS,
+            prefill,
+            price: count(Without::Price, rent * MS_PER_MICRODOLLAR),
+            risk: count(Without::Risk, chance * redo),
+            distance: count(Without::Distance, if candidate.near { 0.0 } else { DISTANCE_MS }),
+        }
+    }
+
+    /// Gives the sum in milliseconds.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        self.wait + self.prefill + self.price + self.risk + self.distance
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/group.rs
@@ -0,0 +1,209 @@
+//! Everything that serves one model or service, and the bounded set of candidates for a request.
+
+use contract::{UpstreamId, UpstreamKind, UpstreamSpec};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Most candidates for one request.
+pub const CANDIDATES: usize = 12;
+/// Candidates by rendezvous hashing in the own data centre.
+const NEAR: usize = 2;
+/// Candidates that are drawn at random.
+const SAMPLED: usize = 3;
+/// Fewest and most points of the leading prefix that rendezvous hashing tells apart.
+const POINTS: (usize, usize) = (64, 8_192);
+
+/// What a request is for.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Target {
+    /// A model.
+    #[display("model {_0}")]
+    Model(String),
+    /// A plain service.
+    #[display("service {_0}")]
+    Service(String),
+}
+
+impl Target {
+    /// Gives what an upstream serves.
+    #[must_use]
+    pub fn of(spec: &UpstreamSpec) -> Self {
+        match &spec.kind {
+            UpstreamKind::Engine { model, .. } => Self::Model(model.to_string()),
+            UpstreamKind::Service { service, .. } => Self::Service(service.to_string()),
+        }
+    }
+}
+
+/// Why an upstream is a candidate.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// There are so few that all are weighed, or it is the turn of these.
+    #[display("all are weighed in turn")]
+    All,
+    /// It is believed to hold a beginning of the prompt.
+    #[display("holds the prefix")]
+    Holder,
+    /// Rendezvous hashing sends prompts with this beginning there.
+    #[display("rendezvous of the leading prefix")]
+    Rendezvous,
+    /// It was drawn at random.
+    #[display("sampled")]
+    Sampled,
+}
+
+/// One member of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Number of the upstream, unique in the process.
+    pub number: u32,
+    /// Its name, by which it is hashed.
+    pub id: UpstreamId,
+    /// Whether it stands in the own data centre.
+    pub near: bool,
+}
+
+/// A proposed candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proposed {
+    /// Position in the group.
+    pub at: usize,
+    /// Why it is proposed.
+    pub reason: Reason,
+}
+
+/// Everything that serves one model or service.
+///
+/// Rendezvous hashing is done once for each of a fixed number of points when the group is made, so that a choice
+/// only reads a table, whatever the size of the group.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    places: Vec<Place>,
+    by_number: Vec<(u32, u32)>,
+    near: Vec<u32>,
+    points: Vec<[u32; NEAR + 1]>,
+}
+
+impl Group {
+    /// Makes a group.
+    #[must_use]
+    pub fn new(places: Vec<Place>) -> Self {
+        let mut by_number: Vec<(u32, u32)> = (0_u32..).zip(&places).map(|(at, place)| (place.number, at)).collect();
+        by_number.sort_unstable();
+        let all: Vec<u32> = (0..places.len() as u32).collect();
+        let near: Vec<u32> = all.iter().copied().filter(|at| places[*at as usize].near).collect();
+        let near = if near.is_empty() { all } else { near };
+        let mut group = Self {
+            places,
+            by_number,
+            near,
+            points: Vec::new(),
+        };
+        if group.places.len() > CANDIDATES {
+            group.points = group.rendezvous();
+        }
+        group
+    }
+
+    /// Gives the members.
+    #[must_use]
+    pub fn places(&self) -> &[Place] {
+        &self.places
+    }
+
+    /// Gives the position of an upstream by its number.
+    #[must_use]
+    pub fn position(&self, number: u32) -> Option<usize> {
+        let found = self.by_number.binary_search_by_key(&number, |(number, _)| *number);
+        found.ok().map(|at| self.by_number[at].1 as usize)
+    }
+
+    /// Proposes at most [`CANDIDATES`] members for a request.
+    ///
+    /// The lead is the hash of the prompt's beginning, absent where prefixes play no part; the turn feeds the draw.
+    #[must_use]
+    pub fn propose(&self, lead: Option<u64>, holders: &[u32], turn: u64) -> Vec<Proposed> {
+        let reason = Reason::All;
+        if self.places.len() <= CANDIDATES {
+            return (0..self.places.len()).map(|at| Proposed { at, reason }).collect();
+        }
+        let mut found: Vec<Proposed> = Vec::with_capacity(CANDIDATES);
+        let mut add = |at: usize, reason| {
+            if found.len() < CANDIDATES && found.iter().all(|other| other.at != at) {
+                found.push(Proposed { at, reason });
+            }
+        };
+        for at in holders.iter().filter_map(|number| self.position(*number)) {
+            add(at, Reason::Holder);
+        }
+        if let Some(lead) = lead {
+            let point = &self.points[lead as usize & (self.points.len() - 1)];
+            for at in point {
+                add(*at as usize, Reason::Rendezvous);
+            }
+        }
+        for draw in 0..SAMPLED as u64 {
+            let random = xxh3_64_with_seed(&turn.to_le_bytes(), draw);
+            let near = self.near[random as usize % self.near.len()] as usize;
+            // One of the draws looks beyond the own data centre, so that it is noticed when all is better there.
+            let at = if draw == 0 {
+                random as usize % self.places.len()
+            } else {
+                near
+            };
+            add(at, Reason::Sampled);
+        }
+        found
+    }
+
+    /// Gives the next members in turn, for the baselines; the one at position `turn % CANDIDATES` is the next itself.
+    #[must_use]
+    pub fn window(&self, turn: u64) -> Vec<Proposed> {
+        let count = self.places.len();
+        let base = if count > CANDIDATES {
+            turn as usize - turn as usize % CANDIDATES
+        } else {
+            0
+        };
+        let positions = (0..count.min(CANDIDATES)).map(|step| (base + step) % count);
+        let reason = Reason::All;
+        positions.map(|at| Proposed { at, reason }).collect()
+    }
+
+    /// Gives, for each point, the best of the own data centre and the best of all.
+    fn rendezvous(&self) -> Vec<[u32; NEAR + 1]> {
+        let seeds: Vec<u64> = self
+            .places
+            .iter()
+            .map(|place| xxh3_64(place.id.as_str().as_bytes()))
+            .collect();
+        let points = (2 * self.places.len()).next_power_of_two().clamp(POINTS.0, POINTS.1);
+        (0..points as u64).map(|point| self.best(point, &seeds)).collect()
+    }
+
+    fn best(&self, point: u64, seeds: &[u64]) -> [u32; NEAR + 1] {
+        let salt = xxh3_64(&point.to_le_bytes());
+        let mut best = [(0, 0); NEAR];
+        for at in &self.near {
+            let weight = weight(seeds[*at as usize], salt);
+            if weight > best[0].0 {
+                best = [(weight, *at), best[0]];
+            } else if weight > best[1].0 {
+                best[1] = (weight, *at);
+            }
+        }
+        let of_all = (0..seeds.len())
+            .max_by_key(|at| weight(seeds[*at], salt))
+            .unwrap_or_default();
+        [best[0].1, best[1].1, of_all as u32]
+    }
+}
+
+/// Gives the weight of a member at a point; both numbers are well mixed already.
+const fn weight(seed: u64, salt: u64) -> u64 {
+    const ODD: u128 = 0x9e37_79b9_7f4a_7c15;
+    let product = (seed ^ salt) as u128 * ODD;
+    (product >> 64) as u64 ^ product as u64
+}
--- /dev/null
+++ b/crates/policy/src/route/mod.rs
@@ -0,0 +1,186 @@
+//! The choice of an upstream for one attempt.
+//!
+//! A [`Group`] holds everything that serves one model or service and gives a bounded set of candidates for a request;
+//! [`choose`] ranks them and leaves a [`Choice`] that tells why.
+
+mod cost;
+mod group;
+mod record;
+
+use derive_more::{Display, Error, FromStr};
+use serde::{Deserialize, Serialize};
+
+pub use cost::{Cost, Rates};
+pub use group::{CANDIDATES, Group, Place, Proposed, Reason, Target};
+pub use record::{Barred, Choice, Lost, Weighed};
+
+use contract::{MachineClass, UpstreamId};
+
+/// How an upstream is chosen.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Routing {
+    /// Lowest predicted cost.
+    #[default]
+    #[display("cost")]
+    Cost,
+    /// Fewest requests of our own and reported ones.
+    #[display("least-loaded")]
+    LeastLoaded,
+    /// One after the other.
+    #[display("round-robin")]
+    RoundRobin,
+}
+
+/// A part of the decision that an ablation takes out.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Without {
+    /// Cached prefixes: neither candidates nor cost know of them.
+    #[display("affinity")]
+    Affinity,
+    /// Rendezvous hashing of the leading prefix.
+    #[display("rendezvous")]
+    Rendezvous,
+    /// Reclaim risk of host and zone.
+    #[display("risk")]
+    Risk,
+    /// Price of the host.
+    #[display("price")]
+    Price,
+    /// Distance between data centres.
+    #[display("distance")]
+    Distance,
+    /// Expiry of load reports: old ones count as if they were new.
+    #[display("report-expiry")]
+    ReportExpiry,
+    /// Own dispatches and completions since a report.
+    #[display("corrections")]
+    Corrections,
+    /// Cache events and engines' counts of cached words: only own dispatches are believed.
+    #[display("cache-events")]
+    CacheEvents,
+}
+
+/// Every part that can be taken out.
+pub const ABLATIONS: [Without; 8] = [
+    Without::Affinity,
+    Without::Rendezvous,
+    Without::Risk,
+    Without::Price,
+    Without::Distance,
+    Without::ReportExpiry,
+    Without::Corrections,
+    Without::CacheEvents,
+];
+
+/// A name that is no part of the decision.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{name} is no part of the routing decision")]
+pub struct UnknownPart {
+    name: String,
+}
+
+impl std::str::FromStr for Without {
+    type Err = UnknownPart;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPart> {
+        let found = ABLATIONS.into_iter().find(|part| part.to_string() == text);
+        found.ok_or_else(|| UnknownPart { name: text.to_owned() })
+    }
+}
+
+/// How decisions are made: the way of choosing and the parts that are left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rules {
+    /// The way of choosing.
+    pub routing: Routing,
+    /// Parts that are left out.
+    pub without: Vec<Without>,
+}
+
+impl Rules {
+    /// Tells whether a part counts.
+    #[must_use]
+    pub fn with(&self, part: Without) -> bool {
+        !self.without.contains(&part)
+    }
+}
+
+/// An upstream as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// The upstream.
+    pub id: &'a UpstreamId,
+    /// Why it is a candidate.
+    pub reason: Reason,
+    /// Whether its host can be reclaimed.
+    pub class: MachineClass,
+    /// Price of its host in micro-dollars an hour.
+    pub price: u64,
+    /// Requests that it runs at once without slowing down.
+    pub slots: u32,
+    /// Whether it stands in the own data centre.
+    pub near: bool,
+    /// Reclaims an hour that its zone is expected to see.
+    pub reclaims: f64,
+    /// Its predicted load.
+    pub load: crate::load::Predicted,
+    /// Words of the prompt that are likely to be cached there.
+    pub cached: u64,
+    /// Why it may not be chosen, if it may not.
+    pub barred: Option<Barred>,
+}
+
+/// What the request needs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Need {
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u64,
+    /// Expected length of the answer in tokens.
+    pub answer_tokens: u64,
+    /// Counts the choices, for rotation and for breaking ties.
+    pub turn: u64,
+}
+
+/// Chooses among candidates.
+///
+/// Returns `None` when every candidate is barred.
+#[must_use]
+pub fn choose(rules: &Rules, candidates: &[Candidate<'_>], need: &Need, rates: &Rates) -> Option<Choice> {
+    let costs: Vec<Cost> = candidates.iter().map(|c| Cost::of(c, need, rates, rules)).collect();
+    let first = need.turn as usize % candidates.len().max(1);
+    let order = (first..candidates.len()).chain(0..first);
+    let open = order.filter(|at| candidates[*at].barred.is_none());
+    let rank = |at: &usize| match rules.routing {
+        Routing::Cost => costs[*at].total(),
+        Routing::LeastLoaded => costs[*at].load,
+        Routing::RoundRobin => 0.0,
+    };
+    // The first of equals wins, and which is first turns with every choice.
+    let chosen = open.min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+    let best = rank(&chosen);
+    let lost = |at: usize| match candidates[at].barred {
+        _ if at == chosen => None,
+        Some(why) => Some(Lost::Barred(why)),
+        None => Some(Lost::Behind { by: rank(&at) - best }),
+    };
+    let weighed = candidates.iter().enumerate().map(|(at, candidate)| Weighed {
+        upstream: candidate.id.clone(),
+        reason: candidate.reason,
+        cost_ms: candidate.barred.is_none().then(|| costs[at].total()),
+        parts: costs[at],
+        cached: candidate.cached,
+        report_age_ms: candidate.load.age.map(|age| age.as_millis() as u64),
+        expired: candidate.load.age.is_some() && candidate.load.reported.is_none(),
+        lost: lost(at),
+    });
+    Some(Choice {
+        routing: rules.routing,
+        chosen: candidates[chosen].id.clone(),
+        cached: candidates[chosen].cached,
+        prompt_tokens: need.prompt_tokens,
+        answer_tokens: need.answer_tokens,
+        weighed: weighed.collect(),
+    })
+}
--- /dev/null
+++ b/crates/policy/tests/breaker_probe.rs
@@ -0,0 +1,73 @@
+//! An open breaker lets single probes through, and late failures don't lengthen its pause.
+
+use std::time::Duration;
+
+use policy::Tick;
+use policy::breaker::{Breaker, FAILURES, PAUSE};
+use quickcheck::{Gen, QuickCheck};
+
+fn opened(now: Tick) -> Breaker {
+    let mut breaker = Breaker::default();
+    for _ in 0..FAILURES {
+        assert!(breaker.claim(now));
+        breaker.failed(now);
+    }
+    breaker
+}
+
+/// An engine dies while many requests are under way. Once the breaker is open, at most one request an interval may be
+/// risked on it, whatever the other threads ask and whatever fails late; else callers' requests are spent as probes.
+#[test]
+fn single_probe() {
+    fn holds(steps: Vec<(u8, u8)>) -> bool {
+        let mut now = Tick::from_millis(1_000);
+        let mut breaker = opened(now);
+        let mut last: Option<Tick> = None;
+        for (wait, late) in steps {
+            now = now + Duration::from_millis(u64::from(wait) * 4);
+            let passed = (0..5).filter(|_| breaker.claim(now)).count();
+            if passed > 1 || (passed == 1 && last.is_some_and(|at| now.since(at) < PAUSE.0)) {
+                return false;
+            }
+            if passed == 1 {
+                last = Some(now);
+            }
+            if late % 4 == 0 {
+                breaker.failed(now);
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 41))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// A hundred requests under way fail after the breaker has opened. The pause must be that of one failure, or an engine
+/// that is back in a second stays unused for half a minute.
+#[test]
+fn late_failures() {
+    let now = Tick::from_millis(1_000);
+    let mut breaker = opened(now);
+    for _ in 0..100 {
+        breaker.failed(now + Duration::from_millis(10));
+    }
+    assert_eq!(breaker.probe_at(), Some(now + PAUSE.0));
+    assert!(breaker.claim(now + PAUSE.0));
+    breaker.succeeded();
+    assert_eq!(breaker.probe_at(), None);
+}
+
+#[test]
+fn pause_bounded() {
+    let mut now = Tick::default();
+    let mut breaker = opened(now);
+    for _ in 0..40 {
+        let next = breaker.probe_at().unwrap();
+        assert!(next.since(now) <= PAUSE.1);
+        now = next;
+        assert!(breaker.claim(now));
+        breaker.failed(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/prefix_history.rs
@@ -0,0 +1,132 @@
+//! The history of prefixes: bounded, and corrected by cache events that are late, doubled and with gaps.
+
+use policy::Tick;
+use policy::cache::{CacheEvent, EventCursor, Trust};
+use policy::prefix::{BLOCK, History, Prefix};
+use quickcheck::{Gen, QuickCheck};
+
+fn words(count: usize, seed: usize) -> Vec<String> {
+    (0..count).map(|at| format!("w{seed}-{at}")).collect()
+}
+
+fn prefix(words: &[String]) -> Prefix {
+    Prefix::of(words.iter().map(String::as_str))
+}
+
+#[test]
+fn grows_along() {
+    let mut history = History::new(1_024);
+    let mut text = words(100, 1);
+    history.store(&prefix(&text), 7, Tick::default());
+    text.extend(words(50, 2));
+    let held = history.holders(&prefix(&text));
+    assert_eq!(held.len(), 1);
+    assert_eq!((held[0].upstream, held[0].words), (7, 96));
+    assert_eq!(history.held(&prefix(&text), &[6, 7]), [0, 96]);
+    assert_eq!(history.held(&prefix(&words(100, 3)), &[7]), [0]);
+}
+
+/// Hundreds of engines hold the same instructions at the start of a prompt, more than are remembered for one block.
+/// The one that holds the rest of the conversation must still be found by it.
+#[test]
+fn crowded_start() {
+    let mut history = History::new(4_096);
+    let start = words(5 * BLOCK, 1);
+    let mut session = start.clone();
+    session.extend(words(20 * BLOCK, 2));
+    history.store(&prefix(&session), 1_000, Tick::default());
+    for upstream in 0..100 {
+        history.store(&prefix(&start), upstream, Tick::from_millis(u64::from(upstream)));
+    }
+    let held = history.holders(&prefix(&session));
+    assert_eq!((held[0].upstream, held[0].words), (1_000, 25 * BLOCK as u64));
+}
+
+#[test]
+fn bounded_memory() {
+    let mut history = History::new(1_000);
+    let bytes = history.bytes();
+    assert_eq!(bytes, 1_024 * 32);
+    for seed in 0..1_000 {
+        history.store(&prefix(&words(160, seed)), seed as u32, Tick::from_millis(seed as u64));
+    }
+    assert_eq!(history.bytes(), bytes);
+    let newest = prefix(&words(160, 999));
+    assert_eq!(history.holders(&newest)[0].upstream, 999);
+}
+
+/// The network repeats and reorders what an engine published. However the events of one block come within an answer
+/// and over several, what is believed in the end is what the engine said last.
+#[test]
+fn doubled_events() {
+    fn holds(stored: Vec<bool>, cuts: Vec<u8>, order: Vec<u16>) -> bool {
+        let block = 5;
+        let events: Vec<CacheEvent> = (1..)
+            .zip(&stored)
+            .map(|(sequence, stored)| CacheEvent {
+                sequence,
+                block,
+                stored: *stored,
+            })
+            .collect();
+        let mut cursor = EventCursor::default();
+        let mut believed = None;
+        let mut read = 0;
+        for cut in cuts.iter().map(|cut| usize::from(*cut)).chain([usize::MAX]) {
+            read = read.max(cut.min(events.len()));
+            let after = cursor.after() as usize;
+            let mut answer: Vec<CacheEvent> = events[after.min(read)..read].to_vec();
+            answer.extend(answer.clone());
+            for (at, other) in order.iter().enumerate().take(answer.len()) {
+                let other = usize::from(*other) % answer.len();
+                answer.swap(at, other);
+            }
+            let applied = cursor.apply(&answer);
+            if applied.lost > 0 || applied.restarted {
+                return false;
+            }
+            believed = applied.fresh.last().map_or(believed, |event| Some(event.stored));
+        }
+        believed == stored.last().copied()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 31))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<bool>, Vec<u8>, Vec<u16>) -> bool);
+}
+
+/// Engines keep some events only, so a slow reader finds a gap; and a restarted engine counts from the start with an
+/// empty cache. If either went unnoticed, prompts would be sent where nothing of them is cached any more.
+#[test]
+fn gap_and_restart() {
+    let event = |sequence| CacheEvent {
+        sequence,
+        block: sequence,
+        stored: true,
+    };
+    let mut cursor = EventCursor::default();
+    cursor.apply(&[event(1), event(2)]);
+    let applied = cursor.apply(&[event(8), event(9), event(10)]);
+    assert_eq!((applied.lost, applied.fresh.len(), applied.restarted), (5, 3, false));
+    let mut trust = Trust::default();
+    trust.lost(applied.lost, applied.fresh.len());
+    assert!(trust.share() < 1.0);
+    assert_eq!(cursor.after(), 9);
+    assert!(!cursor.apply(&[event(10)]).restarted);
+    let applied = cursor.apply(&[]);
+    assert!(applied.restarted);
+    assert_eq!(cursor.apply(&[event(1)]).fresh.len(), 1);
+}
+
+#[test]
+fn trust_follows() {
+    let mut trust = Trust::default();
+    for _ in 0..50 {
+        trust.counted(1_000, 0);
+    }
+    assert!(trust.share() < 0.2);
+    for _ in 0..50 {
+        trust.counted(1_000, 1_000);
+    }
+    assert!(trust.share() > 0.95);
+}
--- /dev/null
+++ b/crates/policy/tests/retry_budget.rs
@@ -0,0 +1,43 @@
+//! Retries cannot amplify an outage.
+
+use policy::budget::{MOST, RetryBudget};
+use quickcheck::{Gen, QuickCheck};
+
+/// Every engine fails and every caller's request is tried again. If nothing bounded the retries, the engines would get
+/// a multiple of the load just as they come back, and fall over again.
+#[test]
+fn retries_bounded() {
+    fn holds(outcomes: Vec<bool>) -> bool {
+        let mut budget = RetryBudget::new(0.1);
+        let mut succeeded = 0.0;
+        let mut retries = 0.0;
+        for good in outcomes {
+            if good {
+                budget.succeeded();
+                succeeded += 1.0;
+            } else if budget.take() {
+                retries += 1.0;
+            }
+            if retries > MOST + 0.1 * succeeded + 1e-6 {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(2_000, 51))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<bool>) -> bool);
+}
+
+/// In a whole outage nothing succeeds, so that after the first few retries each request is sent once only.
+#[test]
+fn outage_amplification() {
+    let mut budget = RetryBudget::new(0.1);
+    let sent: u32 = (0..1_000).map(|_| 1 + u32::from(budget.take())).sum();
+    assert!(f64::from(sent) <= 1_000.0 + MOST);
+    for _ in 0..10 {
+        budget.succeeded();
+    }
+    assert!(budget.take(), "ten successes pay for a retry");
+}
--- /dev/null
+++ b/crates/policy/tests/routing_cost.rs
@@ -0,0 +1,192 @@
+//! Routing by cost: sessions stay with their cached prefix, candidates are bounded, expired reports don't count.
+
+use std::time::Duration;
+
+use contract::{MachineClass, UpstreamId};
+use policy::Tick;
+use policy::load::{LoadEstimate, Predicted, Report};
+use policy::route::{CANDIDATES, Candidate, Group, Lost, Need, Place, Rates, Reason, Routing, Rules, Without, choose};
+use quickcheck::{Gen, QuickCheck};
+
+fn candidate(id: &UpstreamId, load: f64, cached: u64) -> Candidate<'_> {
+    Candidate {
+        id,
+        reason: Reason::All,
+        class: MachineClass::Reclaimable,
+        price: 90_000,
+        slots: 16,
+        near: true,
+        reclaims: 0.05,
+        load: Predicted {
+            reported: Some(load),
+            own: 0,
+            age: Some(Duration::from_millis(100)),
+        },
+        cached,
+        barred: None,
+    }
+}
+
+fn need() -> Need {
+    Need {
+        prompt_tokens: 2_000,
+        answer_tokens: 64,
+        turn: 0,
+    }
+}
+
+fn group(count: u32) -> Group {
+    let place = |number| Place {
+        number,
+        id: format!("engine-{number}").into(),
+        near: number % 4 == 0,
+    };
+    Group::new((0..count).map(place).collect())
+}
+
+/// A long consultation comes back with one more question. Sent to an engine that never saw it, all of it is computed
+/// again and the customer waits; sent to its old engine behind a long queue, the customer waits as well.
+#[test]
+fn session_stays() {
+    let (home, other) = (UpstreamId::from("home"), UpstreamId::from("other"));
+    let rules = Rules::default();
+    let rates = Rates::default();
+    let busy = [candidate(&home, 12.0, 1_984), candidate(&other, 0.0, 0)];
+    assert_eq!(choose(&rules, &busy, &need(), &rates).unwrap().chosen, home);
+    let full = [candidate(&home, 60.0, 1_984), candidate(&other, 0.0, 0)];
+    let choice = choose(&rules, &full, &need(), &rates).unwrap();
+    assert_eq!(choice.chosen, other);
+    assert!(matches!(choice.weighed[0].lost, Some(Lost::Behind { by }) if by > 0.0));
+    assert_eq!(choice.weighed[1].lost, None);
+}
+
+/// Hosts of a zone are reclaimed in waves. Right after the first notice in a zone a long answer is better begun
+/// elsewhere, even where nothing of it is cached; without the risk in the cost it is begun on a host that goes next.
+#[test]
+fn wave_avoided() {
+    let (zone, calm) = (UpstreamId::from("zone"), UpstreamId::from("calm"));
+    let mut candidates = [candidate(&zone, 0.0, 1_984), candidate(&calm, 0.0, 1_000)];
+    candidates[0].reclaims = 60.0;
+    let long = Need {
+        answer_tokens: 1_000,
+        ..need()
+    };
+    let rates = Rates::default();
+    assert_eq!(
+        choose(&Rules::default(), &candidates, &long, &rates).unwrap().chosen,
+        calm
+    );
+    let rules = Rules {
+        without: vec![Without::Risk],
+        ..Rules::default()
+    };
+    assert_eq!(choose(&rules, &candidates, &long, &rates).unwrap().chosen, zone);
+}
+
+/// An engine falls silent just after it reported that it is idle. If its last report counted for ever, every entry
+/// host would go on sending all it has to it.
+#[test]
+fn expired_report() {
+    let mut estimate = LoadEstimate::default();
+    estimate.report(Report {
+        measured: Tick::from_millis(1_000),
+        ..Report::default()
+    });
+    let expiry = Duration::from_secs(3);
+    assert_eq!(
+        estimate.predict(Tick::from_millis(3_999), expiry, true).reported,
+        Some(0.0)
+    );
+    let expired = estimate.predict(Tick::from_millis(4_000), expiry, true);
+    assert_eq!((expired.reported, expired.age), (None, Some(expiry)));
+    let (silent, known) = (UpstreamId::from("silent"), UpstreamId::from("known"));
+    let mut candidates = [candidate(&silent, 0.0, 0), candidate(&known, 2.0, 0)];
+    candidates[0].load = expired;
+    let choice = choose(&Rules::default(), &candidates, &need(), &Rates::default()).unwrap();
+    assert_eq!(choice.chosen, known);
+    assert!(choice.weighed[0].expired);
+}
+
+/// Reports come late and cross. What was sent after the engine measured is added however late the report comes, and
+/// an older report that comes last changes nothing; otherwise an entry host forgets what it has just sent.
+#[test]
+fn late_reports() {
+    fn holds(sends: Vec<u16>, measured: u16, late: u16) -> bool {
+        let mut estimate = LoadEstimate::default();
+        let mut sends = sends;
+        sends.sort_unstable();
+        for at in &sends {
+            estimate.sent(Tick::from_millis(u64::from(*at)));
+        }
+        let report = |at: u16| Report {
+            measured: Tick::from_millis(u64::from(at)),
+            running: sends.iter().filter(|sent| **sent <= at).count() as u32,
+            ..Report::default()
+        };
+        estimate.report(report(measured.max(late)));
+        let newer = estimate.report(report(measured.min(late)));
+        let predicted = estimate.predict(Tick::from_millis(70_000), Duration::from_secs(100), true);
+        !newer && predicted.reported == Some(sends.len() as f64)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 21))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u16>, u16, u16) -> bool);
+}
+
+#[test]
+fn bounded_candidates() {
+    fn holds(count: u16, lead: u64, turn: u64, holders: Vec<u32>) -> bool {
+        let count = u32::from(count % 700) + 1;
+        let group = group(count);
+        let found = group.propose(Some(lead), &holders, turn);
+        let mut positions: Vec<usize> = found.iter().map(|proposed| proposed.at).collect();
+        positions.sort_unstable();
+        positions.dedup();
+        let again = group.propose(Some(lead), &holders, turn);
+        positions.len() == found.len()
+            && found.len() <= CANDIDATES
+            && (count as usize > CANDIDATES || found.len() == count as usize)
+            && found == again
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(50, 22))
+        .tests(200)
+        .quickcheck(holds as fn(u16, u64, u64, Vec<u32>) -> bool);
+}
+
+/// One engine of many goes away. Only prompts that were hashed to it may move; if all moved, every cached prefix of
+/// the model would be computed again at once.
+#[test]
+fn few_move() {
+    let before = group(101);
+    let after = {
+        let places = before.places().iter().filter(|place| place.number != 40);
+        Group::new(places.cloned().collect())
+    };
+    let first = |group: &Group, lead: u64| {
+        let found = group.propose(Some(lead), &[], 0);
+        let proposed = found.iter().find(|proposed| proposed.reason == Reason::Rendezvous);
+        proposed.map(|proposed| group.places()[proposed.at].number)
+    };
+    for lead in 0..1_000 {
+        let (was, is) = (first(&before, lead), first(&after, lead));
+        assert!(was == is || was == Some(40), "lead {lead} moved from {was:?} to {is:?}");
+    }
+}
+
+#[test]
+fn baselines_rotate() {
+    let group = group(30);
+    let ids: Vec<UpstreamId> = group.places().iter().map(|place| place.id.clone()).collect();
+    let rules = Rules {
+        routing: Routing::RoundRobin,
+        ..Rules::default()
+    };
+    for turn in 0..90 {
+        let window = group.window(turn);
+        let candidates: Vec<Candidate<'_>> = window.iter().map(|p| candidate(&ids[p.at], 0.0, 0)).collect();
+        let choice = choose(&rules, &candidates, &Need { turn, ..need() }, &Rates::default()).unwrap();
+        assert_eq!(choice.chosen, ids[turn as usize % 30], "turn {turn}");
+    }
+}
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -1,52 +1,81 @@
-//! Datagrams between entry hosts: demand for the split of limits, and load reports of upstreams.
+//! Datagrams between entry hosts: demand and loans for the split of limits, and load reports of upstreams.
+//!
+//! A datagram has one receiver: what it lends and what it confirms is meant for that one alone. A digest that does not
+//! fit one datagram is split; the parts carry the same sequence number and each is complete in itself.
 
-use contract::{CustomerId, NodeId, Revision, UpstreamId};
+use contract::{DataCenter, NodeId, Revision};
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram that is sent, in bytes; it fits one Ethernet frame.
 pub const MAX_DATAGRAM: usize = 1_400;
+/// Bytes that IPv4 and UDP add to each datagram.
+pub const HEADERS: usize = 28;
 
 /// Version of the encoding; a datagram of another version is dropped and counted.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
-/// What an entry host tells its peers several times a second.
+/// What an entry host tells one of its peers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sending entry host.
     pub from: NodeId,
+    /// Data centre of the sender.
+    pub place: DataCenter,
     /// Distinguishes a restarted sender from its predecessor; it only grows.
     pub incarnation: u64,
-    /// Counts the sender's datagrams; older ones are dropped.
+    /// Counts the sender's digests; older ones are dropped.
     pub sequence: u64,
     /// The newest configuration revision that the sender has applied.
     pub revision: Revision,
     /// The sender takes no new work.
     pub leaving: bool,
+    /// Entry hosts that the sender has in its settings, itself among them.
+    pub hosts: u32,
+    /// The receiver's newest digest that the sender has heard.
+    pub heard: Option<Heard>,
     /// Demand by customer.
     pub demand: Vec<Demand>,
     /// Load reports that the sender polled itself.
     pub loads: Vec<LoadDigest>,
 }
 
-/// Demand of one customer at one entry host.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// A digest that was heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Incarnation of the one who sent it.
+    pub incarnation: u64,
+    /// Its sequence number.
+    pub sequence: u64,
+}
+
+/// Demand of one customer at one entry host, and what the host lends the receiver of the customer's limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Requests a second that callers asked for, admitted or not.
-    pub requests_per_s: f32,
-    /// Tokens a second that callers asked for, admitted or not.
-    pub tokens_per_s: f32,
-    /// Requests that run or wait.
+    /// The customer, by a 32-bit hash of its name.
+    pub customer: u32,
+    /// What callers ask for, admitted or not.
+    pub wanted: Amounts,
+    /// What the receiver may admit in the sender's stead.
+    pub lent: Amounts,
+}
+
+/// Amounts of a customer's three limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Amounts {
+    /// Hundredths of requests a second.
+    pub requests: u32,
+    /// Tokens a second.
+    pub tokens: u32,
+    /// Requests that run at the same time.
     pub running: u32,
 }
 
 /// A load report in brief.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadDigest {
-    /// The upstream.
-    pub upstream: UpstreamId,
+    /// The upstream, by a 32-bit hash of its name.
+    pub upstream: u32,
     /// Age of the report when it was sent, in milliseconds.
     pub age_ms: u32,
     /// Requests that run.
@@ -75,7 +104,7 @@
 }
 
 impl Digest {
-    /// Encodes the digest.
+    /// Encodes the digest as one datagram.
     ///
     /// # Errors
     /// Fails when the result would not fit one datagram.
@@ -88,6 +117,25 @@
         }
     }
 
+    /// Encodes the digest as so many datagrams as it takes, halving its lists until each part fits.
+    ///
+    /// # Errors
+    /// Fails when even a part with a single row would not fit.
+    pub fn split(mut self) -> Result<Vec<Vec<u8>>, DigestError> {
+        match self.encode() {
+            Err(DigestError::TooLong(_)) if self.demand.len() + self.loads.len() > 1 => {}
+            encoded => return Ok(vec![encoded?]),
+        }
+        let rest = Self {
+            demand: self.demand.split_off(self.demand.len().div_ceil(2)),
+            loads: self.loads.split_off(self.loads.len() / 2),
+            ..self.clone()
+        };
+        let mut parts = self.split()?;
+        parts.extend(rest.split()?);
+        Ok(parts)
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
--- a/crates/wire/tests/digest_codec.rs
+++ b/crates/wire/tests/digest_codec.rs
@@ -1,15 +1,19 @@
-//! Datagrams survive encoding, and foreign bytes are refused without a panic.
+//! Datagrams survive encoding, long digests are split without loss, and foreign bytes are refused without a panic.
 
 use quickcheck::{Gen, QuickCheck};
-use wire::digest::{Demand, Digest, DigestError, MAX_DATAGRAM};
+use wire::digest::{Amounts, Demand, Digest, DigestError, LoadDigest, MAX_DATAGRAM};
 
 fn sample() -> Digest {
-    let demand = Demand {
-        customer: "mwangaza".into(),
-        requests_per_s: 3.5,
-        tokens_per_s: 80.0,
+    let wanted = Amounts {
+        requests: 350,
+        tokens: 80,
         running: 2,
     };
+    let demand = Demand {
+        customer: 77,
+        wanted,
+        lent: Amounts::default(),
+    };
     Digest {
         from: "entry-1".into(),
         sequence: 7,
@@ -39,6 +43,37 @@
 #[test]
 fn size_bound() {
     let mut digest = sample();
-    digest.demand = vec![digest.demand[0].clone(); MAX_DATAGRAM];
+    digest.demand = vec![digest.demand[0]; MAX_DATAGRAM];
     assert!(matches!(digest.encode(), Err(DigestError::TooLong(_))));
 }
+
+/// A data centre with many upstreams polled by one entry host has more reports than one frame takes. If the rest were
+/// cut off, the same upstreams would look idle for ever and draw all requests.
+#[test]
+fn nothing_lost() {
+    fn holds(demands: u8, loads: u16) -> bool {
+        let mut digest = sample();
+        let demand = |customer| Demand {
+            customer,
+            ..digest.demand[0]
+        };
+        digest.demand = (0..u32::from(demands)).map(demand).collect();
+        let load = |upstream| LoadDigest {
+            upstream,
+            ..LoadDigest::default()
+        };
+        digest.loads = (0..u32::from(loads % 2_000)).map(load).collect();
+        let parts = digest.clone().split().unwrap();
+        let parts: Vec<Digest> = parts.iter().map(|bytes| Digest::decode(bytes).unwrap()).collect();
+        let demand: Vec<Demand> = parts.iter().flat_map(|part| part.demand.clone()).collect();
+        let loads: Vec<LoadDigest> = parts.iter().flat_map(|part| part.loads.clone()).collect();
+        let same = parts
+            .iter()
+            .all(|part| part.sequence == digest.sequence && part.from == digest.from);
+        same && demand == digest.demand && loads == digest.loads
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(2_000, 12))
+        .tests(200)
+        .quickcheck(holds as fn(u8, u16) -> bool);
+}
