Give the stand-ins faults, KV transfer, orders, prices and a weight store

Rescue and capacity need engines that export KV cache, take orders with fencing tokens and die with their host, and a cloud that refuses starts. Prefills now queue for one resource and lengthen the steps of the batch; blocks in use can't be evicted; a caller that hangs up frees its place also while it waits. The engine client sends Connection: close, so that a dying engine shows as a broken stream instead of a silent one.

Checked by cargo test -p upstream (11 tests) and ./demo.sh.

--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -21,12 +21,19 @@
     pub(crate) stored: bool,
 }
 
-/// Blocks in order of their last use.
+/// A block that is held.
+#[derive(Debug)]
+struct Held {
+    used: u64,
+    pins: u32,
+}
+
+/// Blocks in order of their last use; those in use are pinned and can't be evicted.
 #[derive(Debug)]
 pub(crate) struct PrefixCache {
     blocks: usize,
     clock: u64,
-    used: HashMap<u64, u64>,
+    held: HashMap<u64, Held>,
     order: BTreeMap<u64, u64>,
     events: Vec<CacheEvent>,
     sequence: u64,
@@ -37,7 +44,7 @@
         Self {
             blocks: (tokens / BLOCK).max(1),
             clock: 0,
-            used: HashMap::new(),
+            held: HashMap::new(),
             order: BTreeMap::new(),
             events: Vec::new(),
             sequence: 0,
@@ -56,24 +63,45 @@
 
     /// Gives the number of tokens at the start that are cached.
     pub(crate) fn cached(&self, prefixes: &[u64]) -> usize {
-        prefixes.iter().take_while(|hash| self.used.contains_key(hash)).count() * BLOCK
+        prefixes.iter().take_while(|hash| self.held.contains_key(hash)).count() * BLOCK
+    }
+
+    /// Gives the prefixes from the start that are cached.
+    pub(crate) fn held(&self, prefixes: &[u64]) -> Vec<u64> {
+        let held = prefixes.iter().take_while(|hash| self.held.contains_key(hash));
+        held.copied().collect()
     }
 
     /// Stores the blocks of a prompt, evicting the least recently used.
     pub(crate) fn store(&mut self, prefixes: &[u64]) {
         for hash in prefixes {
-            self.touch(*hash);
+            self.touch(*hash, 0);
         }
-        while self.used.len() > self.blocks {
-            let Some((_, hash)) = self.order.pop_first() else { break };
-            self.used.remove(&hash);
-            self.note(hash, false);
+        self.evict();
+    }
+
+    /// Stores the blocks of a prompt that is in use.
+    pub(crate) fn pin(&mut self, prefixes: &[u64]) {
+        for hash in prefixes {
+            self.touch(*hash, 1);
+        }
+        self.evict();
+    }
+
+    /// Ends the use of blocks.
+    pub(crate) fn unpin(&mut self, prefixes: &[u64]) {
+        for hash in prefixes {
+            if let Some(held) = self.held.get_mut(hash) {
+                held.pins = held.pins.saturating_sub(1);
+            }
+            self.touch(*hash, 0);
         }
+        self.evict();
     }
 
     /// Gives the used share.
     pub(crate) fn fill(&self) -> f32 {
-        self.used.len() as f32 / self.blocks as f32
+        (self.held.len() as f32 / self.blocks as f32).min(1.0)
     }
 
     /// Gives the events from a position on, as far as they are kept.
@@ -85,15 +113,28 @@
             .collect()
     }
 
-    fn touch(&mut self, hash: u64) {
+    fn evict(&mut self) {
+        while self.held.len() > self.blocks {
+            let Some((_, hash)) = self.order.pop_first() else { break };
+            self.held.remove(&hash);
+            self.note(hash, false);
+        }
+    }
+
+    fn touch(&mut self, hash: u64, pins: u32) {
         self.clock += 1;
-        match self.used.insert(hash, self.clock) {
-            Some(before) => {
-                self.order.remove(&before);
-            }
-            None => self.note(hash, true),
+        let clock = self.clock;
+        let fresh = !self.held.contains_key(&hash);
+        let held = self.held.entry(hash).or_insert(Held { used: clock, pins: 0 });
+        self.order.remove(&held.used);
+        held.used = clock;
+        held.pins += pins;
+        if held.pins == 0 {
+            self.order.insert(clock, hash);
+        }
+        if fresh {
+            self.note(hash, true);
         }
-        self.order.insert(self.clock, hash);
     }
 
     fn note(&mut self, block: u64, stored: bool) {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,7 +1,7 @@
-//! `gentian-standin`: engines, services and a cloud for tests and trials.
+//! `gentian-standin`: engines, services, a cloud and a weight store for tests and trials.
 
 use standin::cli::{Options, Role};
-use standin::{cloud, engine, service};
+use standin::{cloud, engine, service, weights};
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
@@ -9,5 +9,6 @@
         Role::Engine(options) => engine::serve(&options),
         Role::Service(options) => service::serve(&options),
         Role::Cloud(options) => cloud::serve(&options),
+        Role::Weights(options) => weights::serve(&options),
     }
 }
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -1,19 +1,20 @@
 //! Model engines: chat completions in the `OpenAI` convention, load reports and cache events.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use contract::RequestId;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
+use crate::limits::read_json;
+pub use crate::stream::TokenStream;
 use crate::{Fate, UpstreamError};
 
 /// Header that carries the request id.
 pub const REQUEST_HEADER: &str = "X-Request-Id";
-/// Longest line of a stream, in bytes; a longer one is an error, so that a broken engine can't exhaust memory.
-const MAX_LINE: u64 = 1024 * 1024;
 
 /// One message of a conversation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,42 +86,21 @@
     pub kv_used: f32,
 }
 
+/// Something that happened to a block of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Position among all events of the engine.
+    pub sequence: u64,
+    /// Hash of the prefix that ends with the block.
+    pub block: u64,
+    /// Stored when true, evicted when false.
+    pub stored: bool,
+}
+
 /// A client for all engines.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
-    agent: Agent,
-}
-
-/// Tokens of one answer as they come.
-pub struct TokenStream {
-    peer: SocketAddr,
-    lines: BufReader<Box<dyn Read + Send>>,
-}
-
-impl std::fmt::Debug for TokenStream {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("TokenStream")
-            .field("peer", &self.peer)
-            .finish_non_exhaustive()
-    }
-}
-
-#[derive(Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    choices: Vec<ChunkChoice>,
-    usage: Option<Usage>,
-}
-
-#[derive(Deserialize)]
-struct ChunkChoice {
-    #[serde(default)]
-    delta: Delta,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    content: Option<String>,
+    pub(crate) agent: Agent,
 }
 
 impl EngineClient {
@@ -151,6 +131,7 @@
         let call = self.agent.post(format!("http://{peer}/v1/chat/completions"));
         let call = call
             .header(REQUEST_HEADER, request.as_str())
+            .header("Connection", "close")
             .config()
             .timeout_global(Some(deadline))
             .build();
@@ -167,10 +148,7 @@
             return Err(UpstreamError::new(STEP, peer, fate, format!("status {status}")));
         }
         let body: Box<dyn Read + Send> = Box::new(answer.into_body().into_reader());
-        Ok(TokenStream {
-            peer,
-            lines: BufReader::with_capacity(1_024, body),
-        })
+        Ok(TokenStream::new(peer, body))
     }
 
     /// Reads the load report.
@@ -178,54 +156,61 @@
     /// # Errors
     /// Fails when the engine can't be reached or sends something else.
     pub fn load(&self, peer: SocketAddr, timeout: Duration) -> Result<Load, UpstreamError> {
-        const STEP: &str = "read load";
-        let call = self
-            .agent
-            .get(format!("http://{peer}/load"))
-            .config()
-            .timeout_global(Some(timeout))
-            .build();
-        let failed = |error: ureq::Error| UpstreamError::from_client(STEP, peer, &error);
-        call.call().map_err(failed)?.body_mut().read_json().map_err(failed)
+        self.get("read load", peer, "/load", timeout)
     }
-}
 
-impl TokenStream {
-    /// Waits for the next event.
+    /// Reads the cache events after a position; engines keep some only, so there may be a gap before the first.
     ///
     /// # Errors
-    /// Fails when the engine breaks off before the answer is whole, or sends something that is no event.
-    pub fn next_event(&mut self) -> Result<Event, UpstreamError> {
-        loop {
-            let line = self.line()?;
-            let Some(data) = line.strip_prefix("data:").map(str::trim) else {
-                continue;
-            };
-            if data == "[DONE]" {
-                return Ok(Event::Done);
-            }
-            let chunk: Chunk = serde_json::from_str(data).map_err(|error| self.broken(error))?;
-            let token = chunk.choices.into_iter().find_map(|choice| choice.delta.content);
-            match (token, chunk.usage) {
-                (Some(token), _) if !token.is_empty() => return Ok(Event::Token(token)),
-                (_, Some(usage)) => return Ok(Event::Usage(usage)),
-                _ => {}
-            }
-        }
+    /// Fails when the engine can't be reached or sends something else.
+    pub fn cache_events(
+        &self,
+        peer: SocketAddr,
+        after: u64,
+        timeout: Duration,
+    ) -> Result<Vec<CacheEvent>, UpstreamError> {
+        self.get("read cache events", peer, &format!("/kv/events?after={after}"), timeout)
     }
 
-    fn line(&mut self) -> Result<String, UpstreamError> {
-        let mut bytes = Vec::new();
-        let read = (&mut self.lines).take(MAX_LINE).read_until(b'\n', &mut bytes);
-        read.map_err(|error| self.broken(error))?;
-        if bytes.last() != Some(&b'\n') {
-            return Err(self.broken("the stream ended before the answer was whole"));
-        }
-        String::from_utf8(bytes).map_err(|error| self.broken(error))
+    pub(crate) fn get<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, UpstreamError> {
+        let call = self
+            .agent
+            .get(format!("http://{peer}{path}"))
+            .header("Connection", "close")
+            .config()
+            .timeout_global(Some(timeout))
+            .build();
+        let answer = call
+            .call()
+            .map_err(|error| UpstreamError::from_client(step, peer, &error))?;
+        read_json(step, peer, answer)
     }
 
-    fn broken(&self, reason: impl ToString) -> UpstreamError {
-        UpstreamError::new("read stream", self.peer, Fate::Unknown, reason)
+    pub(crate) fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<T, UpstreamError> {
+        let call = self
+            .agent
+            .post(format!("http://{peer}{path}"))
+            .header("Connection", "close")
+            .config()
+            .timeout_global(Some(timeout))
+            .build();
+        let answer = call
+            .send_json(body)
+            .map_err(|error| UpstreamError::from_client(step, peer, &error))?;
+        read_json(step, peer, answer)
     }
 }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,6 +3,10 @@
 pub mod cloud;
 pub mod engine;
 mod error;
+pub mod kv;
+mod limits;
+pub mod orders;
 pub mod service;
+mod stream;
 
 pub use error::{Fate, UpstreamError};
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -69,7 +69,8 @@
         let failed = |error: ureq::Error| UpstreamError::from_client(STEP, peer, &error);
         let mut request = Request::builder()
             .method(call.method)
-            .uri(format!("http://{peer}{}", call.path));
+            .uri(format!("http://{peer}{}", call.path))
+            .header("Connection", "close");
         for (name, value) in call.headers {
             request = request.header(name, value);
         }
