--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
@@ -55,6 +56,9 @@
     /// refuse orders with an old fencing token
     #[argh(switch)]
     pub checks_fencing: bool,
+    /// file that everything done is appended to
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Stand in for a plain service that books and looks up.
@@ -70,6 +74,9 @@
     /// calls that run at once; more wait
     #[argh(option, default = "64")]
     pub slots: usize,
+    /// file that everything done is appended to
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Stand in for the cloud API.
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -46,6 +46,12 @@
     format!("w{:05x} ", xxh3_64(&seed) & 0xf_ffff)
 }
 
+/// Gives the identity of a conversation by its first user message.
+#[must_use]
+pub fn conversation(opening: &str) -> u64 {
+    xxh3_64(opening.as_bytes())
+}
+
 /// Splits a conversation into the prompt's identity and the number of tokens that were made already.
 #[must_use]
 pub fn continuation(messages: &[(String, String)], continues: bool) -> (u64, u64) {
@@ -71,6 +77,12 @@
         continuation(&pairs, self.continue_final_message)
     }
 
+    /// Gives the identity of the conversation, which all its turns share.
+    pub(crate) fn conversation(&self) -> u64 {
+        let opening = self.messages.iter().find(|message| message.role == "user");
+        opening.map_or(0, |message| conversation(&message.content))
+    }
+
     /// Gives every token that must be prefilled.
     pub(crate) fn words(&self) -> Vec<&str> {
         self.messages
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -8,11 +8,13 @@
 
 use super::cache::{CacheEvent, PrefixCache};
 use crate::cli::EngineOptions;
+use crate::record::Record;
 
 /// One engine.
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) options: EngineOptions,
+    pub(crate) record: Record,
     inner: Mutex<Inner>,
     changed: Condvar,
 }
@@ -56,7 +58,7 @@
 }
 
 impl Engine {
-    pub(crate) fn new(options: EngineOptions) -> Self {
+    pub(crate) fn new(options: EngineOptions, record: Record) -> Self {
         let inner = Inner {
             running: 0,
             arrivals: 0,
@@ -71,6 +73,7 @@
         };
         Self {
             options,
+            record,
             inner: Mutex::new(inner),
             changed: Condvar::new(),
         }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -11,11 +11,12 @@
 
 use tiny_http::Server;
 
-pub use answer::{continuation, token};
+pub use answer::{continuation, conversation, token};
 pub use batch::Seen;
 
 use crate::cli::EngineOptions;
 use crate::http::{announce, stop_flag};
+use crate::record::Record;
 
 /// Serves until the process is told to stop.
 ///
@@ -23,6 +24,7 @@
 /// Fails when the address can't be listened on.
 pub fn serve(options: &EngineOptions) -> anyhow::Result<()> {
     let stop = stop_flag()?;
+    let record = Record::open(options.record.as_deref())?;
     let server =
         Server::http(options.listen).map_err(|error| anyhow::anyhow!("listen on {}: {error}", options.listen))?;
     let address = server
@@ -30,7 +32,7 @@
         .to_ip()
         .ok_or_else(|| anyhow::anyhow!("not an IP address"))?;
     announce(address)?;
-    let engine = Arc::new(batch::Engine::new(options.clone()));
+    let engine = Arc::new(batch::Engine::new(options.clone(), record));
     while !stop.load(Ordering::Relaxed) {
         let Some(request) = server.recv_timeout(Duration::from_millis(50))? else {
             continue;
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -7,6 +7,7 @@
 
 use super::answer::{Chat, token};
 use super::batch::{Engine, Seen};
+use crate::record::{Line, now_us};
 
 /// Largest body, in bytes.
 const MAX_BODY: u64 = 16 * 1024 * 1024;
@@ -59,6 +60,8 @@
     engine.enter(chat.priority);
     let words = chat.words();
     let (prompt, begun) = chat.continuation();
+    let conversation = chat.conversation();
+    let from_us = now_us();
     let mut seen = Seen {
         request: id,
         prompt_tokens: words.len() as u64,
@@ -67,6 +70,16 @@
         made_tokens: 0,
         whole: false,
     };
+    engine.record.write(&Line::Begun {
+        from_us,
+        at_us: now_us(),
+        request: seen.request.clone(),
+        conversation,
+        prompt,
+        prompt_tokens: seen.prompt_tokens,
+        cached_tokens: seen.cached_tokens,
+        begun_tokens: begun,
+    });
     let tokens = (begun..begun + chat.max_tokens).map(|position| token(prompt, position));
     if chat.stream {
         seen.whole = stream(engine, request, tokens, &mut seen).is_ok();
@@ -90,6 +103,13 @@
         .chain(made.iter().map(|word| word.trim()))
         .collect();
     engine.keep(&all);
+    engine.record.write(&Line::Ended {
+        at_us: now_us(),
+        request: seen.request.clone(),
+        conversation,
+        prompt_tokens: seen.prompt_tokens,
+        made_tokens: seen.made_tokens,
+    });
     engine.leave(seen);
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod cloud;
 pub mod engine;
 mod http;
+pub mod record;
 pub mod service;
