--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
@@ -73,6 +74,9 @@
     /// faults from the start on, as JSON
     #[argh(option, default = "Faults::default()")]
     pub faults: Faults,
+    /// file that everything done is appended to
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Stand in for a plain service that books and looks up.
@@ -94,6 +98,9 @@
     /// faults from the start on, as JSON
     #[argh(option, default = "ServiceFaults::default()")]
     pub faults: ServiceFaults,
+    /// file that everything done is appended to
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Stand in for the cloud API.
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -8,11 +8,12 @@
 use parking_lot::{Condvar, Mutex};
 use serde::Serialize;
 
-use super::answer::token;
+use super::answer::{Chat, token};
 use super::cache::{CacheEvent, PrefixCache};
 use super::faults::Faults;
 use super::orders::Orders;
 use crate::cli::EngineOptions;
+use crate::record::{Line, Record, now_us};
 
 /// Longest time without a look at whether the caller is still there.
 const BEAT: Duration = Duration::from_millis(20);
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) options: EngineOptions,
+    pub(crate) record: Record,
     pub(crate) faults: Mutex<Faults>,
     pub(crate) orders: Mutex<Orders>,
     /// The link over which KV cache comes and goes; one transfer at a time has it.
@@ -94,12 +96,13 @@
     engine: &'a Engine,
     place: Place,
     pinned: Vec<u64>,
+    conversation: u64,
     /// What the engine notes of the request.
     pub(crate) seen: Seen,
 }
 
 impl Engine {
-    pub(crate) fn new(options: EngineOptions) -> Self {
+    pub(crate) fn new(options: EngineOptions, record: Record) -> Self {
         let inner = Inner {
             running: 0,
             arrivals: 0,
@@ -121,6 +124,7 @@
             orders: Mutex::new(Orders::new(&options.model)),
             link: Mutex::new(()),
             options,
+            record,
             inner: Mutex::new(inner),
             changed: Condvar::new(),
             dead: AtomicBool::new(false),
@@ -142,6 +146,7 @@
                     engine: self,
                     place,
                     pinned: Vec::new(),
+                    conversation: 0,
                     seen,
                 });
             }
@@ -277,9 +282,13 @@
     /// Prefills the prompt; prefills queue for the engine's one prefill resource.
     ///
     /// Returns whether the caller is still there.
-    pub(crate) fn prefill(&mut self, words: &[&str], prompt: u64, alive: &mut dyn FnMut() -> bool) -> bool {
+    pub(crate) fn prefill(&mut self, chat: &Chat, alive: &mut dyn FnMut() -> bool) -> bool {
         let engine = self.engine;
-        let prefixes = PrefixCache::prefixes(words);
+        let words = chat.words();
+        let prompt = chat.continuation().0;
+        let from_us = now_us();
+        self.conversation = chat.conversation();
+        let prefixes = PrefixCache::prefixes(&words);
         engine.inner.lock().prefills.insert(self.place);
         loop {
             let mut inner = engine.inner.lock();
@@ -301,7 +310,18 @@
         if done {
             inner.cache.pin(&prefixes);
             self.pinned = prefixes;
-            inner.learn(&self.seen, words, prompt);
+            inner.learn(&self.seen, &words, prompt);
+            drop(inner);
+            engine.record.write(&Line::Begun {
+                from_us,
+                at_us: now_us(),
+                request: self.seen.request.clone(),
+                conversation: self.conversation,
+                prompt,
+                prompt_tokens: self.seen.prompt_tokens,
+                cached_tokens: self.seen.cached_tokens,
+                begun_tokens: self.seen.begun_tokens,
+            });
         }
         done
     }
@@ -317,6 +337,13 @@
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
+        self.engine.record.write(&Line::Ended {
+            at_us: now_us(),
+            request: self.seen.request.clone(),
+            conversation: self.conversation,
+            prompt_tokens: self.seen.prompt_tokens,
+            made_tokens: self.seen.made_tokens,
+        });
         let mut inner = self.engine.inner.lock();
         inner.running -= 1;
         inner.prefills.remove(&self.place);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -16,12 +16,13 @@
 
 use tiny_http::Server;
 
-pub use answer::{continuation, token};
+pub use answer::{continuation, conversation, token};
 pub use batch::Seen;
 pub use faults::Faults;
 
 use crate::cli::EngineOptions;
 use crate::http::{announce, stop_flag};
+use crate::record::Record;
 
 /// Pause between two looks at whether to stop.
 const STEP: Duration = Duration::from_millis(20);
@@ -42,12 +43,13 @@
 /// Fails when the address can't be listened on or a thread can't be started.
 pub fn start(options: &EngineOptions) -> anyhow::Result<Running> {
     let listen = options.listen;
+    let record = Record::open(options.record.as_deref())?;
     let server = Server::http(listen).map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?;
     let address = server
         .server_addr()
         .to_ip()
         .ok_or_else(|| anyhow::anyhow!("not an IP address"))?;
-    let engine = Arc::new(batch::Engine::new(options.clone()));
+    let engine = Arc::new(batch::Engine::new(options.clone(), record));
     let shared = Arc::clone(&engine);
     let thread = std::thread::Builder::new()
         .name("engine".to_owned())
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -166,7 +166,7 @@
     let Some(mut slot) = engine.enter(chat.priority, seen, &mut alive) else {
         return;
     };
-    if !slot.prefill(&chat.words(), prompt, &mut alive) {
+    if !slot.prefill(chat, &mut alive) {
         return;
     }
     let mut text = String::new();
@@ -195,7 +195,7 @@
     let Some(mut slot) = engine.enter(chat.priority, seen, &mut beat) else {
         return Ok(());
     };
-    if !slot.prefill(&chat.words(), prompt, &mut beat) {
+    if !slot.prefill(chat, &mut beat) {
         return Ok(());
     }
     for position in begun..begun + chat.max_tokens {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod cloud;
 pub mod engine;
 mod http;
+pub mod record;
 pub mod service;
 pub mod weights;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -12,6 +12,7 @@
 
 use crate::cli::ServiceOptions;
 use crate::http::{self, Running};
+use crate::record::{Line, Record, now_us};
 
 /// What goes wrong at a service until it's told otherwise.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 struct Service {
     options: ServiceOptions,
+    record: Record,
     faults: Mutex<ServiceFaults>,
     /// Runs by idempotency key, and how often each ran.
     runs: Mutex<BTreeMap<String, u64>>,
@@ -52,6 +54,7 @@
 pub fn start(options: &ServiceOptions) -> anyhow::Result<Running> {
     let service = Arc::new(Service {
         options: options.clone(),
+        record: Record::open(options.record.as_deref())?,
         faults: Mutex::new(options.faults),
         runs: Mutex::default(),
     });
@@ -88,6 +91,8 @@
     }
     std::thread::sleep(Duration::from_millis(service.options.work_ms + faults.delay_ms));
     let reply = if request.method() == "GET" {
+        let (at_us, path) = (now_us(), url.clone());
+        service.record.write(&Line::Read { at_us, path });
         Response::json(&json!({"path": url, "free": 7}))
     } else {
         service.run(request)
@@ -128,6 +133,10 @@
         let mut runs = self.runs.lock();
         let count = runs.entry(key.to_owned()).or_default();
         *count += 1;
+        self.record.write(&Line::Ran {
+            at_us: now_us(),
+            key: key.to_owned(),
+        });
         Response::json(&json!({"booked": key, "times": *count})).with_status_code(201)
     }
 
