Note what an engine did before the last event of a stream

The test moved_cache read what the second engine had seen before the engine noted it; it failed in one of three runs.

--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -211,11 +211,12 @@
         )?;
     }
     event(&mut out, &json!({"choices": [], "usage": usage(&slot)}).to_string())?;
+    slot.seen.whole = true;
+    // What was seen must be there to read once the caller has the end of its answer.
+    drop(slot);
     event(&mut out, "[DONE]")?;
     out.write_all(b"0\r\n\r\n")?;
-    out.flush()?;
-    slot.seen.whole = true;
-    Ok(())
+    out.flush()
 }
 
 fn event(out: &mut impl Write, data: &str) -> std::io::Result<()> {
