Keep the lives of hosts by incarnation and hear signs from three sides

Before, an entry host kept a set of hosts that leave and heard of them from capacity alone; with capacity cut off it sent new work until connections broke. Now notices are also read from the cloud API (--cloud), a refused connection bars a host until it answers again, and a stage never goes back, whatever comes late or twice. A host that comes back under its name is a new incarnation.

--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -35,6 +35,12 @@
     /// requests that may wait
     #[argh(option)]
     pub waiting: Option<String>,
+    /// IP:PORT of the cloud API
+    #[argh(option)]
+    pub cloud: Option<String>,
+    /// on or off: move KV cache of streams whose host leaves
+    #[argh(option)]
+    pub kv_export: Option<String>,
     /// json or terminal
     #[argh(option)]
     pub log: Option<String>,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,11 +1,11 @@
 //! What the entry knows of each upstream beyond the configuration: own requests, reports, breakers, leaving hosts.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use contract::{HostId, UpstreamId, UpstreamSpec};
+use contract::{UpstreamId, UpstreamSpec};
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::breaker::Breaker;
@@ -13,6 +13,7 @@
 use upstream::engine::{EngineClient, Load};
 
 use crate::current::Current;
+use crate::hosts::Hosts;
 
 /// Age at which a load report no longer counts.
 const EXPIRY: Duration = Duration::from_secs(3);
@@ -23,8 +24,9 @@
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Fleet {
+    /// The lives of the hosts.
+    pub hosts: Hosts,
     members: Mutex<HashMap<UpstreamId, Member>>,
-    leaving: Mutex<HashSet<(HostId, u64)>>,
     turn: AtomicU64,
 }
 
@@ -53,12 +55,11 @@
         tried: &[UpstreamId],
         now: Tick,
     ) -> Option<Choice> {
-        let leaving = self.leaving.lock();
         let mut members = self.members.lock();
         let candidates: Vec<Candidate<'a>> = specs
             .map(|spec| {
                 let member = members.entry(spec.id.clone()).or_default();
-                let left = leaving.contains(&(spec.host.id.clone(), spec.host.incarnation));
+                let left = !self.hosts.takes_work(&spec.host);
                 Candidate {
                     id: &spec.id,
                     zone: &spec.host.zone,
@@ -95,11 +96,6 @@
         if good { breaker.succeeded() } else { breaker.failed(now) }
     }
 
-    /// Notes a host that takes no new work.
-    pub fn leave(&self, host: &HostId, incarnation: u64) {
-        self.leaving.lock().insert((host.clone(), incarnation));
-    }
-
     fn report(&self, upstream: &UpstreamId, load: Load, now: Tick) {
         let mut members = self.members.lock();
         let member = members.entry(upstream.clone()).or_default();
@@ -145,8 +141,12 @@
     while !stop.load(Ordering::Relaxed) {
         let view = current.view();
         for spec in view.config.upstreams.values() {
-            if let Ok(load) = client.load(spec.address, POLL_TIMEOUT) {
-                fleet.report(&spec.id, load, clock.now());
+            match client.load(spec.address, POLL_TIMEOUT) {
+                Ok(load) => {
+                    fleet.report(&spec.id, load, clock.now());
+                    fleet.hosts.answered(&spec.host, clock.now());
+                }
+                Err(error) => fleet.hosts.failed(&spec.host, &error, clock.now()),
             }
         }
         std::thread::sleep(POLL);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod current;
 pub mod entry;
 pub mod fleet;
+pub mod hosts;
 pub mod journal;
 pub mod ops;
 pub mod rpc;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,7 +9,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, fleet, ops};
+use entry::{Entry, callers, current, fleet, hosts, ops};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
 use telemetry::log;
@@ -101,6 +101,10 @@
             &learner.stop,
         );
     })?;
+    let watcher = Arc::clone(entry);
+    thread::Builder::new()
+        .name("hosts".to_owned())
+        .spawn(move || hosts::watch(&watcher))?;
     let poller = Arc::clone(entry);
     thread::Builder::new()
         .name("loads".to_owned())
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -7,7 +7,7 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use serde_json::json;
 use wire::Envelope;
-use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk, Sign};
+use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk};
 
 use crate::Entry;
 
@@ -32,8 +32,9 @@
 #[async_trait]
 impl EntryRpcServer for Rpc {
     async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
-        for sign in signs.body.iter().filter(|sign| sign.sign != Sign::Serving) {
-            self.entry.fleet.leave(&sign.host, sign.incarnation);
+        let now = self.entry.clock.now();
+        for sign in &signs.body {
+            self.entry.fleet.hosts.hear(sign, now);
         }
         Ok(self.wrap(()))
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -102,6 +102,22 @@
     "1 to 4096",
     "Requests that wait at most."
 );
+setting!(
+    CLOUD,
+    "cloud",
+    "GENTIAN_CLOUD",
+    Some(""),
+    "IP:PORT,… or nothing",
+    "Addresses of the cloud API, from which reclaim notices are read besides what capacity tells."
+);
+setting!(
+    KV_EXPORT,
+    "kv-export",
+    "GENTIAN_KV_EXPORT",
+    Some("on"),
+    "on or off",
+    "Whether the KV cache of streams is moved when their host leaves; otherwise they are replayed."
+);
 setting!(
     LOG,
     "log",
@@ -112,7 +128,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 11] = [
+pub static ALL: [&Setting; 13] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -123,6 +139,8 @@
     &ROUTING,
     &RUNNING,
     &WAITING,
+    &CLOUD,
+    &KV_EXPORT,
     &LOG,
 ];
 
@@ -149,6 +167,10 @@
     pub running: usize,
     /// Requests that wait at most.
     pub waiting: usize,
+    /// Addresses of the cloud API.
+    pub cloud: Vec<SocketAddr>,
+    /// Whether the KV cache of streams is moved when their host leaves.
+    pub kv_export: bool,
     /// How log lines are written.
     pub log: Format,
 }
@@ -179,6 +201,9 @@
         let running = sheet.check(&RUNNING, running, |count| some.contains(count));
         let waiting = sheet.read(&WAITING, options.waiting.as_deref());
         let waiting = sheet.check(&WAITING, waiting, |count| some.contains(count));
+        let cloud = sheet.read::<List<SocketAddr>>(&CLOUD, options.cloud.as_deref());
+        let export = sheet.read::<String>(&KV_EXPORT, options.kv_export.as_deref());
+        let export = sheet.check(&KV_EXPORT, export, |text| text == "on" || text == "off");
         let log = sheet.read(&LOG, options.log.as_deref());
         sheet.finish()?;
         let settings = || {
@@ -193,6 +218,8 @@
                 routing: routing?,
                 running: running?,
                 waiting: waiting?,
+                cloud: cloud?.0,
+                kv_export: export? == "on",
                 log: log?,
             })
         };
--- a/crates/policy/src/life.rs
+++ b/crates/policy/src/life.rs
@@ -1,10 +1,12 @@
-//! The life cycle of a host: starting, serving, leaving, gone.
+//! The life cycle of a host: starting, serving, doubted, leaving, gone.
 //!
 //! Each stage is a type of its own, so that a host that left cannot serve again; one that comes back under the same
 //! name is a new incarnation.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use contract::HostId;
 use derive_more::{Display, From};
 
 use crate::Tick;
@@ -17,6 +19,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving;
 
+/// The host refused a connection and may be gone; nobody has announced it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubted;
+
 /// The host finishes what it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Leaving {
@@ -44,6 +50,9 @@
     /// Serving.
     #[display("serving")]
     Serving(Life<Serving>),
+    /// Doubted.
+    #[display("doubted")]
+    Doubted(Life<Doubted>),
     /// Leaving.
     #[display("leaving")]
     Leaving(Life<Leaving>),
@@ -85,6 +94,28 @@
     }
 }
 
+impl Life<Serving> {
+    /// The host refused a connection.
+    #[must_use]
+    pub const fn doubt(self) -> Life<Doubted> {
+        Life {
+            incarnation: self.incarnation,
+            stage: Doubted,
+        }
+    }
+}
+
+impl Life<Doubted> {
+    /// The host answers again.
+    #[must_use]
+    pub const fn trust(self) -> Life<Serving> {
+        Life {
+            incarnation: self.incarnation,
+            stage: Serving,
+        }
+    }
+}
+
 impl Life<Leaving> {
     /// Takes over an announcement that is earlier than the known one.
     #[must_use]
@@ -126,8 +157,105 @@
         match self {
             Self::Starting(life) => life.incarnation,
             Self::Serving(life) => life.incarnation,
+            Self::Doubted(life) => life.incarnation,
             Self::Leaving(life) => life.incarnation,
             Self::Gone(life) => life.incarnation,
         }
     }
+
+    /// Gives the life after a sign.
+    ///
+    /// Signs come late, twice and in any order, so a stage never goes back to an earlier one: a list that still shows a
+    /// host as serving would otherwise undo its notice, and callers' work would go to a host that is about to be gone.
+    #[must_use]
+    pub fn after(self, sign: Sign, now: Tick) -> Self {
+        match (self, sign) {
+            (Self::Starting(life), Sign::Answered) => life.serve().into(),
+            (Self::Doubted(life), Sign::Answered) => life.trust().into(),
+            (Self::Serving(life), Sign::Refused) => life.doubt().into(),
+            (Self::Gone(_), _) | (_, Sign::Answered | Sign::Refused) => self,
+            (Self::Leaving(life), Sign::Leaves { left }) => life.hurry(now, left).into(),
+            (Self::Leaving(life), Sign::Gone) => life.end().into(),
+            (before, Sign::Leaves { left }) => before.served().leave(now, left).into(),
+            (before, Sign::Gone) => before.served().leave(now, None).end().into(),
+        }
+    }
+
+    const fn served(self) -> Life<Serving> {
+        Life {
+            incarnation: self.incarnation(),
+            stage: Serving,
+        }
+    }
+}
+
+/// Something that tells about the life of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It will be taken away or is drained.
+    Leaves {
+        /// Time until it is gone, if announced.
+        left: Option<Duration>,
+    },
+    /// It is gone.
+    Gone,
+    /// It refused a connection.
+    Refused,
+    /// It answered.
+    Answered,
+}
+
+/// The lives of all hosts that signs have told about; a host that no sign has told about serves.
+#[derive(Debug, Default)]
+pub struct Lives {
+    hosts: HashMap<HostId, AnyLife>,
+}
+
+impl Lives {
+    /// Takes a sign in; returns the new stage where it changed.
+    ///
+    /// A sign about an earlier host of the same name is late and changes nothing.
+    pub fn hear(&mut self, host: &HostId, incarnation: u64, sign: Sign, now: Tick) -> Option<AnyLife> {
+        let known = self.hosts.get(host).copied();
+        let before = match known {
+            Some(life) if life.incarnation() > incarnation => return None,
+            Some(life) if life.incarnation() == incarnation => life,
+            _ => Life::new(incarnation).serve().into(),
+        };
+        let after = before.after(sign, now);
+        // Hosts that just serve need no row, which keeps the table as small as the trouble.
+        if known.is_some() || after != before {
+            self.hosts.insert(host.clone(), after);
+        }
+        (after != before).then_some(after)
+    }
+
+    /// Gives the stage of a host.
+    #[must_use]
+    pub fn stage(&self, host: &HostId, incarnation: u64) -> AnyLife {
+        match self.hosts.get(host) {
+            Some(life) if life.incarnation() == incarnation => *life,
+            // A newer host of that name is known, so this one is gone.
+            Some(life) if life.incarnation() > incarnation => {
+                Life::new(incarnation).serve().leave(Tick::default(), None).end().into()
+            }
+            _ => Life::new(incarnation).serve().into(),
+        }
+    }
+
+    /// Tells whether new work may go to a host.
+    #[must_use]
+    pub fn takes_work(&self, host: &HostId, incarnation: u64) -> bool {
+        self.stage(host, incarnation).takes_work()
+    }
+
+    /// Gives every host that signs have told about.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &AnyLife)> {
+        self.hosts.iter()
+    }
+
+    /// Forgets hosts, so that the table doesn't grow with every host that ever was.
+    pub fn retain(&mut self, keep: impl Fn(&HostId, &AnyLife) -> bool) {
+        self.hosts.retain(|host, life| keep(host, life));
+    }
 }
--- /dev/null
+++ b/crates/policy/tests/host_life.rs
@@ -0,0 +1,138 @@
+//! Signs about hosts come in any order, late and doubled; none of that brings work back to a host that leaves.
+
+use std::time::Duration;
+
+use contract::HostId;
+use policy::Tick;
+use policy::life::{AnyLife, Lives, Sign};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+#[derive(Clone, Debug)]
+struct Heard {
+    host: u8,
+    incarnation: u64,
+    sign: Sign,
+    after_ms: u64,
+}
+
+impl Arbitrary for Heard {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let left = u64::arbitrary(g) % 60_000;
+        let signs = [
+            Sign::Leaves { left: None },
+            Sign::Leaves {
+                left: Some(Duration::from_millis(left)),
+            },
+            Sign::Gone,
+            Sign::Refused,
+            Sign::Answered,
+            Sign::Answered,
+        ];
+        Self {
+            host: u8::arbitrary(g) % 3,
+            incarnation: u64::arbitrary(g) % 3,
+            sign: *g.choose(&signs).expect("signs"),
+            after_ms: u64::arbitrary(g) % 5_000,
+        }
+    }
+}
+
+fn name(host: u8) -> HostId {
+    HostId::from(format!("host-{host}"))
+}
+
+fn tells_end(sign: Sign) -> bool {
+    matches!(sign, Sign::Leaves { .. } | Sign::Gone)
+}
+
+fn check(property: fn(Vec<Heard>) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 11))
+        .tests(3_000)
+        .quickcheck(property);
+}
+
+/// A notice, the lagging list and an operator tell of the same host, and the list still shows it as serving for a
+/// while. From the first sign on nothing new may go there, whatever comes later, or callers' work dies with the host.
+#[test]
+fn never_back() {
+    fn holds(all: Vec<Heard>) -> bool {
+        let mut lives = Lives::default();
+        let mut now = Tick::default();
+        let mut ended = Vec::new();
+        for heard in all {
+            now = now + Duration::from_millis(heard.after_ms);
+            lives.hear(&name(heard.host), heard.incarnation, heard.sign, now);
+            if tells_end(heard.sign) {
+                ended.push((heard.host, heard.incarnation));
+            }
+            if ended.iter().any(|(host, which)| lives.takes_work(&name(*host), *which)) {
+                return false;
+            }
+        }
+        true
+    }
+    check(holds);
+}
+
+/// Signs are heard twice, as from capacity and from the cloud itself. Hearing each a second time changes nothing.
+#[test]
+fn doubled_signs() {
+    fn same(all: Vec<Heard>) -> bool {
+        let (mut once, mut twice) = (Lives::default(), Lives::default());
+        for heard in &all {
+            let now = Tick::default();
+            once.hear(&name(heard.host), heard.incarnation, heard.sign, now);
+            twice.hear(&name(heard.host), heard.incarnation, heard.sign, now);
+            twice.hear(&name(heard.host), heard.incarnation, heard.sign, now);
+        }
+        (0..3).all(|host| (0..3).all(|which| once.stage(&name(host), which) == twice.stage(&name(host), which)))
+    }
+    check(same);
+}
+
+/// A host is taken back and another starts under its name. Late signs about the first must not keep work from the
+/// second.
+#[test]
+fn new_incarnation() {
+    fn fresh(all: Vec<Heard>) -> bool {
+        let mut lives = Lives::default();
+        let last = |host| {
+            all.iter()
+                .filter(|heard| heard.host == host)
+                .map(|heard| heard.incarnation)
+                .max()
+        };
+        for heard in &all {
+            lives.hear(&name(heard.host), heard.incarnation, heard.sign, Tick::default());
+        }
+        (0..3).all(|host| lives.takes_work(&name(host), last(host).map_or(0, |last| last + 1)))
+    }
+    check(fresh);
+}
+
+#[test]
+fn earliest_end() {
+    let mut lives = Lives::default();
+    let now = Tick::from_millis(1_000);
+    let host = name(0);
+    for left in [30_000, 5_000, 20_000] {
+        let left = Some(Duration::from_millis(left));
+        lives.hear(&host, 0, Sign::Leaves { left }, now);
+    }
+    let AnyLife::Leaving(life) = lives.stage(&host, 0) else {
+        panic!("not leaving");
+    };
+    assert_eq!(life.gone_at(), Some(Tick::from_millis(6_000)));
+}
+
+/// A host refuses connections without any notice. Nothing new goes there until it answers again.
+#[test]
+fn refused_host() {
+    let mut lives = Lives::default();
+    let host = name(0);
+    lives.hear(&host, 4, Sign::Refused, Tick::default());
+    assert!(!lives.takes_work(&host, 4));
+    lives.hear(&host, 4, Sign::Answered, Tick::default());
+    assert!(lives.takes_work(&host, 4));
+}
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -25,6 +25,8 @@
     pub peer: String,
     /// Whether the upstream can have seen the request.
     pub fate: Fate,
+    /// Whether a connection stood.
+    pub connected: bool,
     /// Why it failed.
     pub reason: String,
 }
@@ -35,6 +37,7 @@
             step,
             peer: peer.to_string(),
             fate,
+            connected: true,
             reason: reason.to_string(),
         }
     }
@@ -52,6 +55,9 @@
             _ => false,
         };
         let fate = if before { Fate::NotRun } else { Fate::Unknown };
-        Self::new(step, peer, fate, error)
+        Self {
+            connected: !before,
+            ..Self::new(step, peer, fate, error)
+        }
     }
 }
