Compare routing policies on seeded arrivals and faults with real processes

gentian-load compare and run start state group, entry hosts, capacity, cloud and fourteen upstreams on loopback, send open-loop arrivals, bring faults about on a schedule and check answers against the records of the stand-ins.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -1,9 +1,16 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
+use crate::trial::run::Policy;
+use crate::workload::Workload;
+
+/// Seconds in which requests arrive; three runs with start and end stay under a minute.
+const DURATION: f64 = 13.0;
+
 /// Load gentianspring and measure what comes out.
 #[derive(Debug, FromArgs)]
 pub struct Options {
@@ -18,6 +25,81 @@
 pub enum Command {
     /// Demonstration.
     Demo(Demo),
+    /// Every policy.
+    Compare(Compare),
+    /// One policy.
+    Run(RunOptions),
+}
+
+/// Compare policies on the same seeded arrivals and faults.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "compare",
+    example = "gentian-load compare --workload tan-seng-huat --seed 1 --json"
+)]
+pub struct Compare {
+    /// tan-seng-huat or mwangaza
+    #[argh(option)]
+    pub workload: Workload,
+    /// seed of arrivals and faults
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// seconds in which requests arrive, for each policy
+    #[argh(option, default = "DURATION")]
+    pub duration: f64,
+    /// requests a second; by default what loads the fleet of the workload
+    #[argh(option)]
+    pub rate: Option<f64>,
+    /// bring about no faults
+    #[argh(switch)]
+    pub quiet: bool,
+    /// mechanism of gentianspring to switch off; may be repeated
+    #[argh(option)]
+    pub without: Vec<String>,
+    /// folder in which logs and records are kept
+    #[argh(option)]
+    pub keep: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Run one policy on seeded arrivals and faults.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "run",
+    example = "gentian-load run --workload mwangaza --policy least-loaded --seed 1"
+)]
+pub struct RunOptions {
+    /// tan-seng-huat or mwangaza
+    #[argh(option)]
+    pub workload: Workload,
+    /// gentianspring, least-loaded or round-robin
+    #[argh(option, default = "Policy::Gentianspring")]
+    pub policy: Policy,
+    /// seed of arrivals and faults
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// seconds in which requests arrive
+    #[argh(option, default = "DURATION")]
+    pub duration: f64,
+    /// requests a second; by default what loads the fleet of the workload
+    #[argh(option)]
+    pub rate: Option<f64>,
+    /// bring about no faults
+    #[argh(switch)]
+    pub quiet: bool,
+    /// mechanism to switch off; may be repeated
+    #[argh(option)]
+    pub without: Vec<String>,
+    /// folder in which logs and records are kept
+    #[argh(option)]
+    pub keep: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
 }
 
 /// Send one request of each kind and check the answers.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,4 +1,8 @@
 //! Load and experiment tool.
 
 pub mod cli;
+pub mod compare;
 pub mod demo;
+pub mod table;
+pub mod trial;
+pub mod workload;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,11 +1,13 @@
 //! `gentian-load`: loads gentianspring and measures what comes out.
 
 use load::cli::{Command, Options};
-use load::demo;
+use load::{compare, demo};
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
     match options.command {
         Command::Demo(options) => demo::run(&options),
+        Command::Compare(options) => compare::compare(&options),
+        Command::Run(options) => compare::single(&options),
     }
 }
