--- a/crates/load/src/slopes/bench.rs
+++ b/crates/load/src/slopes/bench.rs
@@ -1,7 +1,6 @@
 //! One point: the processes, a pause to settle, and the counts over a while.
 
-use std::net::SocketAddr;
-use std::path::Path;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -13,7 +12,7 @@
 use super::usage::Usage;
 use super::{Cost, Point};
 use crate::link::Link;
-use crate::process::{Process, free_address, wait_listening};
+use crate::trial::process::{Place, Process, free_address};
 
 /// State nodes.
 const NODES: usize = 3;
@@ -88,17 +87,18 @@
 impl Bench {
     fn start(count: usize) -> anyhow::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let inner: Vec<SocketAddr> = addresses(NODES)?;
-        let nodes = start_nodes(&inner, folder.path())?;
+        let place = Place::new(folder.path())?;
+        let inner = addresses(NODES);
+        let nodes = start_nodes(&inner, &place)?;
         let node_links = inner
             .iter()
             .map(|address| Link::open(*address))
             .collect::<Result<Vec<_>, _>>()?;
-        let mut engine = Process::start("engine", "gentian-standin", &strings(&["engine"]), folder.path())?;
+        let mut engine = place.start("engine", "gentian-standin", &strings(&["engine"]))?;
         let engine_link = Link::open(engine.address()?)?;
         let linked: Vec<SocketAddr> = node_links.iter().map(Link::address).collect();
-        let ops = addresses(count)?;
-        let entries = start_entries(&ops, &linked, folder.path())?;
+        let ops = addresses(count);
+        let entries = start_entries(&ops, &linked, &place)?;
         let calls = Calls::start(2, TIMEOUT)?;
         let state = StateClient::new(&calls, &"trial".into(), &inner)?;
         Ok(Self {
@@ -184,12 +184,12 @@
     }
 }
 
-fn start_nodes(inner: &[SocketAddr], folder: &Path) -> anyhow::Result<Vec<Process>> {
+fn start_nodes(inner: &[SocketAddr], place: &Place) -> anyhow::Result<Vec<Process>> {
     let peers = list(inner);
     let mut nodes = Vec::new();
     for (number, listen) in inner.iter().enumerate() {
         let name = format!("state-{number}");
-        let data = folder.join(&name).display().to_string();
+        let data = place.file(&name).display().to_string();
         let listen = listen.to_string();
         let args = [
             "--node",
@@ -203,7 +203,7 @@
             "--operator-key",
             KEY,
         ];
-        nodes.push(Process::start(&name, "gentian-state", &strings(&args), folder)?);
+        nodes.push(place.start(&name, "gentian-state", &strings(&args))?);
     }
     for listen in inner {
         wait_listening(*listen)?;
@@ -211,14 +211,14 @@
     Ok(nodes)
 }
 
-fn start_entries(ops: &[SocketAddr], state: &[SocketAddr], folder: &Path) -> anyhow::Result<Vec<Process>> {
-    let inner = addresses(ops.len())?;
+fn start_entries(ops: &[SocketAddr], state: &[SocketAddr], place: &Place) -> anyhow::Result<Vec<Process>> {
+    let inner = addresses(ops.len());
     let (peers, state) = (list(&inner), list(state));
     let mut entries = Vec::new();
     for (number, (ops, inner)) in ops.iter().zip(&inner).enumerate() {
         let name = format!("entry-{number}");
         let (ops, inner) = (ops.to_string(), inner.to_string());
-        let place = [
+        let site = [
             "--node",
             &name,
             "--data-center",
@@ -228,8 +228,8 @@
             "--inner",
             &inner,
         ];
-        let args = [&place[..], &["--state", &state, "--peers", &peers]].concat();
-        entries.push(Process::start(&name, "gentian-entry", &strings(&args), folder)?);
+        let args = [&site[..], &["--state", &state, "--peers", &peers]].concat();
+        entries.push(place.start(&name, "gentian-entry", &strings(&args))?);
     }
     for ops in ops {
         wait_listening(*ops)?;
@@ -272,10 +272,19 @@
     }
 }
 
-fn addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+fn addresses(count: usize) -> Vec<SocketAddr> {
     (0..count).map(|_| free_address()).collect()
 }
 
+fn wait_listening(address: SocketAddr) -> anyhow::Result<()> {
+    let begun = Instant::now();
+    while TcpStream::connect_timeout(&address, TIMEOUT).is_err() {
+        anyhow::ensure!(begun.elapsed() < PATIENCE, "nobody listens at {address}");
+        std::thread::sleep(STEP);
+    }
+    Ok(())
+}
+
 fn list(addresses: &[SocketAddr]) -> String {
     addresses.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
