--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -34,7 +34,7 @@
     async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
         let now = self.entry.clock.now();
         for sign in &signs.body {
-            self.entry.fleet.hosts.hear(sign, now);
+            self.entry.fleet.sign(sign, now);
         }
         Ok(self.wrap(()))
     }
