--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,16 +1,16 @@
 //! What the entry knows of each upstream beyond the configuration, and the choice that rests on it.
 
 mod index;
-mod leaving;
 mod member;
 pub mod poll;
+mod waves;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use contract::{DataCenter, HostId, UpstreamId};
+use contract::{DataCenter, UpstreamId};
 use metrics::{counter, gauge};
 use parking_lot::{Mutex, RwLock};
 use policy::Tick;
@@ -19,10 +19,12 @@
 use policy::route::{Candidate, Choice, Group, Need, Proposed, Reason, Routing, Rules, Target, Without, choose};
 use telemetry::Clock;
 use wire::digest::LoadDigest;
+use wire::entry::HostSign;
 
 use crate::current::View;
+use crate::hosts::Hosts;
 use index::{Index, Numbers, Pool, Row};
-use leaving::Leaving;
+use waves::Waves;
 
 /// Blocks of prompts that are remembered; each takes 32 bytes, 8 MiB in all.
 const HISTORY: usize = 256 * 1024;
@@ -34,13 +36,15 @@
 /// All upstreams.
 #[derive(Debug)]
 pub struct Fleet {
+    /// The lives of the hosts.
+    pub hosts: Hosts,
     clock: Clock,
     rules: Rules,
     place: DataCenter,
     index: ArcSwap<Index>,
     numbers: Mutex<Numbers>,
     history: Mutex<History>,
-    leaving: RwLock<Leaving>,
+    waves: RwLock<Waves>,
     expiry_ms: AtomicU64,
     turn: AtomicU64,
 }
@@ -71,13 +75,14 @@
     #[must_use]
     pub fn new(clock: Clock, rules: Rules, place: DataCenter) -> Self {
         Self {
+            hosts: Hosts::default(),
             clock,
             rules,
             place,
             index: ArcSwap::default(),
             numbers: Mutex::default(),
             history: Mutex::new(History::new(HISTORY)),
-            leaving: RwLock::default(),
+            waves: RwLock::default(),
             expiry_ms: AtomicU64::new(EXPIRY_MS),
             turn: AtomicU64::new(0),
         }
@@ -154,7 +159,7 @@
             vec![0; numbers.len()]
         };
         let expiry = self.expiry();
-        let leaving = self.leaving.read();
+        let waves = self.waves.read();
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
             let spec = row.spec.as_ref();
@@ -171,10 +176,10 @@
                 price: spec.host.price,
                 slots: spec.slots,
                 near: spec.host.data_center == self.place,
-                reclaims: leaving.reclaims(&spec.host.zone, now),
+                reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
                 cached: (held as f64 * trust) as u64,
-                barred: state.barred(leaving.contains(spec), ask.tried.contains(&spec.id), now),
+                barred: state.barred(!self.hosts.takes_work(&spec.host), ask.tried.contains(&spec.id), now),
             }
         };
         proposed.iter().zip(held).map(candidate).collect()
@@ -207,11 +212,14 @@
         }
     }
 
-    /// Notes a host that takes no new work.
-    pub fn leave(&self, host: &HostId, incarnation: u64) {
-        let index = self.index.load();
-        let zone = index.host(host).map(|spec| &spec.host.zone);
-        self.leaving.write().note(host, incarnation, zone, self.clock.now());
+    /// Takes in what another process or the cloud told about a host.
+    pub fn sign(&self, sign: &HostSign, now: Tick) {
+        if !self.hosts.hear(sign, now) {
+            return;
+        }
+        if let Some(spec) = self.index.load().host(&sign.host) {
+            self.waves.write().note(&spec.host.zone, now);
+        }
     }
 
     /// Takes over a load report from a peer; the age is that at the time of arrival.
@@ -238,11 +246,10 @@
     #[must_use]
     pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<(Target, usize)> {
         let index = self.index.load();
-        let leaving = self.leaving.read();
         let expiry = self.expiry();
         let size = |row: &Row| {
             let state = row.member.state.lock();
-            if leaving.contains(&row.spec) {
+            if !self.hosts.takes_work(&row.spec.host) {
                 return 0.0;
             }
             if !state.breaker.allows(now) || state.breaker.probe_at().is_some() {
--- a/crates/entry/src/fleet/poll.rs
+++ b/crates/entry/src/fleet/poll.rs
@@ -20,14 +20,18 @@
         fleet.refresh(&current.view());
         let index = fleet.index.load_full();
         for row in index.rows.values() {
-            if let Ok(load) = client.load(row.spec.address, POLL_TIMEOUT) {
-                let report = Report {
-                    measured: fleet.clock.now() - Duration::from_millis(load.age_ms),
-                    running: load.running,
-                    waiting: load.waiting,
-                    kv_used: load.kv_used,
-                };
-                row.member.state.lock().load.report(report);
+            match client.load(row.spec.address, POLL_TIMEOUT) {
+                Ok(load) => {
+                    let report = Report {
+                        measured: fleet.clock.now() - Duration::from_millis(load.age_ms),
+                        running: load.running,
+                        waiting: load.waiting,
+                        kv_used: load.kv_used,
+                    };
+                    row.member.state.lock().load.report(report);
+                    fleet.hosts.answered(&row.spec.host, fleet.clock.now());
+                }
+                Err(error) => fleet.hosts.failed(&row.spec.host, &error, fleet.clock.now()),
             }
         }
         std::thread::sleep(POLL);
