--- a/crates/load/src/trial/fleet.rs
+++ b/crates/load/src/trial/fleet.rs
@@ -135,12 +135,6 @@
             .map_or(Ok(()), |process| process.signal(signal))
     }
 
-    /// Gives the engines of a zone.
-    #[must_use]
-    pub fn engines_of(&self, zone: usize) -> Vec<usize> {
-        (0..ENGINES).filter(|at| at % ZONES == zone).collect()
-    }
-
     /// Gives what the hosts cost from their start until now, in dollars.
     pub fn cost(&mut self) -> f64 {
         for member in &mut self.members {
