--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -29,12 +29,21 @@
     /// cost, least-loaded or round-robin
     #[argh(option)]
     pub routing: Option<String>,
+    /// parts that routing leaves out, for comparisons
+    #[argh(option)]
+    pub without: Option<String>,
     /// requests that may run at once
     #[argh(option)]
     pub running: Option<String>,
     /// requests that may wait
     #[argh(option)]
     pub waiting: Option<String>,
+    /// IP:PORT of the cloud API
+    #[argh(option)]
+    pub cloud: Option<String>,
+    /// on or off: move KV cache of streams whose host leaves
+    #[argh(option)]
+    pub kv_export: Option<String>,
     /// json or terminal
     #[argh(option)]
     pub log: Option<String>,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod cli;
 pub mod compare;
 pub mod demo;
+pub mod link;
+pub mod slopes;
 pub mod table;
 pub mod trial;
 pub mod workload;
--- a/crates/load/src/trial/process.rs
+++ b/crates/load/src/trial/process.rs
@@ -96,6 +96,12 @@
         text.parse().with_context(|| format!("address of {}", self.name))
     }
 
+    /// Gives the process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
