--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -113,6 +113,7 @@
 fn work(chat: &Chat, class: &Class, prompt_tokens: u64, arrived: Tick) -> Work {
     let target = class.targets.first_token_ms.unwrap_or(class.targets.whole_answer_ms);
     Work {
+        target: Target::Model(chat.model.clone()),
         tokens: (prompt_tokens + chat.max_tokens) as f64,
         latest: arrived + Duration::from_millis(target),
         shed: class.shed,
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -56,6 +56,7 @@
         .ok_or_else(|| Problem::not_found("the contract has no class for this"))?;
     let whole = Duration::from_millis(class.targets.whole_answer_ms);
     let work = Work {
+        target: Target::Service(service.to_owned()),
         tokens: 1.0,
         latest: arrived + whole,
         shed: class.shed,
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -84,12 +84,22 @@
         }
     }
 
-    /// Changes what may run at once and wait.
-    pub const fn resize(&mut self, capacity: usize, waiting: usize) {
+    /// Changes what may run at once.
+    pub const fn resize(&mut self, capacity: usize) {
         self.capacity = capacity;
+    }
+
+    /// Changes what may wait.
+    pub const fn set_waiting(&mut self, waiting: usize) {
         self.queue.set_bound(waiting);
     }
 
+    /// Gives what may run at once.
+    #[must_use]
+    pub const fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Gives the number of running requests.
     #[must_use]
     pub const fn running(&self) -> usize {
--- a/crates/policy/tests/admission_lane.rs
+++ b/crates/policy/tests/admission_lane.rs
@@ -87,7 +87,7 @@
                 2 if before > 0 => lane.finished(100.0, Duration::from_millis(u64::from(size))),
                 _ => {
                     capacity = usize::from(size % 6);
-                    lane.resize(capacity, 20);
+                    lane.resize(capacity);
                 }
             }
             let granted = std::iter::from_fn(|| lane.grant()).count();
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -56,6 +56,8 @@
     pub customer: u32,
     /// What callers ask for, admitted or not.
     pub wanted: Amounts,
+    /// Requests that run at the sender now.
+    pub running: u32,
     /// What the receiver may admit in the sender's stead.
     pub lent: Amounts,
 }
--- a/crates/wire/tests/digest_codec.rs
+++ b/crates/wire/tests/digest_codec.rs
@@ -12,6 +12,7 @@
     let demand = Demand {
         customer: 77,
         wanted,
+        running: 2,
         lent: Amounts::default(),
     };
     Digest {
