Exchange demand, loans and load reports between entry hosts by UDP

Every host polled every upstream and knew nothing of its peers. Polling is divided by rendezvous hashing among the live hosts of a data centre; digests carry reports, demand and loans within 2,400 bytes a second sent. Old, doubled and foreign datagrams are dropped and counted. Admission is sized by the slots of what is up. Cache events of engines that were used lately are read within 1,000 bytes a second.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use contract::RequestId;
 use policy::route::Rules;
 use slog::Logger;
@@ -14,7 +15,8 @@
 use wire::client::{CallError, Calls, StateClient};
 
 use crate::admission::Admission;
-use crate::current::Current;
+use crate::current::{Current, View};
+use crate::exchange::Live;
 use crate::fleet::Fleet;
 use crate::journal::Journals;
 use crate::settings::Settings;
@@ -37,6 +39,8 @@
     pub admission: Admission,
     /// What is known of the upstreams.
     pub fleet: Fleet,
+    /// The entry hosts that were heard lately.
+    pub live: ArcSwap<Live>,
     /// Streamed answers.
     pub journals: Journals,
     /// The state group.
@@ -66,8 +70,13 @@
             without: settings.without.clone(),
         };
         let fleet = Fleet::new(clock.clone(), rules, settings.data_center.clone());
+        let admission = Admission::new(clock.clone(), settings.running, settings.waiting);
+        let others = settings.peers.iter().filter(|peer| **peer != settings.inner);
+        admission.refresh(&View::default(), others.count() as u32 + 1, 0);
+        let live = Live::new(&settings.data_center, &settings.node);
         Ok(Self {
-            admission: Admission::new(clock.clone(), settings.running, settings.waiting),
+            admission,
+            live: ArcSwap::from_pointee(live),
             settings,
             clock,
             logger,
@@ -84,6 +93,24 @@
         })
     }
 
+    /// Tells whether the threads are to end.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the process takes no new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Gives a number by which this process is told from earlier ones of the same name.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.started_ms
+    }
+
     /// Makes a request id that no other entry host and no earlier process of this one has used.
     pub fn request_id(&self) -> RequestId {
         let count = self.requests.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/entry/src/exchange/live.rs
@@ -0,0 +1,52 @@
+//! The entry hosts that were heard lately, by data centre.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use contract::{DataCenter, NodeId};
+
+/// The live entry hosts, this one among them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Live {
+    places: BTreeMap<DataCenter, Vec<NodeId>>,
+    /// Time in which a digest reaches every peer of the own data centre.
+    pub cycle: Duration,
+}
+
+impl Live {
+    /// Starts with the own host alone.
+    #[must_use]
+    pub fn new(place: &DataCenter, node: &NodeId) -> Self {
+        let mut live = Self::default();
+        live.add(place, node);
+        live
+    }
+
+    /// Adds a host.
+    pub(super) fn add(&mut self, place: &DataCenter, node: &NodeId) {
+        let nodes = self.places.entry(place.clone()).or_default();
+        if !nodes.contains(node) {
+            nodes.push(node.clone());
+            nodes.sort_unstable();
+        }
+    }
+
+    /// Gives the number of live hosts.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.places.values().map(Vec::len).sum()
+    }
+
+    /// Gives the number of live hosts in a data centre.
+    #[must_use]
+    pub fn count_in(&self, place: &DataCenter) -> usize {
+        self.places.get(place).map_or(0, Vec::len)
+    }
+
+    /// Gives the hosts that divide the polling of a data centre's upstreams: its own, or all if it has none.
+    pub fn pollers(&self, place: &DataCenter) -> impl Iterator<Item = &NodeId> {
+        let own = self.places.get(place);
+        let all = self.places.values().flatten().filter(move |_| own.is_none());
+        own.into_iter().flatten().chain(all)
+    }
+}
--- a/crates/entry/src/fleet/member.rs
+++ b/crates/entry/src/fleet/member.rs
@@ -3,7 +3,7 @@
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::breaker::Breaker;
-use policy::cache::Trust;
+use policy::cache::{EventCursor, Trust};
 use policy::load::LoadEstimate;
 use policy::route::Barred;
 
@@ -22,6 +22,13 @@
     pub(super) load: LoadEstimate,
     pub(super) breaker: Breaker,
     pub(super) trust: Trust,
+    pub(super) cursor: EventCursor,
+    /// When this host is to read the load report again.
+    pub(super) poll_at: Tick,
+    /// When this host last read the load report.
+    pub(super) polled: Option<Tick>,
+    /// When this host last read cache events.
+    pub(super) read_at: Tick,
     /// When a request was last sent there.
     pub(super) sent: Option<Tick>,
 }
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! What the entry knows of each upstream beyond the configuration, and the choice that rests on it.
 
+pub mod events;
 mod index;
 mod member;
 pub mod poll;
@@ -23,7 +24,7 @@
 
 use crate::current::View;
 use crate::hosts::Hosts;
-use index::{Index, Numbers, Pool, Row};
+use index::{Index, Numbers, Pool, Row, short_key};
 use waves::Waves;
 
 /// Blocks of prompts that are remembered; each takes 32 bytes, 8 MiB in all.
@@ -238,6 +239,27 @@
         row.member.state.lock().load.report(report);
     }
 
+    /// Gives the load reports that this host read itself after a time.
+    #[must_use]
+    pub fn polled(&self, after: Option<Tick>, now: Tick) -> Vec<LoadDigest> {
+        let index = self.index.load();
+        let rows = index.rows.values().filter_map(|row| {
+            let state = row.member.state.lock();
+            if state.polled <= after {
+                return None;
+            }
+            let report = state.load.newest()?;
+            Some(LoadDigest {
+                upstream: short_key(&row.spec.id),
+                age_ms: now.since(report.measured).as_millis() as u32,
+                running: report.running,
+                waiting: report.waiting,
+                kv_used: (report.kv_used * 1_000.0) as u16,
+            })
+        });
+        rows.collect()
+    }
+
     /// Gives the slots that upstreams which are up have free of other entry hosts' requests, by what they serve.
     ///
     /// The other entry hosts' requests are what a report shows beyond our own; of an upstream that is full with them we
@@ -249,15 +271,17 @@
         let expiry = self.expiry();
         let size = |row: &Row| {
             let state = row.member.state.lock();
+            let load = state.load.predict(now, expiry, true);
+            let own = f64::from(load.own);
+            // Requests that still run where nothing new goes keep their places and take none elsewhere.
             if !self.hosts.takes_work(&row.spec.host) {
-                return 0.0;
+                return own;
             }
             if !state.breaker.allows(now) || state.breaker.probe_at().is_some() {
                 // A probe needs a slot, or the breaker would never close.
-                return 1.0;
+                return own.max(1.0);
             }
             let slots = f64::from(row.spec.slots);
-            let load = state.load.predict(now, expiry, true);
             let others = load
                 .reported
                 .map_or(0.0, |reported| (reported - f64::from(load.own)).max(0.0));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod current;
 pub mod entry;
+pub mod exchange;
 pub mod fleet;
 pub mod hosts;
 pub mod journal;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,7 +9,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, fleet, hosts, ops};
+use entry::{Entry, callers, current, exchange, fleet, hosts, ops};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
 use telemetry::log;
@@ -53,6 +53,7 @@
     let rpc = Rpc::new(Arc::clone(entry));
     let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
     start_duties(entry)?;
+    start_exchange(entry, inner_address)?;
     let ring = callers::start_workers(entry)?;
     info!(entry.logger, "serving"; "callers" => %server.server_addr(), "ops" => %ops,
         "inner" => %inner_address);
@@ -106,8 +107,23 @@
         .name("hosts".to_owned())
         .spawn(move || hosts::watch(&watcher))?;
     let poller = Arc::clone(entry);
+    // The thread only fails to start its readers when the system has no threads left.
     thread::Builder::new()
         .name("loads".to_owned())
-        .spawn(move || fleet::poll::poll(&poller.fleet, &poller.current, &poller.stop))?;
+        .spawn(move || fleet::poll::run(&poller))?;
+    let reader = Arc::clone(entry);
+    thread::Builder::new()
+        .name("events".to_owned())
+        .spawn(move || fleet::events::run(&reader))?;
+    Ok(())
+}
+
+/// Starts the exchange of digests with the other entry hosts.
+fn start_exchange(entry: &Arc<Entry>, own: std::net::SocketAddr) -> anyhow::Result<()> {
+    let socket = exchange::open(own).map_err(|error| anyhow::anyhow!("open UDP {own}: {error}"))?;
+    let entry = Arc::clone(entry);
+    thread::Builder::new()
+        .name("exchange".to_owned())
+        .spawn(move || exchange::run(&entry, &socket, own))?;
     Ok(())
 }
