--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,7 +4,7 @@
 
 use contract::settings::{List, Setting, Sheet};
 use contract::{DataCenter, NodeId, Problems};
-use policy::route::Routing;
+use policy::route::{Routing, Without};
 use telemetry::log::Format;
 
 use crate::cli::Options;
@@ -86,6 +86,14 @@
     "cost, least-loaded or round-robin",
     "How an upstream is chosen."
 );
+setting!(
+    WITHOUT,
+    "without",
+    "GENTIAN_WITHOUT",
+    Some(""),
+    "affinity, rendezvous, risk, price, distance, report-expiry, corrections, cache-events",
+    "Parts that routing by cost leaves out; for comparisons only."
+);
 setting!(
     RUNNING,
     "running",
@@ -102,6 +110,22 @@
     "1 to 4096",
     "Requests that wait at most."
 );
+setting!(
+    CLOUD,
+    "cloud",
+    "GENTIAN_CLOUD",
+    Some(""),
+    "IP:PORT,… or nothing",
+    "Addresses of the cloud API, from which reclaim notices are read besides what capacity tells."
+);
+setting!(
+    KV_EXPORT,
+    "kv-export",
+    "GENTIAN_KV_EXPORT",
+    Some("on"),
+    "on or off",
+    "Whether the KV cache of streams is moved when their host leaves; otherwise they are replayed."
+);
 setting!(
     LOG,
     "log",
@@ -112,7 +136,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 11] = [
+pub static ALL: [&Setting; 14] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -121,8 +145,11 @@
     &STATE,
     &PEERS,
     &ROUTING,
+    &WITHOUT,
     &RUNNING,
     &WAITING,
+    &CLOUD,
+    &KV_EXPORT,
     &LOG,
 ];
 
@@ -145,10 +172,16 @@
     pub peers: Vec<SocketAddr>,
     /// How an upstream is chosen.
     pub routing: Routing,
+    /// Parts that routing by cost leaves out.
+    pub without: Vec<Without>,
     /// Requests that run at once.
     pub running: usize,
     /// Requests that wait at most.
     pub waiting: usize,
+    /// Addresses of the cloud API.
+    pub cloud: Vec<SocketAddr>,
+    /// Whether the KV cache of streams is moved when their host leaves.
+    pub kv_export: bool,
     /// How log lines are written.
     pub log: Format,
 }
@@ -175,10 +208,14 @@
         }
         let peers = sheet.read::<List<SocketAddr>>(&PEERS, options.peers.as_deref());
         let routing = sheet.read(&ROUTING, options.routing.as_deref());
+        let without = sheet.read::<List<Without>>(&WITHOUT, options.without.as_deref());
         let running = sheet.read(&RUNNING, options.running.as_deref());
         let running = sheet.check(&RUNNING, running, |count| some.contains(count));
         let waiting = sheet.read(&WAITING, options.waiting.as_deref());
         let waiting = sheet.check(&WAITING, waiting, |count| some.contains(count));
+        let cloud = sheet.read::<List<SocketAddr>>(&CLOUD, options.cloud.as_deref());
+        let export = sheet.read::<String>(&KV_EXPORT, options.kv_export.as_deref());
+        let export = sheet.check(&KV_EXPORT, export, |text| text == "on" || text == "off");
         let log = sheet.read(&LOG, options.log.as_deref());
         sheet.finish()?;
         let settings = || {
@@ -191,8 +228,11 @@
                 state: state?.0,
                 peers: peers?.0,
                 routing: routing?,
+                without: without?.0,
                 running: running?,
                 waiting: waiting?,
+                cloud: cloud?.0,
+                kv_export: export? == "on",
                 log: log?,
             })
         };
