Kill, wipe and replace real state processes under load, and settle outcomes in the background

The client now asks every node before it gives up and returns the most careful answer: it took a cut node's word that there is no quorum although the others had a leader, and it hid that an earlier node might have written the call. A claim under which nothing was sent is given back in the background, an outcome that meets no leader is recorded later, and the service is asked for an outcome that nobody knows.

--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -145,7 +145,10 @@
             Verdict::Granted => self.send_claimed(&keyed),
             Verdict::Done(Outcome::Answered { status, media, body }) => Ok(Answer { status, media, body }),
             Verdict::Done(Outcome::NotRun) | Verdict::Unavailable => Err(Problem::no_quorum()),
-            Verdict::Done(Outcome::Unknown) => Err(Problem::unknown_outcome("the earlier call's outcome is unknown")),
+            Verdict::Done(Outcome::Unknown) => match claims::ask_service(self.entry, self.service, &keyed) {
+                Some(Outcome::Answered { status, media, body }) => Ok(Answer { status, media, body }),
+                _ => Err(Problem::unknown_outcome("the earlier call's outcome is unknown")),
+            },
             Verdict::Mismatch => Err(Problem::key_reused()),
             Verdict::Running => Err(Problem::under_way()),
         }
--- a/crates/entry/src/current.rs
+++ b/crates/entry/src/current.rs
@@ -15,7 +15,9 @@
 use wire::state::{Watch, Watched};
 
 /// How long a node of the state group may hold the question.
-const WAIT_MS: u64 = 1_000;
+const WAIT_MS: u64 = 2_000;
+/// Age from which another node of the state group is asked.
+const STALE_MS: u64 = 2_000;
 /// Pause after a node that didn't answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -103,7 +105,7 @@
 
 /// Follows the state group until told to stop.
 pub fn follow(current: &Current, state: &StateClient, clock: &Clock, logger: &Logger, stop: &AtomicBool) {
-    let mut node = 0;
+    let mut node = state.home();
     let mut lost = false;
     while !stop.load(Ordering::Relaxed) {
         let revision = current.revision();
@@ -116,6 +118,10 @@
             },
         ) {
             Ok(news) => {
+                // A node that is cut off from the others answers for ever with what it had; another may know more.
+                if news.body.age_ms > STALE_MS {
+                    node += 1;
+                }
                 current.take(news.body, clock.now());
                 if std::mem::take(&mut lost) {
                     info!(logger, "state group answers again"; "revision" => current.revision().0);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -11,7 +11,7 @@
 use entry::settings::Settings;
 use entry::{Entry, callers, current, exchange, fleet, hosts, ops};
 use signal_hook::consts::{SIGINT, SIGTERM};
-use slog::info;
+use slog::{info, warn};
 use telemetry::log;
 use telemetry::scrape::Scrape;
 use tiny_http::Server;
@@ -22,6 +22,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(50);
 const OPS_THREADS: usize = 4;
+/// Longest wait for outcomes that the state group could not record at once.
+const FLUSH: Duration = Duration::from_secs(10);
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
@@ -71,6 +73,12 @@
     });
     // A second request to stop changes nothing.
     let _ = handle.stop();
+    if !entry.state.flush(FLUSH) {
+        warn!(
+            entry.logger,
+            "outcomes are left unrecorded, as the state group has no leader"
+        );
+    }
     info!(entry.logger, "stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/state/examples/measure/main.rs
@@ -0,0 +1,42 @@
+//! Measures the replicated state with real processes on one machine: `measure claims|outage|restart|learners`.
+
+#[path = "../../tests/nodes/mod.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod nodes;
+
+mod claims;
+mod learners;
+mod outage;
+mod process;
+mod relay;
+mod restart;
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Measure the replicated state.
+#[derive(Debug, FromArgs)]
+struct Options {
+    /// the state program
+    #[argh(option, default = "PathBuf::from(\"target/release/gentian-state\")")]
+    state: PathBuf,
+    /// the entry program, for learners
+    #[argh(option, default = "PathBuf::from(\"target/release/gentian-entry\")")]
+    entry: PathBuf,
+    /// claims, outage, restart or learners
+    #[argh(positional)]
+    what: String,
+}
+
+fn main() -> anyhow::Result<()> {
+    let options: Options = argh::from_env();
+    match options.what.as_str() {
+        "claims" => claims::run(&options.state),
+        "outage" => outage::run(&options.state),
+        "restart" => restart::run(&options.state),
+        "learners" => learners::run(&options.state, &options.entry),
+        other => anyhow::bail!("{other}: expected claims, outage, restart or learners"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/state/examples/measure/restart.rs
@@ -0,0 +1,93 @@
+//! Restart of a node that missed entries: time until it has caught up, and bytes that it is sent.
+
+use std::fs;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use contract::Revision;
+use wire::client::{Calls, StateClient};
+use wire::state::{Lease, Leased};
+
+use crate::nodes::Nodes;
+
+const CALLERS: usize = 64;
+
+pub(crate) fn run(program: &Path) {
+    println!(
+        "{:>8} {:>12} {:>14} {:>14} {:>12}",
+        "missed", "caught up", "log+snapshot", "MB received", "start alone"
+    );
+    for missed in [500, 50_000, 150_000] {
+        let mut nodes = Nodes::start(program, 3);
+        let away = (nodes.leader() + 1) % 3;
+        write(&nodes, 100);
+        nodes.caught_up(away);
+        nodes.kill(away);
+        write(&nodes, missed);
+        let before = received(&nodes);
+        nodes.run(away);
+        let begin = Instant::now();
+        nodes.caught_up(away);
+        let caught_up = begin.elapsed();
+        let moved = received(&nodes) - before;
+        let disk = size(&nodes.data(away));
+        nodes.kill(away);
+        nodes.run(away);
+        let begin = Instant::now();
+        nodes.caught_up(away);
+        println!(
+            "{missed:>8} {caught_up:>12.0?} {:>11.2} MB {:>14.2} {:>12.0?}",
+            disk as f64 / 1e6,
+            moved / 1e6,
+            begin.elapsed()
+        );
+    }
+}
+
+/// Writes entries that leave little state: renewals of a few leases.
+fn write(nodes: &Nodes, count: usize) {
+    let calls = Calls::start(4, Duration::from_secs(5)).unwrap();
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let client = StateClient::new(&calls, &"measure".into(), &nodes.inner).unwrap();
+            let lease = Lease {
+                name: format!("lease-{caller}"),
+                holder: "measure".into(),
+                ttl_ms: 60_000,
+            };
+            scope.spawn(move || {
+                for _ in 0..count.div_ceil(CALLERS) {
+                    let answer = client.lease(Revision(1), &lease).unwrap();
+                    assert!(matches!(answer, Leased::Held { .. }), "{answer:?}");
+                }
+            });
+        }
+    });
+}
+
+/// Gives the bytes that the nodes have sent to each other so far.
+fn received(nodes: &Nodes) -> f64 {
+    let scrape = |n: usize| {
+        let text = ureq::get(format!("http://{}/metrics", nodes.admin[n]))
+            .call()
+            .ok()?
+            .body_mut()
+            .read_to_string()
+            .ok()?;
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("gentian_state_sent_bytes_total"))?
+            .to_owned();
+        line.rsplit(' ').next()?.parse::<f64>().ok()
+    };
+    (0..3).filter_map(scrape).sum()
+}
+
+fn size(folder: &Path) -> u64 {
+    fs::read_dir(folder)
+        .unwrap()
+        .flatten()
+        .map(|file| file.metadata().unwrap().len())
+        .sum()
+}
--- a/crates/state/src/peers.rs
+++ b/crates/state/src/peers.rs
@@ -132,6 +132,7 @@
 
 fn deliver(calls: &Calls, client: &HttpClient, node: &NodeId, delivery: &Delivery) -> Option<()> {
     let messages = postcard::to_stdvec(delivery).ok()?;
+    counter!("gentian_state_sent_bytes_total").increment(messages.len() as u64);
     let packet = Envelope::new(node, Revision::default(), Packet { messages });
     calls.wait(client.deliver(packet)).ok()
 }
--- /dev/null
+++ b/crates/state/tests/nodes/mod.rs
@@ -0,0 +1,147 @@
+//! A group of state processes on loopback.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use contract::NodeId;
+use tempfile::TempDir;
+use wire::client::{Calls, StateClient};
+use wire::state::StateStatus;
+
+/// Bearer key of the group.
+pub const KEY: &str = "test-operator-key-0001";
+/// Longest wait for anything; only a guard against hanging.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// The processes; they are killed when this goes away.
+#[derive(Debug)]
+pub struct Nodes {
+    pub folder: TempDir,
+    pub inner: Vec<SocketAddr>,
+    pub admin: Vec<SocketAddr>,
+    pub client: StateClient,
+    program: PathBuf,
+    children: Vec<Option<Child>>,
+}
+
+impl Nodes {
+    /// Starts a group and waits until it has a leader.
+    pub fn start(program: &Path, count: usize) -> Self {
+        let inner = free_ports(count);
+        let admin = free_ports(count);
+        let calls = Calls::start(2, Duration::from_secs(2)).unwrap();
+        let client = StateClient::new(&calls, &NodeId::from("tester"), &inner).unwrap();
+        let children = (0..count).map(|_| None).collect();
+        let folder = tempfile::tempdir().unwrap();
+        let mut nodes = Self {
+            folder,
+            inner,
+            admin,
+            client,
+            program: program.to_owned(),
+            children,
+        };
+        (0..count).for_each(|n| nodes.run(n));
+        nodes.leader();
+        nodes
+    }
+
+    /// Starts one process.
+    pub fn run(&mut self, n: usize) {
+        let peers: Vec<String> = self.inner.iter().map(ToString::to_string).collect();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("log-{n}")));
+        let child = Command::new(&self.program)
+            .args(["--node", &format!("state-{n}"), "--peers", &peers.join(",")])
+            .args([
+                "--listen",
+                &self.inner[n].to_string(),
+                "--admin",
+                &self.admin[n].to_string(),
+            ])
+            .arg("--data")
+            .arg(self.data(n))
+            .env("GENTIAN_OPERATOR_KEY", KEY)
+            .stderr(Stdio::from(log.unwrap()))
+            .spawn()
+            .unwrap();
+        self.children[n] = Some(child);
+    }
+
+    /// Kills a process without notice.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.children[n].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Removes everything that a killed process had on its disk.
+    pub fn wipe(&self, n: usize) {
+        fs::remove_dir_all(self.data(n)).unwrap();
+    }
+
+    /// Gives the data folder of a node.
+    pub fn data(&self, n: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{n}"))
+    }
+
+    /// Gives the process number of a node.
+    pub fn pid(&self, n: usize) -> Option<u32> {
+        self.children[n].as_ref().map(Child::id)
+    }
+
+    /// Gives the status of a node that runs.
+    pub fn status(&self, n: usize) -> Option<StateStatus> {
+        self.children[n].as_ref()?;
+        self.client.status(n).ok()
+    }
+
+    /// Waits for a leader and gives its place.
+    pub fn leader(&self) -> usize {
+        wait("a leader", || {
+            let leads = |n: &usize| self.status(*n).is_some_and(|status| status.role == "leader");
+            (0..self.inner.len()).find(leads)
+        })
+    }
+
+    /// Waits until a node has everything that is committed by now.
+    pub fn caught_up(&self, n: usize) {
+        let goal = wait("the newest index", || self.status(self.leader())).committed;
+        wait("a node to catch up", || {
+            self.status(n).filter(|status| status.committed >= goal)
+        });
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        (0..self.children.len()).for_each(|n| self.kill(n));
+    }
+}
+
+/// Asks until there is an answer.
+pub fn wait<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let begin = Instant::now();
+    loop {
+        if let Some(answer) = ask() {
+            return answer;
+        }
+        assert!(begin.elapsed() < PATIENCE, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Finds ports that nobody listens on.
+pub fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect()
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,7 +1,7 @@
 //! Blocking clients for threads outside the asynchronous runtime.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use contract::{NodeId, Revision};
@@ -11,6 +11,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::Envelope;
+use crate::settler::Settler;
 use crate::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcClient, StateStatus, Unavailable, Watch,
     Watched,
@@ -93,6 +94,13 @@
 /// A client of the state group that finds the leader by itself.
 #[derive(Debug)]
 pub struct StateClient {
+    group: Arc<Group>,
+    settler: OnceLock<Settler>,
+}
+
+/// The nodes of the group and what is known of their leader.
+#[derive(Debug)]
+pub(crate) struct Group {
     calls: Calls,
     me: NodeId,
     peers: Vec<SocketAddr>,
@@ -109,12 +117,13 @@
         /// # Errors
         /// Returns the last failure when no node of the group answered.
         pub fn $name(&self, revision: Revision, ask: &$ask) -> Result<$answer, CallError> {
+            let group = &self.group;
             let call = |at: usize| {
-                let client = self.clients[at].clone();
-                let message = Envelope::new(&self.me, revision, ask.clone());
+                let client = group.clients[at].clone();
+                let message = Envelope::new(&group.me, revision, ask.clone());
                 async move { client.$name(message).await }
             };
-            self.to_leader(stringify!($name), call, |answer| match &answer.body {
+            group.to_leader(stringify!($name), call, |answer| match &answer.body {
                 $answer::Unavailable(why) => Some(why.clone()),
                 _ => None,
             })
@@ -135,18 +144,34 @@
                 .map(|peer| calls.client(*peer, extra))
                 .collect::<Result<_, _>>()
         };
-        let clients = open(Duration::ZERO)?;
-        let watchers = open(MAX_WAIT)?;
-        Ok(Self {
+        let group = Group {
             calls: calls.clone(),
             me: me.clone(),
             peers: peers.to_vec(),
-            clients,
-            watchers,
+            clients: open(Duration::ZERO)?,
+            watchers: open(MAX_WAIT)?,
             leader: Mutex::new(0),
+        };
+        Ok(Self {
+            group: Arc::new(group),
+            settler: OnceLock::new(),
         })
     }
 
+    /// Records an outcome in the background, for as long as it takes until the group has a leader.
+    ///
+    /// Returns whether there was room for it; a full ring is a refusal that the caller counts.
+    pub fn settle_later(&self, ask: Settle) -> bool {
+        self.settler.get_or_init(|| Settler::start(&self.group)).add(ask)
+    }
+
+    /// Waits until everything that was given to [`Self::settle_later`] is recorded.
+    ///
+    /// Returns whether that came true in time.
+    pub fn flush(&self, patience: Duration) -> bool {
+        self.settler.get().is_none_or(|settler| settler.flush(patience))
+    }
+
     group_call! {
         /// Proposes a configuration change.
         propose, Propose => Proposed
@@ -172,10 +197,11 @@
     /// # Errors
     /// Returns the failure of that node.
     pub fn watch(&self, node: usize, revision: Revision, ask: Watch) -> Result<Envelope<Watched>, CallError> {
-        let at = node % self.peers.len();
-        let (peer, client) = (self.peers[at], &self.watchers[at]);
-        let message = Envelope::new(&self.me, revision, ask);
-        self.calls.wait(client.watch(message)).map_err(|source| CallError {
+        let group = &self.group;
+        let at = node % group.peers.len();
+        let (peer, client) = (group.peers[at], &group.watchers[at]);
+        let message = Envelope::new(&group.me, revision, ask);
+        group.calls.wait(client.watch(message)).map_err(|source| CallError {
             step: "watch",
             peer,
             source,
@@ -187,25 +213,52 @@
     /// # Errors
     /// Returns the failure of that node.
     pub fn status(&self, node: usize) -> Result<StateStatus, CallError> {
-        let at = node % self.peers.len();
-        let message = Envelope::new(&self.me, Revision::default(), ());
-        let answer = self.calls.wait(self.clients[at].status(message));
+        let group = &self.group;
+        let at = node % group.peers.len();
+        let message = Envelope::new(&group.me, Revision::default(), ());
+        let answer = group.calls.wait(group.clients[at].status(message));
         answer.map(|answer| answer.body).map_err(|source| CallError {
             step: "status",
-            peer: self.peers[at],
+            peer: group.peers[at],
             source,
         })
     }
 
+    /// Gives the place of the node that this process watches first; the processes spread over all of them.
+    #[must_use]
+    pub fn home(&self) -> usize {
+        let sum = self.group.me.as_str().bytes().fold(7_usize, |sum, byte| {
+            sum.wrapping_mul(31).wrapping_add(usize::from(byte))
+        });
+        sum % self.group.peers.len()
+    }
+
     /// Gives the addresses of the group.
     #[must_use]
     pub fn peers(&self) -> &[SocketAddr] {
-        &self.peers
+        &self.group.peers
     }
+}
 
-    /// Asks the last known leader first and follows at most one round of hints.
+impl Group {
+    /// Records an outcome once; returns whether nothing is left to do.
+    pub(crate) fn settle(&self, ask: &Settle) -> bool {
+        let call = |at: usize| {
+            let client = self.clients[at].clone();
+            let message = Envelope::new(&self.me, Revision::default(), ask.clone());
+            async move { client.settle(message).await }
+        };
+        let answer = self.to_leader("settle", call, |answer| match &answer.body {
+            Settled::Unavailable(why) => Some(why.clone()),
+            _ => None,
+        });
+        answer.is_ok_and(|answer| !matches!(answer.body, Settled::Unavailable(_)))
+    }
+
+    /// Asks the last known leader first, then the others, until a node decides.
     ///
-    /// A node that does not lead has written nothing, so asking the next one repeats nothing.
+    /// Every call carries an id under which it counts once, so a second node may be asked after a lost answer. When no
+    /// node decides, the most careful answer wins: only if each one said that nothing was written, nothing was.
     fn to_leader<T, F>(
         &self,
         step: &'static str,
@@ -216,33 +269,36 @@
         F: Future<Output = Result<T, jsonrpsee::core::ClientError>>,
     {
         let mut at = *self.leader.lock();
-        let mut last = None;
+        let mut worst = None;
         for _ in 0..=self.peers.len() {
-            let answer = self.calls.wait(call(at));
             let next = (at + 1) % self.peers.len();
-            match answer {
+            match self.calls.wait(call(at)) {
                 Ok(answer) => {
-                    let Some(Unavailable::NotLeader { leader }) = refused(&answer) else {
+                    let Some(why) = refused(&answer) else {
                         *self.leader.lock() = at;
                         return Ok(answer);
                     };
-                    at = leader.and_then(|leader| self.place_of(leader)).unwrap_or(next);
-                    last = Some(Ok(answer));
+                    at = self.hinted(&why).unwrap_or(next);
+                    let written = matches!(why, Unavailable::Undecided { .. });
+                    if worst.is_none() || (written && !matches!(worst, Some(Err(_)))) {
+                        worst = Some(Ok(answer));
+                    }
                 }
                 Err(source) => {
-                    last = Some(Err(CallError {
-                        step,
-                        peer: self.peers[at],
-                        source,
-                    }));
+                    let peer = self.peers[at];
+                    worst = Some(Err(CallError { step, peer, source }));
                     at = next;
                 }
             }
+            *self.leader.lock() = at;
         }
-        last.expect("the group has at least one node")
+        worst.expect("the group has at least one node")
     }
 
-    fn place_of(&self, leader: SocketAddr) -> Option<usize> {
-        self.peers.iter().position(|peer| *peer == leader)
+    fn hinted(&self, why: &Unavailable) -> Option<usize> {
+        let Unavailable::NotLeader { leader: Some(leader) } = why else {
+            return None;
+        };
+        self.peers.iter().position(|peer| peer == leader)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 mod envelope;
 pub mod raft;
+mod settler;
 pub mod state;
 
 pub use envelope::Envelope;
