--- a/crates/state/examples/measure/main.rs
+++ b/crates/state/examples/measure/main.rs
@@ -1,10 +1,11 @@
-//! Measures the replicated state with real processes on one machine: `measure claims|outage|restart|learners`.
+//! Measures the replicated state with real processes on one machine: `measure claims|outage|restart|learners|force`.
 
 #[path = "../../tests/nodes/mod.rs"]
 #[expect(dead_code, reason = "the tests use more of it")]
 mod nodes;
 
 mod claims;
+mod force;
 mod learners;
 mod outage;
 mod process;
@@ -24,7 +25,7 @@
     /// the entry program, for learners
     #[argh(option, default = "PathBuf::from(\"target/release/gentian-entry\")")]
     entry: PathBuf,
-    /// claims, outage, restart or learners
+    /// claims, outage, restart, learners or force
     #[argh(positional)]
     what: String,
 }
@@ -36,7 +37,8 @@
         "outage" => outage::run(&options.state),
         "restart" => restart::run(&options.state),
         "learners" => learners::run(&options.state, &options.entry),
-        other => anyhow::bail!("{other}: expected claims, outage, restart or learners"),
+        "force" => force::run(&options.state, &options.entry),
+        other => anyhow::bail!("{other}: expected claims, outage, restart, learners or force"),
     }
     Ok(())
 }
--- a/crates/state/examples/measure/restart.rs
+++ b/crates/state/examples/measure/restart.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Writes entries that leave little state: renewals of a few leases.
+/// Writes entries of about the size of a claim that leave little state: renewals of a few leases.
 fn write(nodes: &Nodes, count: usize) {
     let calls = Calls::start(4, Duration::from_secs(5)).unwrap();
     thread::scope(|scope| {
@@ -53,7 +53,7 @@
             let client = StateClient::new(&calls, &"measure".into(), &nodes.inner).unwrap();
             let lease = Lease {
                 name: format!("lease-{caller}"),
-                holder: "measure".into(),
+                holder: format!("measure-{}", "x".repeat(200)).as_str().into(),
                 ttl_ms: 60_000,
             };
             scope.spawn(move || {
