Answer borrowers first, and test the exchange of digests

With hundreds of hosts a digest reaches each of them less often than a lease lasts; every second turn goes to a peer that asks for a loan.

--- a/crates/entry/src/admission/limits.rs
+++ b/crates/entry/src/admission/limits.rs
@@ -131,8 +131,9 @@
         rows.collect()
     }
 
-    /// Takes in what a peer tells.
-    pub(super) fn hear(&mut self, peer: u32, rows: &[Demand], asked: Option<Tick>, now: Tick) {
+    /// Takes in what a peer tells; returns whether it lacks something that this host could lend.
+    pub(super) fn hear(&mut self, peer: u32, rows: &[Demand], asked: Option<Tick>, now: Tick) -> bool {
+        let mut lacks = false;
         for row in rows {
             let customer = self.keys.get(&row.customer);
             let Some(meter) = customer.and_then(|customer| self.meters.get_mut(customer)) else {
@@ -146,7 +147,11 @@
             if let Some(asked) = asked {
                 meter.share.borrow(peer, read(&row.lent), asked);
             }
+            let part = part_of(&meter.limits, self.hosts, self.rank).list();
+            let (own, its) = (meter.wanted(now).list(), told.wanted.list());
+            lacks |= (0..part.len()).any(|at| its[at] > part[at] && own[at] < part[at]);
         }
+        lacks
     }
 
     fn add(&mut self, contract: &Contract, now: Tick) {
--- a/crates/entry/src/admission/mod.rs
+++ b/crates/entry/src/admission/mod.rs
@@ -172,8 +172,10 @@
     }
 
     /// Takes in what a peer tells; the time is that at which the demand was sent which its loans answer.
-    pub fn hear(&self, peer: u32, rows: &[Demand], asked: Option<Tick>, now: Tick) {
-        self.inner.lock().customers.hear(peer, rows, asked, now);
+    ///
+    /// Returns whether the peer lacks something that this host could lend.
+    pub fn hear(&self, peer: u32, rows: &[Demand], asked: Option<Tick>, now: Tick) -> bool {
+        self.inner.lock().customers.hear(peer, rows, asked, now)
     }
 
     /// Tells whether any request runs or waits.
--- a/crates/entry/src/exchange/mod.rs
+++ b/crates/entry/src/exchange/mod.rs
@@ -130,7 +130,9 @@
     // What a peer lends answers the newest of our digests that it had heard, if this process sent it.
     let asked = digest.heard.filter(|heard| heard.incarnation == entry.incarnation());
     let asked = asked.and_then(|heard| peers.sent_at(heard.sequence));
-    entry.admission.hear(heard, &digest.demand, asked, now);
+    if entry.admission.hear(heard, &digest.demand, asked, now) {
+        peers.owe(heard);
+    }
     for load in &digest.loads {
         entry.fleet.hear(load, now);
     }
--- a/crates/entry/src/exchange/peers.rs
+++ b/crates/entry/src/exchange/peers.rs
@@ -12,7 +12,7 @@
 use super::Live;
 
 /// Bytes a second that are sent at most, headers of IP and UDP counted; about as many are received.
-pub(super) const BYTES: f64 = 2_400.0;
+pub(super) const BYTES: f64 = 2_200.0;
 /// Size of a digest before one was sent.
 const GUESS: f64 = 200.0;
 /// Own digests whose time of sending is remembered.
@@ -42,6 +42,8 @@
     heard_at: Option<Tick>,
     hosts: u32,
     leaving: bool,
+    /// It asks for a loan that this host could give.
+    owed: bool,
     sent_at: Option<Tick>,
     size: f64,
 }
@@ -106,16 +108,29 @@
         self.times.push_back((self.sequence, now));
     }
 
+    /// Notes that a peer asks for a loan that this host could give.
+    pub(super) fn owe(&mut self, peer: u32) {
+        self.all[peer as usize].owed = true;
+    }
+
     /// Gives the next peer that is to be told in this round, if the budget allows one.
+    ///
+    /// Every second turn goes to a peer that waits for a loan. With hundreds of hosts a digest comes to each of them too
+    /// seldom for a lease; a borrower asks some of them, and those answer at once.
     pub(super) fn next_due(&mut self, place: &DataCenter, now: Tick) -> Option<usize> {
         self.turns += 1;
-        let near = !self.turns.is_multiple_of(NEAR_TURNS + 1);
+        let near = !(self.turns / 2).is_multiple_of(NEAR_TURNS + 1);
         let longest = |near: bool| {
             let waiting = (0..self.all.len()).filter(|at| self.all[*at].sent_at != Some(now));
             let side = waiting.filter(|at| self.is_near(*at, place) == near);
             side.min_by_key(|at| self.all[*at].sent_at)
         };
-        let peer = longest(near).or_else(|| longest(!near))?;
+        let owed = || {
+            let waiting = (0..self.all.len()).filter(|at| self.all[*at].sent_at != Some(now) && self.all[*at].owed);
+            waiting.min_by_key(|at| self.all[*at].sent_at)
+        };
+        let first = if self.turns.is_multiple_of(2) { owed() } else { None };
+        let peer = first.or_else(|| longest(near)).or_else(|| longest(!near))?;
         self.budget.take(self.all[peer].size, now).ok().map(|()| peer)
     }
 
@@ -124,6 +139,7 @@
         let peer = &mut self.all[peer];
         self.budget.correct(peer.size - bytes as f64);
         peer.size = bytes as f64;
+        peer.owed = false;
         if let Some(before) = peer.sent_at.replace(now) {
             self.cycle = now.since(before);
         }
@@ -210,6 +226,7 @@
             heard_at: None,
             hosts: 0,
             leaving: false,
+            owed: false,
             sent_at: None,
             size: GUESS,
         }
--- a/crates/load/src/slopes/bench.rs
+++ b/crates/load/src/slopes/bench.rs
@@ -45,12 +45,15 @@
     bench.wait_in_force(last)?;
     std::thread::sleep(SETTLE);
     let (before, bytes, begun) = (bench.usage()?, bench.bytes(), Instant::now());
+    let digests = bench.digests();
     let in_force_ms = bench.change_for(changes, Duration::from_secs_f64(seconds))?;
     let (after, bytes_after, span) = (bench.usage()?, bench.bytes(), begun.elapsed().as_secs_f64());
+    let digests_per_s = (bench.digests() - digests) / span / entries as f64;
     let cost = |at: usize, passed: u64, share: usize| Cost {
         millicores: (after[at].seconds - before[at].seconds) / span * 1_000.0,
         memory_mb: after[at].memory_mb,
         bytes_per_s: passed as f64 / span / share as f64,
+        digests_per_s: if at < NODES { 0.0 } else { digests_per_s },
     };
     let to_state = bytes_after.0 - bytes.0;
     let to_engine = bytes_after.1 - bytes.1;
@@ -81,6 +84,7 @@
         millicores: average(|cost| cost.millicores),
         memory_mb: average(|cost| cost.memory_mb),
         bytes_per_s: average(|cost| cost.bytes_per_s),
+        digests_per_s: average(|cost| cost.digests_per_s),
     }
 }
 
@@ -178,6 +182,11 @@
             .collect()
     }
 
+    /// Bytes of digests that all entry hosts have sent and received.
+    fn digests(&self) -> f64 {
+        self.ops.iter().filter_map(|ops| digests_of(*ops)).sum()
+    }
+
     /// Bytes to the state nodes and to the engine.
     fn bytes(&self) -> (u64, u64) {
         (self.node_links.iter().map(Link::bytes).sum(), self.engine_link.bytes())
@@ -237,13 +246,24 @@
     Ok(entries)
 }
 
+fn metrics_of(ops: SocketAddr) -> Option<String> {
+    let mut answer = ureq::get(format!("http://{ops}/metrics")).call().ok()?;
+    answer.body_mut().read_to_string().ok()
+}
+
+fn digests_of(ops: SocketAddr) -> Option<f64> {
+    let text = metrics_of(ops)?;
+    let rows = text
+        .lines()
+        .filter(|line| line.starts_with("gentian_digest_bytes_total{"));
+    Some(
+        rows.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum(),
+    )
+}
+
 fn revision_of(ops: SocketAddr) -> Option<u64> {
-    let text = ureq::get(format!("http://{ops}/metrics"))
-        .call()
-        .ok()?
-        .body_mut()
-        .read_to_string()
-        .ok()?;
+    let text = metrics_of(ops)?;
     let line = text
         .lines()
         .find_map(|line| line.strip_prefix("gentian_config_revision "))?;
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -43,6 +43,8 @@
     pub memory_mb: f64,
     /// Bytes a second over its links, both ways.
     pub bytes_per_s: f64,
+    /// Bytes a second of digests to and from other entry hosts, as the process counts them with their headers.
+    pub digests_per_s: f64,
 }
 
 /// A fitted line for one quantity.
@@ -93,7 +95,7 @@
 
 fn print_point(point: &Point) {
     println!(
-        "entries {:>3} upstreams {:>4} changes/s {:>4.1}: entry {:>6.2} mcore {:>6.1} MB {:>8.0} B/s, \
+        "entries {:>3} upstreams {:>4} changes/s {:>4.1}: entry {:>6.2} mcore {:>6.1} MB {:>8.0} B/s and {:>6.0} of digests, \
          state {:>6.2} mcore {:>6.1} MB {:>8.0} B/s, busiest {:>6.2} mcore, in force {:?} ms",
         point.entries,
         point.upstreams,
@@ -101,6 +103,7 @@
         point.entry.millicores,
         point.entry.memory_mb,
         point.entry.bytes_per_s,
+        point.entry.digests_per_s,
         point.state.millicores,
         point.state.memory_mb,
         point.state.bytes_per_s,
@@ -140,10 +143,11 @@
 
 type Quantity = (&'static str, fn(&Point) -> f64);
 
-const QUANTITIES: [Quantity; 7] = [
+const QUANTITIES: [Quantity; 8] = [
     ("entry millicores", |point| point.entry.millicores),
     ("entry MB", |point| point.entry.memory_mb),
     ("entry B/s", |point| point.entry.bytes_per_s),
+    ("entry B/s of digests", |point| point.entry.digests_per_s),
     ("state node millicores", |point| point.state.millicores),
     ("busiest state node millicores", |point| point.busiest.millicores),
     ("state node MB", |point| point.state.memory_mb),
