Give each conversation a home, and divide free slots among entry hosts

Change: rendezvous hashing of the conversation (everything up to its first question) names the same home at every entry host; the cost of any other engine counts the prefill that a later turn will need again. Each host keeps what it runs and takes of the free room in proportion, so that the parts of all hosts add up to the room. Prefill of others in the batch counts as wait.

Ruled out: exchanging block hashes between entry hosts (each turn would be a datagram to all); sticky balancing (the balancer is the platform's).

--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -18,7 +18,7 @@
 use super::{MAX_BODY, bearer};
 use crate::Entry;
 use crate::admission::Work;
-use crate::fleet::{Ask, Visit};
+use crate::fleet::{Ask, Visit, prompt};
 use crate::journal::Journal;
 
 /// Most engines that one request is sent to.
@@ -172,7 +172,7 @@
         for _ in 0..ATTEMPTS {
             let view = entry.current.view();
             let chat = self.continued();
-            let prefix = blocks(&chat.messages);
+            let prefix = prompt::prefix(&chat.messages);
             let need = Need {
                 prompt_tokens: self.prompt_tokens,
                 answer_tokens: self.chat.max_tokens,
@@ -245,11 +245,11 @@
                     }
                 }
                 Event::Usage(counts) => {
-                    trip.visit.counted(trip.believed, counts.cached_tokens);
+                    trip.visit.counted(trip.prefix, trip.believed, counts.cached_tokens);
                     usage = counts;
                 }
                 Event::Done => {
-                    let whole = blocks(&self.continued().messages);
+                    let whole = prompt::prefix(&self.continued().messages);
                     trip.visit.whole(&whole, self.entry.clock.now());
                     usage.completion_tokens = self.journal.len() as u64;
                     usage.prompt_tokens = self.prompt_tokens;
@@ -285,11 +285,6 @@
     believed: u64,
 }
 
-/// Hashes the blocks of a conversation as engines do.
-fn blocks(messages: &[Message]) -> Prefix {
-    Prefix::of(messages.iter().flat_map(|message| message.content.split_whitespace()))
-}
-
 struct Nowhere;
 
 impl Sink for Nowhere {
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod index;
 mod member;
 pub mod poll;
+pub mod prompt;
 mod waves;
 
 use std::sync::Arc;
@@ -122,9 +123,18 @@
 
     fn weigh(&self, pool: &Pool, ask: &Ask<'_>, turn: u64, now: Tick) -> Option<Choice> {
         let need = Need { turn, ..ask.need };
-        let proposed = self.propose(&pool.group, ask.prefix, turn);
+        let homes = self.homes(&pool.group, ask.prefix);
+        let proposed = self.propose(&pool.group, &homes, ask.prefix, turn);
+        if let Some(session) = ask.prefix.session() {
+            pool.rates.lock().followed(session.begun > 0);
+        }
         let rates = *pool.rates.lock();
-        let found = choose(&self.rules, &self.candidates(pool, &proposed, ask, now), &need, &rates);
+        let found = choose(
+            &self.rules,
+            &self.candidates(pool, &proposed, &homes, ask, now),
+            &need,
+            &rates,
+        );
         if found.is_some() || proposed.len() == pool.rows.len() {
             return found;
         }
@@ -132,12 +142,12 @@
         counter!("gentian_choices_widened_total").increment(1);
         let reason = Reason::All;
         let all: Vec<Proposed> = (0..pool.rows.len()).map(|at| Proposed { at, reason }).collect();
-        let mut open = self.candidates(pool, &all, ask, now);
+        let mut open = self.candidates(pool, &all, &homes, ask, now);
         open.retain(|candidate| candidate.barred.is_none());
         choose(&self.rules, &open, &need, &rates)
     }
 
-    fn propose(&self, group: &Group, prefix: &Prefix, turn: u64) -> Vec<Proposed> {
+    fn propose(&self, group: &Group, homes: &[usize], prefix: &Prefix, turn: u64) -> Vec<Proposed> {
         if self.rules.routing != Routing::Cost {
             return group.window(turn);
         }
@@ -149,10 +159,46 @@
             Vec::new()
         };
         let lead = (with_prefix && self.rules.with(Without::Rendezvous)).then(|| prefix.lead());
-        group.propose(lead, &holders, turn)
+        group.propose(homes, lead, &holders, turn)
+    }
+
+    /// Gives the homes of the prompt's conversation, if it has one.
+    fn homes(&self, group: &Group, prefix: &Prefix) -> Vec<usize> {
+        let home = self.rules.routing == Routing::Cost && self.rules.with(Without::Home);
+        let session = prefix.session().filter(|_| home);
+        session.map_or_else(Vec::new, |session| group.homes(session.key).to_vec())
+    }
+
+    /// Gives the home that counts now: the first whose host takes work, on which all entry hosts soon agree.
+    fn home(&self, pool: &Pool, homes: &[usize]) -> Option<usize> {
+        let takes_work = |at: &&usize| {
+            pool.rows
+                .get(**at)
+                .is_some_and(|row| self.hosts.takes_work(&row.spec.host))
+        };
+        homes.iter().find(takes_work).copied()
     }
 
-    fn candidates<'a>(&self, pool: &'a Pool, proposed: &[Proposed], ask: &Ask<'_>, now: Tick) -> Vec<Candidate<'a>> {
+    /// Gives the words that an upstream would hold as the home of the prompt's conversation.
+    fn home_words(&self, row: &Row, prefix: &Prefix) -> Option<u64> {
+        let begun = prefix
+            .session()
+            .map(|session| session.begun)
+            .filter(|begun| *begun > 0)?;
+        let index = self.index.load();
+        let pool = index.pools.get(&Target::of(&row.spec))?;
+        let at = self.home(pool, &self.homes(&pool.group, prefix))?;
+        (pool.rows[at].spec.id == row.spec.id).then_some(begun)
+    }
+
+    fn candidates<'a>(
+        &self,
+        pool: &'a Pool,
+        proposed: &[Proposed],
+        homes: &[usize],
+        ask: &Ask<'_>,
+        now: Tick,
+    ) -> Vec<Candidate<'a>> {
         let numbers: Vec<u32> = proposed.iter().map(|p| pool.rows[p.at].member.number).collect();
         let held = if self.rules.with(Without::Affinity) {
             self.history.lock().held(ask.prefix, &numbers)
@@ -161,6 +207,9 @@
         };
         let expiry = self.expiry();
         let waves = self.waves.read();
+        let begun = ask.prefix.session().map_or(0, |session| session.begun) as f64;
+        let kept = begun * pool.rates.lock().kept;
+        let home = self.home(pool, homes);
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
             let spec = row.spec.as_ref();
@@ -179,7 +228,8 @@
                 near: spec.host.data_center == self.place,
                 reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
-                cached: (held as f64 * trust) as u64,
+                cached: (held as f64 * trust).max(if home == Some(proposed.at) { kept } else { 0.0 }) as u64,
+                home: home.is_none_or(|at| at == proposed.at),
                 barred: state.barred(!self.hosts.takes_work(&spec.host), ask.tried.contains(&spec.id), now),
             }
         };
@@ -260,11 +310,12 @@
         rows.collect()
     }
 
-    /// Gives the slots that upstreams which are up have free of other entry hosts' requests, by what they serve.
+    /// Gives the requests that this host may run at once, by what they need, of those that all entry hosts may run.
     ///
-    /// The other entry hosts' requests are what a report shows beyond our own; of an upstream that is full with them we
-    /// still count the part that would be ours if all entry hosts had the same, so that a full one is shared fairly
-    /// and not kept by whoever came first.
+    /// Each host keeps what it runs and takes a part of the room that the last reports show, in proportion to what it
+    /// runs already. The parts of all hosts add up to the room, so that they can't all rush into the same free slots
+    /// before the next report; a host always has its even part of the slots, so that none is kept out by those that
+    /// came first. Without this, engines queue what entry hosts should refuse in time.
     #[must_use]
     pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<(Target, usize)> {
         let index = self.index.load();
@@ -282,10 +333,10 @@
                 return own.max(1.0);
             }
             let slots = f64::from(row.spec.slots);
-            let others = load
-                .reported
-                .map_or(0.0, |reported| (reported - f64::from(load.own)).max(0.0));
-            (slots - others).max(slots / hosts.max(1) as f64)
+            let hosts = hosts.max(1) as f64;
+            let total = load.reported.unwrap_or(slots).max(own);
+            let part = (own + 1.0) / (total + hosts);
+            (own + (slots - total) * part).max(slots / hosts)
         };
         let total = |pool: &Pool| pool.rows.iter().map(size).sum::<f64>().floor() as usize;
         index
@@ -332,12 +383,13 @@
     }
 
     /// Takes in the engine's own count of the words of a prompt that were cached before.
-    pub fn counted(&self, believed: u64, cached: u64) {
+    pub fn counted(&self, prefix: &Prefix, believed: u64, cached: u64) {
         gauge!("gentian_cached_tokens_believed").increment(believed as f64);
         gauge!("gentian_cached_tokens_counted").increment(cached as f64);
-        if let Some(row) = &self.row
-            && self.fleet.rules.with(Without::CacheEvents)
-        {
+        let Some(row) = &self.row else { return };
+        if let Some(words) = self.fleet.home_words(row, prefix) {
+            row.rates.lock().found(cached as f64 / words as f64);
+        } else if self.fleet.rules.with(Without::CacheEvents) {
             row.member.state.lock().trust.counted(believed, cached);
         }
     }
--- a/crates/entry/src/fleet/poll.rs
+++ b/crates/entry/src/fleet/poll.rs
@@ -64,8 +64,8 @@
         gauge!("gentian_polled_upstreams").set(owned.rows.len() as f64);
         gauge!("gentian_poll_interval_seconds").set(interval.as_secs_f64());
         owned.poll(&sender, interval, now);
-        let hosts = live.count_in(&entry.settings.data_center);
-        entry.admission.resize(&entry.fleet.sizes(hosts, now));
+        // Any entry host may send to any upstream, those of other data centres included.
+        entry.admission.resize(&entry.fleet.sizes(live.count(), now));
         std::thread::sleep(STEP);
     }
     Ok(())
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -74,13 +74,16 @@
         reclaims: 0.05,
         load: fleet.loads[at].predict(Tick::from_millis(2_500), EXPIRY, true),
         cached,
+        home: true,
         barred: None,
     }
 }
 
 fn pick(fleet: &Fleet, prefix: &Prefix, turn: u64) -> Option<UpstreamId> {
     let holders: Vec<u32> = fleet.history.holders(prefix).iter().map(|held| held.upstream).collect();
-    let proposed = fleet.group.propose(Some(prefix.lead()), &holders, turn);
+    let proposed = fleet
+        .group
+        .propose(&fleet.group.homes(prefix.lead()), Some(prefix.lead()), &holders, turn);
     let numbers: Vec<u32> = proposed.iter().map(|p| fleet.group.places()[p.at].number).collect();
     let held = fleet.history.held(prefix, &numbers);
     let rows = proposed.iter().zip(held);
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -24,6 +24,16 @@
 pub struct Prefix {
     blocks: Vec<u64>,
     words: u64,
+    session: Option<Session>,
+}
+
+/// The conversation that a prompt belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Session {
+    /// Identifies it: the same for each of its turns and at every entry host.
+    pub key: u64,
+    /// Words at the start of the prompt that an earlier turn had at an engine; zero for the first turn.
+    pub begun: u64,
 }
 
 impl Prefix {
@@ -50,6 +60,19 @@
         prefix
     }
 
+    /// Tells which conversation the prompt belongs to.
+    #[must_use]
+    pub fn in_session(self, session: Session) -> Self {
+        let session = Some(session);
+        Self { session, ..self }
+    }
+
+    /// Gives the conversation, if known.
+    #[must_use]
+    pub const fn session(&self) -> Option<Session> {
+        self.session
+    }
+
     /// Gives the number of words.
     #[must_use]
     pub const fn words(&self) -> u64 {
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -7,6 +7,9 @@
 
 /// Weight of a measurement against all earlier ones.
 const WEIGHT: f64 = 0.1;
+/// Weight of a measurement that shows a shorter time than known, and of one that shows a longer time.
+const FASTER: f64 = 0.3;
+const SLOWER: f64 = 0.03;
 /// Milliseconds that a fully used upstream answers later than an idle one; it spreads requests between equals.
 const CROWD_MS: f64 = 20.0;
 /// Share of its slots that an upstream without a valid report is taken to use, beside own requests.
@@ -26,6 +29,12 @@
     pub decode_ms: f64,
     /// Milliseconds for which a request keeps its slot.
     pub hold_ms: f64,
+    /// Milliseconds that a request's own prefill takes.
+    pub fresh_ms: f64,
+    /// Share of requests that continue a conversation, which is the chance that another turn will follow.
+    pub follow: f64,
+    /// Share of a conversation's earlier words that its home is found to hold.
+    pub kept: f64,
 }
 
 impl Default for Rates {
@@ -34,6 +43,9 @@
             prefill_ms: 0.25,
             decode_ms: 20.0,
             hold_ms: 1_000.0,
+            fresh_ms: 50.0,
+            follow: 0.5,
+            kept: 0.9,
         }
     }
 }
@@ -45,12 +57,27 @@
     }
 
     /// Takes in the time to the first token of a request that found a free slot.
+    ///
+    /// Other prompts in the batch make the time longer and never shorter, so that short times count for more.
     pub fn prefilled(&mut self, tokens: u64, ms: f64) {
+        self.fresh_ms += WEIGHT * (tokens as f64 * self.prefill_ms - self.fresh_ms);
         // With few tokens the connection takes most of the time, which would be taken for slow prefill.
         if tokens >= 64 {
-            self.prefill_ms += WEIGHT * (ms / tokens as f64 - self.prefill_ms);
+            let found = ms / tokens as f64;
+            let weight = if found < self.prefill_ms { FASTER } else { SLOWER };
+            self.prefill_ms += weight * (found - self.prefill_ms);
         }
     }
+
+    /// Takes in a request by whether it continues a conversation.
+    pub fn followed(&mut self, continues: bool) {
+        self.follow += SLOWER * (f64::from(u8::from(continues)) - self.follow);
+    }
+
+    /// Takes in which share of the earlier words a conversation's home held.
+    pub fn found(&mut self, share: f64) {
+        self.kept += WEIGHT * (share.clamp(0.0, 1.0) - self.kept);
+    }
 }
 
 /// What the cost of one candidate is made of, in milliseconds; the load is in requests.
@@ -62,6 +89,8 @@
     pub wait: f64,
     /// Prefill of the prompt tokens that are not cached there.
     pub prefill: f64,
+    /// Prefill of the whole prompt that a later turn will need because it looks for it at the home.
+    pub stray: f64,
     /// Price of the host's share that the request takes.
     pub price: f64,
     /// Expected loss by a reclaim while it runs.
@@ -95,10 +124,22 @@
         let redo = need.prompt_tokens as f64 * rates.prefill_ms + answer / 2.0;
         let chance = (reclaims * hold / MS_PER_HOUR).min(1.0);
         let rent = candidate.price as f64 * hold / MS_PER_HOUR / slots;
+        // Engines prefill one prompt after the other: what is there already and still in prefill goes first.
+        let before = if need.answer_tokens == 0 {
+            0.0
+        } else {
+            load.min(slots) * rates.fresh_ms / rates.hold_ms.max(1.0)
+        };
+        let crowd = (load / slots).min(1.0) * CROWD_MS;
         Self {
             load,
-            wait: queued / slots * rates.hold_ms + (load / slots).min(1.0) * CROWD_MS,
+            wait: queued / slots * rates.hold_ms + crowd + before * rates.fresh_ms,
             prefill,
+            stray: if candidate.home {
+                0.0
+            } else {
+                rates.follow * need.prompt_tokens as f64 * rates.prefill_ms
+            },
             price: count(Without::Price, rent * MS_PER_MICRODOLLAR),
             risk: count(Without::Risk, chance * redo),
             distance: count(Without::Distance, if candidate.near { 0.0 } else { DISTANCE_MS }),
@@ -108,6 +149,6 @@
     /// Gives the sum in milliseconds.
     #[must_use]
     pub fn total(&self) -> f64 {
-        self.wait + self.prefill + self.price + self.risk + self.distance
+        self.wait + self.prefill + self.stray + self.price + self.risk + self.distance
     }
 }
--- a/crates/policy/src/route/group.rs
+++ b/crates/policy/src/route/group.rs
@@ -9,10 +9,12 @@
 pub const CANDIDATES: usize = 12;
 /// Candidates by rendezvous hashing in the own data centre.
 const NEAR: usize = 2;
+/// Homes of one conversation: the second is its home while the first is barred.
+pub const HOMES: usize = 2;
 /// Candidates that are drawn at random.
 const SAMPLED: usize = 3;
 /// Fewest and most points of the leading prefix that rendezvous hashing tells apart.
-const POINTS: (usize, usize) = (64, 8_192);
+const POINTS: (usize, usize) = (1_024, 8_192);
 
 /// What a request is for.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -49,6 +51,9 @@
     /// Rendezvous hashing sends prompts with this beginning there.
     #[display("rendezvous of the leading prefix")]
     Rendezvous,
+    /// Rendezvous hashing sends this conversation there from every entry host.
+    #[display("home of the conversation")]
+    Home,
     /// It was drawn at random.
     #[display("sampled")]
     Sampled,
@@ -83,7 +88,8 @@
     places: Vec<Place>,
     by_number: Vec<(u32, u32)>,
     near: Vec<u32>,
-    points: Vec<[u32; NEAR + 1]>,
+    seeds: Vec<u64>,
+    points: Vec<[u32; NEAR + HOMES]>,
 }
 
 impl Group {
@@ -99,8 +105,10 @@
             places,
             by_number,
             near,
+            seeds: Vec::new(),
             points: Vec::new(),
         };
+        group.seeds = group.seeds();
         if group.places.len() > CANDIDATES {
             group.points = group.rendezvous();
         }
@@ -120,11 +128,26 @@
         found.ok().map(|at| self.by_number[at].1 as usize)
     }
 
+    /// Gives the homes of a conversation, the first choice first; every entry host gets the same.
+    ///
+    /// Turns of one conversation come through any entry host, and those that didn't see the earlier ones can't know
+    /// where its prefix is cached. One would notice that each turn is computed again from its start. That all of them
+    /// prefer the same upstream takes no exchange of knowledge.
+    #[must_use]
+    pub fn homes(&self, key: u64) -> [usize; HOMES] {
+        if self.points.is_empty() {
+            let all: Vec<u32> = (0..self.places.len() as u32).collect();
+            return best_of(&all, &self.seeds, xxh3_64(&key.to_le_bytes())).map(|at| at as usize);
+        }
+        let point = &self.points[key as usize & (self.points.len() - 1)];
+        [point[NEAR] as usize, point[NEAR + 1] as usize]
+    }
+
     /// Proposes at most [`CANDIDATES`] members for a request.
     ///
-    /// The lead is the hash of the prompt's beginning, absent where prefixes play no part; the turn feeds the draw.
+    /// The homes are those of its conversation, if it has one; the lead is the hash of the prompt's beginning, absent where prefixes play no part; the turn feeds the draw.
     #[must_use]
-    pub fn propose(&self, lead: Option<u64>, holders: &[u32], turn: u64) -> Vec<Proposed> {
+    pub fn propose(&self, homes: &[usize], lead: Option<u64>, holders: &[u32], turn: u64) -> Vec<Proposed> {
         let reason = Reason::All;
         if self.places.len() <= CANDIDATES {
             return (0..self.places.len()).map(|at| Proposed { at, reason }).collect();
@@ -135,6 +158,9 @@
                 found.push(Proposed { at, reason });
             }
         };
+        for at in homes {
+            add(*at, Reason::Home);
+        }
         for at in holders.iter().filter_map(|number| self.position(*number)) {
             add(at, Reason::Holder);
         }
@@ -172,33 +198,37 @@
         positions.map(|at| Proposed { at, reason }).collect()
     }
 
+    fn seeds(&self) -> Vec<u64> {
+        let names = self.places.iter().map(|place| place.id.as_str());
+        names.map(|name| xxh3_64(name.as_bytes())).collect()
+    }
+
     /// Gives, for each point, the best of the own data centre and the best of all.
-    fn rendezvous(&self) -> Vec<[u32; NEAR + 1]> {
-        let seeds: Vec<u64> = self
-            .places
-            .iter()
-            .map(|place| xxh3_64(place.id.as_str().as_bytes()))
-            .collect();
+    fn rendezvous(&self) -> Vec<[u32; NEAR + HOMES]> {
         let points = (2 * self.places.len()).next_power_of_two().clamp(POINTS.0, POINTS.1);
-        (0..points as u64).map(|point| self.best(point, &seeds)).collect()
+        let all: Vec<u32> = (0..self.places.len() as u32).collect();
+        let point = |point: u64| {
+            let salt = xxh3_64(&point.to_le_bytes());
+            let [first, second] = best_of(&self.near, &self.seeds, salt);
+            let [home, other] = best_of(&all, &self.seeds, salt);
+            [first, second, home, other]
+        };
+        (0..points as u64).map(point).collect()
     }
+}
 
-    fn best(&self, point: u64, seeds: &[u64]) -> [u32; NEAR + 1] {
-        let salt = xxh3_64(&point.to_le_bytes());
-        let mut best = [(0, 0); NEAR];
-        for at in &self.near {
-            let weight = weight(seeds[*at as usize], salt);
-            if weight > best[0].0 {
-                best = [(weight, *at), best[0]];
-            } else if weight > best[1].0 {
-                best[1] = (weight, *at);
-            }
+/// Gives the two members with the highest weight at a salt.
+fn best_of(members: &[u32], seeds: &[u64], salt: u64) -> [u32; 2] {
+    let mut best = [(0, 0); 2];
+    for at in members {
+        let weight = weight(seeds[*at as usize], salt);
+        if weight > best[0].0 {
+            best = [(weight, *at), best[0]];
+        } else if weight > best[1].0 {
+            best[1] = (weight, *at);
         }
-        let of_all = (0..seeds.len())
-            .max_by_key(|at| weight(seeds[*at], salt))
-            .unwrap_or_default();
-        [best[0].1, best[1].1, of_all as u32]
     }
+    [best[0].1, best[1].1]
 }
 
 /// Gives the weight of a member at a point; both numbers are well mixed already.
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use cost::{Cost, Rates};
-pub use group::{CANDIDATES, Group, Place, Proposed, Reason, Target};
+pub use group::{CANDIDATES, Group, HOMES, Place, Proposed, Reason, Target};
 pub use record::{Barred, Choice, Lost, Weighed};
 
 use contract::{MachineClass, UpstreamId};
@@ -43,6 +43,9 @@
     /// Rendezvous hashing of the leading prefix.
     #[display("rendezvous")]
     Rendezvous,
+    /// One home for each conversation, on which all entry hosts agree.
+    #[display("home")]
+    Home,
     /// Reclaim risk of host and zone.
     #[display("risk")]
     Risk,
@@ -64,9 +67,10 @@
 }
 
 /// Every part that can be taken out.
-pub const ABLATIONS: [Without; 8] = [
+pub const ABLATIONS: [Without; 9] = [
     Without::Affinity,
     Without::Rendezvous,
+    Without::Home,
     Without::Risk,
     Without::Price,
     Without::Distance,
@@ -129,6 +133,8 @@
     pub load: crate::load::Predicted,
     /// Words of the prompt that are likely to be cached there.
     pub cached: u64,
+    /// Whether the request's conversation has its home there; also true of all where there is no conversation.
+    pub home: bool,
     /// Why it may not be chosen, if it may not.
     pub barred: Option<Barred>,
 }
--- a/crates/policy/tests/routing_cost.rs
+++ b/crates/policy/tests/routing_cost.rs
@@ -23,6 +23,7 @@
             age: Some(Duration::from_millis(100)),
         },
         cached,
+        home: true,
         barred: None,
     }
 }
@@ -139,11 +140,11 @@
     fn holds(count: u16, lead: u64, turn: u64, holders: Vec<u32>) -> bool {
         let count = u32::from(count % 700) + 1;
         let group = group(count);
-        let found = group.propose(Some(lead), &holders, turn);
+        let found = group.propose(&[], Some(lead), &holders, turn);
         let mut positions: Vec<usize> = found.iter().map(|proposed| proposed.at).collect();
         positions.sort_unstable();
         positions.dedup();
-        let again = group.propose(Some(lead), &holders, turn);
+        let again = group.propose(&[], Some(lead), &holders, turn);
         positions.len() == found.len()
             && found.len() <= CANDIDATES
             && (count as usize > CANDIDATES || found.len() == count as usize)
@@ -165,7 +166,7 @@
         Group::new(places.cloned().collect())
     };
     let first = |group: &Group, lead: u64| {
-        let found = group.propose(Some(lead), &[], 0);
+        let found = group.propose(&[], Some(lead), &[], 0);
         let proposed = found.iter().find(|proposed| proposed.reason == Reason::Rendezvous);
         proposed.map(|proposed| group.places()[proposed.at].number)
     };
--- /dev/null
+++ b/crates/policy/tests/session_home.rs
@@ -0,0 +1,88 @@
+//! Every entry host sends the turns of a conversation to the same upstream unless waiting there costs more.
+
+use contract::{MachineClass, UpstreamId};
+use policy::load::Predicted;
+use policy::route::{Candidate, Choice, Group, Need, Place, Rates, Reason, Rules, Without, choose};
+use quickcheck::{Gen, QuickCheck};
+
+fn group(numbers: &[u32], near: u32) -> Group {
+    let place = |number: &u32| Place {
+        number: *number,
+        id: format!("engine-{number}").into(),
+        near: number % 4 == near,
+    };
+    Group::new(numbers.iter().map(place).collect())
+}
+
+fn pick(loads: &[f64], home: usize, rules: &Rules) -> Choice {
+    let ids: Vec<UpstreamId> = (0..loads.len()).map(|at| format!("engine-{at}").into()).collect();
+    let candidate = |at: usize| Candidate {
+        id: &ids[at],
+        reason: Reason::All,
+        class: MachineClass::OnDemand,
+        price: 0,
+        slots: 4,
+        near: true,
+        reclaims: 0.0,
+        load: Predicted {
+            reported: Some(loads[at]),
+            ..Predicted::default()
+        },
+        cached: if at == home { 900 } else { 0 },
+        home: at == home,
+        barred: None,
+    };
+    let candidates: Vec<Candidate<'_>> = (0..loads.len()).map(candidate).collect();
+    let need = Need {
+        prompt_tokens: 1_000,
+        answer_tokens: 50,
+        turn: 1,
+    };
+    choose(rules, &candidates, &need, &Rates::default()).unwrap()
+}
+
+/// Entry hosts in different data centres number their upstreams in another order and hold others for near. If they
+/// disagreed on the home, each turn that comes through another of them would be computed again from its start.
+#[test]
+fn hosts_agree() {
+    fn holds(count: u16, key: u64) -> bool {
+        let numbers: Vec<u32> = (0..2 + u32::from(count % 400)).collect();
+        let turned: Vec<u32> = numbers.iter().rev().copied().collect();
+        let (one, other) = (group(&numbers, 0), group(&turned, 3));
+        let names = |group: &Group| group.homes(key).map(|at| group.places()[at].id.clone());
+        let homes = names(&one);
+        homes == names(&other) && homes[0] != homes[1]
+    }
+    let generator = Gen::from_size_and_seed(1_000, 21);
+    QuickCheck::new()
+        .rng(generator)
+        .tests(300)
+        .quickcheck(holds as fn(u16, u64) -> bool);
+}
+
+#[test]
+fn homes_spread() {
+    let group = group(&(0..10).collect::<Vec<_>>(), 0);
+    let mut counts = [0; 10];
+    for key in 0..10_000 {
+        counts[group.homes(key)[0]] += 1;
+    }
+    assert!(counts.iter().all(|count| (800..1_200).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn home_wins() {
+    let rules = Rules::default();
+    assert_eq!(pick(&[0.0, 3.0, 0.0], 1, &rules).chosen.as_str(), "engine-1");
+}
+
+#[test]
+fn full_home() {
+    let rules = Rules::default();
+    assert_ne!(pick(&[0.0, 30.0, 0.0], 1, &rules).chosen.as_str(), "engine-1");
+}
+
+#[test]
+fn ablation_name() {
+    assert_eq!("home".parse::<Without>().unwrap(), Without::Home);
+}
