--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -51,6 +51,12 @@
         matches!(&self.stage.result, Err(error) if error.fate == Fate::NotRun)
     }
 
+    /// Gives the status that the service answered with.
+    #[must_use]
+    pub fn status(&self) -> Option<u16> {
+        self.stage.result.as_ref().ok().map(|answer| answer.status)
+    }
+
     /// Gives what is to be recorded of the call.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
--- /dev/null
+++ b/crates/entry/src/callers/ask.rs
@@ -0,0 +1,182 @@
+//! A chat completion as a caller asks for it, checked whole before anything is spent on it.
+
+use derive_more::{Display, Error};
+use serde::Deserialize;
+use serde_json::{Map, Value};
+use upstream::engine::{Chat, Message};
+
+/// Most tokens of one answer.
+pub(crate) const MAX_TOKENS: u64 = 32_768;
+/// Tokens of an answer whose caller names no bound.
+const DEFAULT_TOKENS: u64 = 1_024;
+/// Most messages of one conversation.
+const MAX_MESSAGES: usize = 1_024;
+/// Fields that would change the order in which engines serve requests, or how an answer is resumed. They follow from
+/// the contract and the system alone, so a caller's are dropped.
+const OURS: [&str; 5] = [
+    "priority",
+    "continue_final_message",
+    "add_generation_prompt",
+    "stream_options",
+    "kv_transfer_params",
+];
+/// Fields whose answers would not be plain text from one choice.
+const UNSUPPORTED: [&str; 8] = [
+    "tools",
+    "tool_choice",
+    "functions",
+    "function_call",
+    "logprobs",
+    "top_logprobs",
+    "audio",
+    "modalities",
+];
+
+/// A checked request.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// The request as it goes to engines.
+    pub(crate) chat: Chat,
+    /// Expected length of the prompt, in tokens.
+    pub(crate) prompt_tokens: u64,
+}
+
+/// Why a body is no request for a chat completion.
+#[derive(Debug, Display, Error)]
+pub(crate) enum BadAsk {
+    /// It isn't JSON of the right types.
+    #[display("the body is no chat completion request: {_0}")]
+    Json(serde_json::Error),
+    /// A field has a value that isn't allowed.
+    #[display("{field}: {value} is not allowed, expected {allowed}")]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What would have been accepted.
+        allowed: String,
+    },
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    messages: Vec<Said>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    n: Option<u64>,
+    #[serde(flatten)]
+    other: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+struct Said {
+    role: String,
+    content: Content,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<TextPart>),
+}
+
+#[derive(Deserialize)]
+struct TextPart {
+    text: String,
+}
+
+impl Ask {
+    /// Reads and checks a caller's body.
+    ///
+    /// # Errors
+    /// Names the first field that is missing, of a wrong type or out of range.
+    pub(crate) fn read(bytes: &[u8]) -> Result<Self, BadAsk> {
+        let body: Body = serde_json::from_slice(bytes).map_err(BadAsk::Json)?;
+        check(!body.model.is_empty(), "model", &"an empty text", "the name of a model")?;
+        let count = body.messages.len();
+        check(
+            (1..=MAX_MESSAGES).contains(&count),
+            "messages",
+            &count,
+            format!("1 to {MAX_MESSAGES} messages"),
+        )?;
+        check(
+            body.n.is_none_or(|n| n == 1),
+            "n",
+            &body.n.unwrap_or_default(),
+            "1 choice",
+        )?;
+        let max_tokens = body.max_tokens.or(body.max_completion_tokens).unwrap_or(DEFAULT_TOKENS);
+        check(
+            (1..=MAX_TOKENS).contains(&max_tokens),
+            "max_tokens",
+            &max_tokens,
+            format!("1 to {MAX_TOKENS}"),
+        )?;
+        let messages = body.messages.into_iter().map(message).collect::<Result<Vec<_>, _>>()?;
+        let words = |message: &Message| message.content.split_whitespace().count() as u64;
+        let prompt_tokens = messages.iter().map(words).sum();
+        check(
+            messages.iter().any(|message| !message.content.is_empty()),
+            "messages",
+            &"no content",
+            "a message that says something",
+        )?;
+        let chat = Chat {
+            model: body.model,
+            messages,
+            max_tokens,
+            stream: body.stream,
+            add_generation_prompt: true,
+            other: passed_on(body.other)?,
+            ..Chat::default()
+        };
+        Ok(Self { chat, prompt_tokens })
+    }
+}
+
+fn message(said: Said) -> Result<Message, BadAsk> {
+    check(
+        matches!(said.role.as_str(), "system" | "developer" | "user" | "assistant"),
+        "messages.role",
+        &said.role,
+        "system, developer, user or assistant",
+    )?;
+    let content = match said.content {
+        Content::Text(text) => text,
+        Content::Parts(parts) => parts.into_iter().map(|part| part.text).collect(),
+    };
+    Ok(Message {
+        role: said.role,
+        content,
+    })
+}
+
+fn passed_on(mut other: Map<String, Value>) -> Result<Map<String, Value>, BadAsk> {
+    for field in OURS {
+        other.remove(field);
+    }
+    for field in UNSUPPORTED {
+        let given = other
+            .get(field)
+            .is_some_and(|value| !matches!(value, Value::Null | Value::Bool(false)));
+        check(!given, field, &"a value", "the field to be left out")?;
+    }
+    Ok(other)
+}
+
+fn check(good: bool, field: &'static str, value: &dyn std::fmt::Display, allowed: impl ToString) -> Result<(), BadAsk> {
+    if good {
+        return Ok(());
+    }
+    Err(BadAsk::Field {
+        field,
+        value: value.to_string(),
+        allowed: allowed.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/callers/http/reply.rs
@@ -0,0 +1,153 @@
+//! What goes back to a caller.
+
+use std::borrow::Cow;
+use std::fmt::Write as _;
+use std::io::{self, Write};
+use std::net::TcpStream;
+
+use super::Head;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(in crate::callers) struct Reply {
+    status: u16,
+    headers: Vec<(Cow<'static, str>, String)>,
+    body: Vec<u8>,
+}
+
+/// An answer that is sent piece by piece.
+#[derive(Debug)]
+pub(in crate::callers) struct Chunks<'a> {
+    stream: &'a TcpStream,
+    framed: bool,
+    frame: Vec<u8>,
+}
+
+impl Reply {
+    /// Makes an answer.
+    pub(in crate::callers) fn new(status: u16, media: &str, body: Vec<u8>) -> Self {
+        let reply = Self {
+            status,
+            headers: Vec::new(),
+            body,
+        };
+        reply.with("Content-Type", media)
+    }
+
+    /// Adds a header; one that could break the framing is left out.
+    pub(in crate::callers) fn with(mut self, name: impl Into<Cow<'static, str>>, value: impl Into<String>) -> Self {
+        let value = value.into();
+        if !value.bytes().any(|byte| byte.is_ascii_control()) {
+            self.headers.push((name.into(), value));
+        }
+        self
+    }
+
+    /// Sends the answer with one write.
+    ///
+    /// # Errors
+    /// Fails when the caller has gone away or doesn't take it.
+    pub(in crate::callers) fn send(&self, mut stream: &TcpStream, head: Option<&Head>, keep: bool) -> io::Result<()> {
+        let mut bytes = start(self.status, &self.headers, keep);
+        let empty = matches!(self.status, 100..200 | 204 | 304);
+        if !empty {
+            write!(bytes, "Content-Length: {}\r\n", self.body.len())?;
+        }
+        bytes.extend_from_slice(b"\r\n");
+        if !empty && head.is_none_or(|head| head.method != "HEAD") {
+            bytes.extend_from_slice(&self.body);
+        }
+        stream.write_all(&bytes)
+    }
+}
+
+impl<'a> Chunks<'a> {
+    /// Sends the head of an answer whose pieces follow.
+    ///
+    /// # Errors
+    /// Fails when the caller has gone away.
+    pub(in crate::callers) fn begin(
+        mut stream: &'a TcpStream,
+        head: &Head,
+        headers: &[(Cow<'static, str>, String)],
+        keep: bool,
+    ) -> io::Result<Self> {
+        let mut bytes = start(200, headers, keep && head.chunks);
+        let framing: &[u8] = if head.chunks {
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        } else {
+            b"\r\n"
+        };
+        bytes.extend_from_slice(framing);
+        stream.write_all(&bytes)?;
+        Ok(Self {
+            stream,
+            framed: head.chunks,
+            frame: Vec::new(),
+        })
+    }
+
+    /// Sends a piece at once, with one write.
+    ///
+    /// # Errors
+    /// Fails when the caller has gone away or doesn't take it.
+    pub(in crate::callers) fn piece(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if !self.framed {
+            return self.stream.write_all(bytes);
+        }
+        self.frame.clear();
+        write!(self.frame, "{:x}\r\n", bytes.len())?;
+        self.frame.extend_from_slice(bytes);
+        self.frame.extend_from_slice(b"\r\n");
+        self.stream.write_all(&self.frame)
+    }
+
+    /// Ends the answer.
+    ///
+    /// # Errors
+    /// Fails when the caller has gone away.
+    pub(in crate::callers) fn end(mut self) -> io::Result<()> {
+        if self.framed {
+            self.stream.write_all(b"0\r\n\r\n")
+        } else {
+            Ok(())
+        }
+    }
+}
+
+fn start(status: u16, headers: &[(Cow<'static, str>, String)], keep: bool) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    for (name, value) in headers {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{name}: {value}\r\n");
+    }
+    if !keep {
+        text.push_str("Connection: close\r\n");
+    }
+    text.into_bytes()
+}
+
+const fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        // The reason is for people; any text will do.
+        _ => "Status",
+    }
+}
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -1,83 +1,187 @@
-//! Callers' HTTP: one thread accepts, a bounded ring passes requests to the workers.
+//! Callers' HTTP: one thread accepts, and each connection has a thread of its own, up to a bound.
 
+mod ask;
 mod chat;
+mod http;
 mod problem;
 mod requests;
+mod run;
 mod service;
+mod shared;
+mod sse;
+mod watch;
 
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use metrics::counter;
-use tiny_http::{Method, Server};
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::Entry;
+use http::{Connection, Head, Reply};
 use problem::Problem;
 
-/// Largest body of a caller, in bytes.
-pub const MAX_BODY: u64 = 4 * 1024 * 1024;
-/// Stack of a worker, in bytes.
+pub use run::adopt;
+pub use shared::Shared;
+
+/// Stack of a connection's thread, in bytes.
 const STACK: usize = 512 * 1024;
+/// Longest time until the acceptor looks at its flag again.
+const STEP: Duration = Duration::from_millis(50);
+/// Silence after which the operating system asks whether a caller's host is still there.
+const PROBE: Duration = Duration::from_secs(10);
 
-/// Starts the workers and gives their ring.
-///
-/// # Errors
-/// Fails when the operating system refuses a thread.
-pub fn start_workers(entry: &Arc<Entry>) -> std::io::Result<Sender<tiny_http::Request>> {
-    let count = entry.settings.running + entry.settings.waiting;
-    let (sender, receiver) = bounded(count);
-    for _ in 0..count {
-        let entry = Arc::clone(entry);
-        let receiver: Receiver<tiny_http::Request> = receiver.clone();
-        let thread = std::thread::Builder::new().name("caller".to_owned()).stack_size(STACK);
-        thread.spawn(move || receiver.iter().for_each(|request| answer(&entry, request)))?;
+/// A request whose head was read.
+#[derive(Debug)]
+struct Caller<'a> {
+    connection: &'a mut Connection,
+    head: Head,
+    is_read: bool,
+    keep: bool,
+}
+
+/// How a request was answered.
+#[derive(Debug)]
+enum Answered {
+    /// By an answer that is still to be sent.
+    Reply(Reply),
+    /// By a stream; tells whether its end was sent.
+    Streamed(bool),
+}
+
+impl From<Problem> for Answered {
+    fn from(problem: Problem) -> Self {
+        Self::Reply(problem.reply())
     }
-    Ok(sender)
 }
 
-/// Accepts requests until told to stop.
+/// Accepts connections until told to stop.
 ///
 /// # Errors
-/// Fails when the listener breaks.
-pub fn accept(entry: &Entry, server: &Server, ring: &Sender<tiny_http::Request>) -> std::io::Result<()> {
+/// Fails when the listener can't be prepared.
+pub fn accept(entry: &Arc<Entry>, listener: &TcpListener) -> std::io::Result<()> {
+    // Connections inherit these options.
+    let socket = SockRef::from(listener);
+    socket.set_read_timeout(Some(STEP))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE).with_interval(PROBE))?;
     while !entry.stop.load(Ordering::Relaxed) {
-        let Some(request) = server.recv_timeout(Duration::from_millis(50))? else {
-            continue;
-        };
-        match ring.try_send(request) {
-            Ok(()) => {}
-            Err(TrySendError::Full(request) | TrySendError::Disconnected(request)) => {
-                counter!("gentian_refused_total", "cause" => "ring").increment(1);
-                problem::respond(request, &Problem::overloaded(Duration::from_secs(1)));
+        match listener.accept() {
+            Ok((stream, _)) => open(entry, stream),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            // One connection that broke early, or a shortage of descriptors, must not end the acceptor.
+            Err(_) => {
+                counter!("gentian_accept_errors_total").increment(1);
+                std::thread::sleep(STEP);
             }
         }
     }
     Ok(())
 }
 
-fn answer(entry: &Entry, request: tiny_http::Request) {
-    let url = request.url().to_owned();
-    let path = url.split('?').next().unwrap_or_default();
-    if entry.leaving.load(Ordering::Relaxed) {
-        return problem::respond(request, &Problem::overloaded(Duration::from_secs(1)));
+fn open(entry: &Arc<Entry>, stream: TcpStream) {
+    let Some(place) = entry.callers.connect(entry.settings.connections) else {
+        return turn_away(&stream);
+    };
+    let entry = Arc::clone(entry);
+    let thread = std::thread::Builder::new().name("caller".to_owned()).stack_size(STACK);
+    let spawned = thread.spawn(move || {
+        converse(&entry, stream);
+        drop(place);
+    });
+    if spawned.is_err() {
+        counter!("gentian_refused_total", "cause" => "threads").increment(1);
     }
-    match (request.method(), path) {
-        (Method::Post, "/v1/chat/completions") => chat::answer(entry, request),
-        (Method::Get, path) if path.starts_with("/v1/requests/") => requests::answer(entry, request, &url),
-        (_, path) if path.starts_with("/services/") => service::answer(entry, request, &url),
-        _ => problem::respond(request, &Problem::not_found("there is no such path")),
+}
+
+/// Refuses a connection without a thread of its own.
+fn turn_away(stream: &TcpStream) {
+    counter!("gentian_refused_total", "cause" => "connections").increment(1);
+    let problem = Problem::overloaded(Duration::from_secs(1));
+    // The answer fits the empty send buffer of a new connection, so this never blocks the acceptor.
+    let _ = problem.reply().send(stream, None, false);
+}
+
+fn converse(entry: &Entry, stream: TcpStream) {
+    let Ok(mut connection) = Connection::new(stream) else {
+        return;
+    };
+    loop {
+        let head = match connection.head() {
+            Ok(head) => head,
+            Err(broken) => {
+                if let Some(problem) = problem::of_broken(&broken) {
+                    counter!("gentian_refused_total", "cause" => "malformed").increment(1);
+                    // A caller that has gone away needs no answer.
+                    let _ = problem.reply().send(connection.stream(), None, false);
+                    connection.linger();
+                }
+                return;
+            }
+        };
+        let work = entry.callers.begin();
+        let is_read = head.length == http::Length::Bytes(0);
+        let keep = head.keep && !entry.leaving.load(Ordering::Relaxed);
+        let mut caller = Caller {
+            connection: &mut connection,
+            head,
+            is_read,
+            keep,
+        };
+        let answered = answer(entry, &mut caller);
+        let keep = caller.keep && caller.is_read;
+        let sent = match answered {
+            Answered::Reply(reply) => reply.send(caller.connection.stream(), Some(&caller.head), keep).is_ok(),
+            Answered::Streamed(ended) => ended && caller.head.chunks,
+        };
+        let unread = !caller.is_read;
+        drop(work);
+        if unread {
+            return connection.linger();
+        }
+        if !(sent && keep) {
+            return;
+        }
     }
 }
 
-/// Finds a header of a request.
-fn header<'a>(request: &'a tiny_http::Request, name: &'static str) -> Option<&'a str> {
-    let found = request.headers().iter().find(|header| header.field.equiv(name));
-    found.map(|header| header.value.as_str())
+fn answer(entry: &Entry, caller: &mut Caller<'_>) -> Answered {
+    let path = caller.head.path().to_owned();
+    if let Some(id) = path.strip_prefix("/v1/requests/") {
+        return match caller.head.method.as_str() {
+            "GET" | "HEAD" => requests::answer(entry, caller, id),
+            _ => Problem::method("GET").into(),
+        };
+    }
+    if entry.refusing.load(Ordering::Relaxed) {
+        counter!("gentian_refused_total", "cause" => "leaving").increment(1);
+        return Problem::leaving().into();
+    }
+    if path == "/v1/chat/completions" {
+        return match caller.head.method.as_str() {
+            "POST" => chat::answer(entry, caller),
+            _ => Problem::method("POST").into(),
+        };
+    }
+    if path.starts_with("/services/") {
+        return service::answer(entry, caller);
+    }
+    Problem::not_found("there is no such path").into()
 }
 
-/// Gives the bearer key of a request.
-fn bearer(request: &tiny_http::Request) -> Option<&str> {
-    header(request, "Authorization")?.strip_prefix("Bearer ")
+impl Caller<'_> {
+    /// Reads the body, once the caller is known.
+    fn body(&mut self, entry: &Entry) -> Result<Vec<u8>, Problem> {
+        let _reader = entry
+            .callers
+            .reader(entry.settings.connections / 2)
+            .ok_or_else(|| Problem::overloaded(Duration::from_secs(1)))?;
+        let body = self
+            .connection
+            .body(&self.head)
+            .map_err(|broken| problem::of_broken(&broken).unwrap_or_else(|| Problem::bad_request(broken)))?;
+        self.is_read = true;
+        Ok(body)
+    }
 }
--- a/crates/entry/src/callers/problem.rs
+++ b/crates/entry/src/callers/problem.rs
@@ -2,17 +2,23 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde_json::json;
-use tiny_http::{Header, Request, Response, StatusCode};
 
+use super::http::{Broken, Reply};
 use crate::admission::Refusal;
 
+/// Header that tells whether a refused request was run.
+const OUTCOME_HEADER: &str = "Gentian-Outcome";
+
 /// Whether a refused request was run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum Run {
     /// It truly was not run.
+    #[display("not-run")]
     Not,
     /// It may have run.
+    #[display("unknown")]
     Unknown,
 }
 
@@ -24,6 +30,7 @@
     detail: String,
     run: Run,
     retry_after: Option<Duration>,
+    allow: Option<&'static str>,
 }
 
 impl Problem {
@@ -34,6 +41,21 @@
             detail: detail.to_string(),
             run: Run::Not,
             retry_after: None,
+            allow: None,
+        }
+    }
+
+    fn unknown(self) -> Self {
+        Self {
+            run: Run::Unknown,
+            ..self
+        }
+    }
+
+    fn after(self, wait: Duration) -> Self {
+        Self {
+            retry_after: Some(wait),
+            ..self
         }
     }
 
@@ -42,109 +64,114 @@
     }
 
     pub(super) fn unauthorized() -> Self {
-        Self::new(
-            401,
-            "unauthorized",
-            "a valid bearer key is needed in the Authorization header",
-        )
+        let detail = "a valid bearer key is needed in the Authorization header";
+        Self::new(401, "unauthorized", detail)
     }
 
     pub(super) fn not_found(detail: impl ToString) -> Self {
         Self::new(404, "not-found", detail)
     }
 
-    pub(super) fn too_large(most: u64) -> Self {
-        Self::new(413, "too-large", format!("the body is longer than {most} bytes"))
+    pub(super) fn method(allowed: &'static str) -> Self {
+        let problem = Self::new(405, "method", format!("this path takes {allowed} only"));
+        Self {
+            allow: Some(allowed),
+            ..problem
+        }
+    }
+
+    pub(super) fn too_slow(detail: impl ToString) -> Self {
+        Self::new(408, "too-slow", detail).after(Duration::from_secs(1))
+    }
+
+    pub(super) fn too_large(detail: impl ToString) -> Self {
+        Self::new(413, "too-large", detail)
     }
 
     pub(super) fn key_reused() -> Self {
-        Self::new(
-            422,
-            "key-reused",
-            "the idempotency key was used before with another request",
-        )
+        let detail = "the idempotency key was used before with another request";
+        Self::new(422, "key-reused", detail)
     }
 
-    pub(super) fn overloaded(retry_after: Duration) -> Self {
-        let problem = Self::new(503, "overloaded", "the request could not be on time and was not run");
-        Self {
-            retry_after: Some(retry_after),
-            ..problem
-        }
+    pub(super) fn long_head(detail: impl ToString) -> Self {
+        Self::new(431, "long-head", detail)
+    }
+
+    pub(super) fn overloaded(wait: Duration) -> Self {
+        let detail = "the request could not be on time and was not run";
+        Self::new(503, "overloaded", detail).after(wait)
+    }
+
+    pub(super) fn leaving() -> Self {
+        let detail = "this entry host is leaving and takes nothing new; another one does";
+        Self::new(503, "leaving", detail).after(Duration::from_secs(1))
     }
 
     pub(super) fn no_quorum() -> Self {
-        let problem = Self::new(
-            503,
-            "no-quorum",
-            "calls that must run at most once can't be claimed now",
-        );
-        Self {
-            retry_after: Some(Duration::from_secs(2)),
-            ..problem
-        }
+        let detail = "calls that must run at most once can't be claimed now";
+        Self::new(503, "no-quorum", detail).after(Duration::from_secs(2))
     }
 
     pub(super) fn under_way() -> Self {
-        let problem = Self::new(409, "under-way", "an earlier request under the key has not ended yet");
-        Self {
-            retry_after: Some(Duration::from_secs(1)),
-            run: Run::Unknown,
-            ..problem
-        }
+        let detail = "an earlier request under the key has not ended yet";
+        Self::new(409, "under-way", detail)
+            .unknown()
+            .after(Duration::from_secs(1))
     }
 
     pub(super) fn unknown_outcome(detail: impl ToString) -> Self {
-        Self {
-            run: Run::Unknown,
-            ..Self::new(504, "unknown-outcome", detail)
-        }
+        Self::new(504, "unknown-outcome", detail).unknown()
     }
 
     pub(super) fn broken(detail: impl ToString) -> Self {
-        Self {
-            run: Run::Unknown,
-            ..Self::new(502, "upstream-failed", detail)
-        }
+        Self::new(502, "upstream-failed", detail)
+            .unknown()
+            .after(Duration::from_secs(1))
     }
 
     /// Gives the body.
     pub(super) fn body(&self) -> serde_json::Value {
-        let run = if self.run == Run::Not { "not-run" } else { "unknown" };
         json!({"type": format!("/problems/{}", self.kind), "title": self.kind, "status": self.status,
-            "detail": self.detail, "outcome": run})
+            "detail": self.detail, "outcome": self.run.to_string()})
+    }
+
+    /// Gives the answer that carries it.
+    pub(super) fn reply(&self) -> Reply {
+        let body = self.body().to_string().into_bytes();
+        let mut reply =
+            Reply::new(self.status, "application/problem+json", body).with(OUTCOME_HEADER, self.run.to_string());
+        if let Some(wait) = self.retry_after {
+            reply = reply.with("Retry-After", wait.as_secs_f64().ceil().max(1.0).to_string());
+        }
+        if self.status == 401 {
+            reply = reply.with("WWW-Authenticate", "Bearer");
+        }
+        match self.allow {
+            Some(allowed) => reply.with("Allow", allowed),
+            None => reply,
+        }
     }
 }
 
 impl From<Refusal> for Problem {
     fn from(refusal: Refusal) -> Self {
         if refusal.limited {
-            let problem = Self::new(
-                429,
-                "limit",
-                "the customer's limit is used up and the request was not run",
-            );
-            return Self {
-                retry_after: Some(refusal.retry_after),
-                ..problem
-            };
+            let detail = "the customer's limit is used up and the request was not run";
+            return Self::new(429, "limit", detail).after(refusal.retry_after);
         }
         Self::overloaded(refusal.retry_after)
     }
 }
 
-/// Sends a problem.
-pub(super) fn respond(request: Request, problem: &Problem) {
-    let header = |name: &str, value: &str| Header::from_bytes(name, value).expect("header text is plain");
-    let mut response = Response::from_string(problem.body().to_string())
-        .with_status_code(StatusCode(problem.status))
-        .with_header(header("Content-Type", "application/problem+json"));
-    if problem.run == Run::Not {
-        response.add_header(header("Gentian-Outcome", "not-run"));
-    }
-    if let Some(after) = problem.retry_after {
-        response.add_header(header("Retry-After", &after.as_secs_f64().ceil().max(1.0).to_string()));
+/// Gives the refusal of a request that did not come whole, if anybody is left to read it.
+pub(super) fn of_broken(broken: &Broken) -> Option<Problem> {
+    match broken {
+        Broken::Ended => None,
+        Broken::Slow(_) => Some(Problem::too_slow(broken)),
+        Broken::LongHead => Some(Problem::long_head(broken)),
+        Broken::LongBody => Some(Problem::too_large(broken)),
+        Broken::Head(head) if *head == super::http::BadHead::TooMany => Some(Problem::long_head(head)),
+        Broken::Head(head) => Some(Problem::bad_request(head)),
+        Broken::Body(_) => Some(Problem::bad_request(broken)),
     }
-    // A caller that has gone away needs no answer.
-    let _ = request.respond(response);
 }
--- a/crates/entry/src/callers/requests.rs
+++ b/crates/entry/src/callers/requests.rs
@@ -1,32 +1,67 @@
-//! Answers by request id, for callers that lost their connection.
+//! Answers by request id, for callers that lost their connection; any entry host of the data centre gives them.
 
 use contract::RequestId;
 use serde_json::json;
-use tiny_http::{Header, Request, Response};
 
-use super::bearer;
-use super::problem::{self, Problem};
+use super::http::Reply;
+use super::problem::Problem;
+use super::{Answered, Caller};
 use crate::Entry;
+use crate::journal::Part;
 
-pub(super) fn answer(entry: &Entry, request: Request, url: &str) {
+pub(super) fn answer(entry: &Entry, caller: &mut Caller<'_>, id: &str) -> Answered {
+    match find(entry, caller, id) {
+        Ok(reply) => Answered::Reply(reply),
+        Err(problem) => problem.into(),
+    }
+}
+
+fn find(entry: &Entry, caller: &Caller<'_>, id: &str) -> Result<Reply, Problem> {
     let view = entry.current.view();
-    let Some((contract, account)) = bearer(&request).and_then(|key| view.account(key)) else {
-        return problem::respond(request, &Problem::unauthorized());
-    };
-    let (path, query) = url.split_once('?').unwrap_or((url, ""));
-    let id = RequestId::from(path.trim_start_matches("/v1/requests/"));
-    let Ok(from) = query.strip_prefix("from=").map_or(Ok(0), str::parse) else {
-        return problem::respond(request, &Problem::bad_request("from is not a number of tokens"));
-    };
+    let (contract, account) = caller
+        .head
+        .bearer()
+        .and_then(|key| view.account(key))
+        .ok_or_else(Problem::unauthorized)?;
+    let id = RequestId::from(id);
+    let from = offset(caller.head.query())?;
     let owner = format!("{}/{account}", contract.customer);
-    let Some(journal) = entry.journals.find(&id).filter(|journal| journal.owner == owner) else {
-        return problem::respond(request, &Problem::not_found("there is no such request of this account"));
-    };
-    let part = journal.from(from);
+    // Whether somebody else has a request of that name is nobody's business, so both look the same.
+    let part = local(entry, &id, &owner, from)
+        .or_else(|| at_peers(entry, &id, &owner, from))
+        .ok_or_else(|| Problem::not_found("there is no such request of this account"))?;
     let next = from + part.tokens.len();
     let body = json!({"id": id, "from": from, "next": next, "text": part.tokens.concat(), "whole": part.whole,
         "failed": part.failed});
-    let header = Header::from_bytes("Content-Type", "application/json").expect("a constant header is valid");
-    // A caller that has gone away needs no answer.
-    let _ = request.respond(Response::from_string(body.to_string()).with_header(header));
+    let reply = Reply::new(200, "application/json", body.to_string().into_bytes()).with("Cache-Control", "no-store");
+    Ok(if part.whole || part.failed {
+        reply
+    } else {
+        reply.with("Retry-After", "1")
+    })
+}
+
+fn offset(query: &str) -> Result<usize, Problem> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("from="));
+    value.map_or(Ok(0), |text| {
+        text.parse()
+            .map_err(|_cause| Problem::bad_request(format!("from: {text} is not a number of tokens")))
+    })
+}
+
+fn local(entry: &Entry, id: &RequestId, owner: &str, from: usize) -> Option<Part> {
+    let journal = entry.journals.find(id)?;
+    (journal.owner == owner && !journal.is_moved()).then(|| journal.from(from))
+}
+
+fn at_peers(entry: &Entry, id: &RequestId, owner: &str, from: usize) -> Option<Part> {
+    if !id.is_valid() {
+        return None;
+    }
+    let found = entry.peers.journal(entry.current.revision(), id, from)?;
+    (found.owner == owner).then_some(Part {
+        tokens: found.tokens,
+        whole: found.done,
+        failed: found.failed,
+    })
 }
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -1,51 +1,77 @@
 //! Calls to plain services: idempotent ones are sent elsewhere again, the others at most once.
 
-use std::io::Read;
 use std::time::{Duration, Instant};
 
 use contract::{Class, Contract, Repeat, RequestId, UpstreamId, UpstreamSpec};
 use metrics::counter;
 use policy::route::Need;
-use tiny_http::{Header, Request, Response, StatusCode};
+use upstream::UpstreamError;
+use upstream::engine::REQUEST_HEADER;
 use upstream::service::{Answer, Call, KEY_HEADER};
 use wire::state::Outcome;
 
-use super::problem::{self, Problem};
-use super::{MAX_BODY, bearer, header};
+use super::http::{Head, Reply};
+use super::problem::Problem;
+use super::{Answered, Caller};
 use crate::Entry;
 use crate::admission::Work;
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Sent};
 use crate::claims::{self, Keyed, Verdict};
 
 /// Headers that are passed on to a service.
-const PASSED: [&str; 4] = ["Accept", "Accept-Language", "Content-Type", KEY_HEADER];
-/// Most upstreams that one call is tried at.
-const ATTEMPTS: usize = 3;
+const PASSED: [&str; 9] = [
+    "Accept",
+    "Accept-Language",
+    "Content-Encoding",
+    "Content-Language",
+    "Content-Type",
+    "If-Match",
+    "If-Modified-Since",
+    "If-None-Match",
+    KEY_HEADER,
+];
+/// Methods that are passed on.
+const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 /// Longest key of a caller, in bytes.
 const MAX_KEY: usize = 256;
+/// Shortest time that one attempt at an idempotent call is given.
+const MIN_ATTEMPT: Duration = Duration::from_millis(100);
+/// Statuses by which a service says that it can't answer now, while another one may.
+const ELSEWHERE: [u16; 3] = [502, 503, 504];
 
-pub(super) fn answer(entry: &Entry, mut request: Request, url: &str) {
-    match serve(entry, &mut request, url) {
-        Ok((id, answer)) => respond(request, &id, &answer),
-        Err(refusal) => problem::respond(request, &refusal),
+pub(super) fn answer(entry: &Entry, caller: &mut Caller<'_>) -> Answered {
+    match serve(entry, caller) {
+        Ok((id, answer)) => Answered::Reply(reply(&id, answer)),
+        Err(refusal) => refusal.into(),
     }
 }
 
-fn serve(entry: &Entry, request: &mut Request, url: &str) -> Result<(RequestId, Answer), Problem> {
+fn serve(entry: &Entry, caller: &mut Caller<'_>) -> Result<(RequestId, Answer), Problem> {
     let arrived = entry.clock.now();
     let view = entry.current.view();
-    let (contract, _) = bearer(request)
+    let (contract, _) = caller
+        .head
+        .bearer()
         .and_then(|key| view.account(key))
         .ok_or_else(Problem::unauthorized)?;
-    let rest = url.trim_start_matches("/services/");
-    let (service, below) = rest.split_once('/').unwrap_or((rest, ""));
-    let path = format!("/{below}");
-    let method = request.method().to_string();
-    let body = read(request)?;
+    let target = caller.head.target.clone();
+    let rest = target.strip_prefix("/services/").unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, below) = rest.split_at(end);
+    let path = if below.starts_with('/') {
+        below.to_owned()
+    } else {
+        format!("/{below}")
+    };
+    check(&caller.head, &path)?;
+    if !view.config.upstreams.values().any(|spec| spec.serves_service(service)) {
+        return Err(Problem::not_found(format!("there is no service {service}")));
+    }
+    let body = caller.body(entry)?;
     let asked = contract::Request {
         service: Some(service),
-        method: &method,
-        route: &path,
+        method: &caller.head.method,
+        route: path.split('?').next().unwrap_or_default(),
         model: None,
         prompt_tokens: 0,
     };
@@ -59,44 +85,47 @@
         shed: class.shed,
     };
     let _permit = entry.admission.enter(contract, &work)?;
-    let headers: Vec<(String, String)> = PASSED
-        .iter()
-        .filter_map(|name| header(request, name).map(|value| ((*name).to_owned(), value.to_owned())))
-        .collect();
+    let headers = passed(&caller.head);
     let id = entry.request_id();
-    let call = Call {
-        method: &method,
-        path: &path,
-        headers: &headers,
-        body: &body,
-    };
     let run = Run {
         entry,
         service,
         contract,
         class,
         id: &id,
-        call,
-        until: Instant::now() + whole,
+        call: Call {
+            method: &caller.head.method,
+            path: &path,
+            headers: &headers,
+            body: &body,
+        },
+        until: Instant::now() + whole.saturating_sub(entry.clock.now().since(arrived)),
     };
     let answer = match class.repeat {
         Repeat::Idempotent => run.repeatable()?,
-        Repeat::AtMostOnce => run.once(header(request, KEY_HEADER))?,
+        Repeat::AtMostOnce => run.once(caller.head.header(KEY_HEADER))?,
     };
     let customer = contract.customer.to_string();
     counter!("gentian_answers_total", "customer" => customer, "class" => class.name.to_string()).increment(1);
     Ok((id, answer))
 }
 
-fn read(request: &mut Request) -> Result<Vec<u8>, Problem> {
-    let mut bytes = Vec::new();
-    let read = request.as_reader().take(MAX_BODY + 1).read_to_end(&mut bytes);
-    read.map_err(|error| Problem::bad_request(format!("the body can't be read: {error}")))?;
-    if bytes.len() as u64 > MAX_BODY {
-        Err(Problem::too_large(MAX_BODY))
-    } else {
-        Ok(bytes)
+/// Checks what the client library would not pass on as it is.
+fn check(head: &Head, path: &str) -> Result<(), Problem> {
+    if !METHODS.contains(&head.method.as_str()) {
+        return Err(Problem::method("GET, HEAD, POST, PUT, PATCH, DELETE"));
+    }
+    if path.parse::<ureq::http::uri::PathAndQuery>().is_err() {
+        return Err(Problem::bad_request("the path holds characters that must be encoded"));
     }
+    Ok(())
+}
+
+fn passed(head: &Head) -> Vec<(String, String)> {
+    PASSED
+        .iter()
+        .filter_map(|name| head.header(name).map(|value| ((*name).to_owned(), value.to_owned())))
+        .collect()
 }
 
 /// One admitted call.
@@ -111,20 +140,37 @@
 }
 
 impl Run<'_> {
-    /// Sends a call that may run twice, elsewhere again when it fails.
+    /// Sends a call that may run twice, elsewhere again when it fails and the retry budget allows it.
     fn repeatable(&self) -> Result<Answer, Problem> {
         let mut tried = Vec::new();
         let mut last = None;
-        while tried.len() < ATTEMPTS
+        while Instant::now() < self.until
             && let Some(spec) = self.choose(&tried)
         {
-            match self.send(&spec).into_answer() {
-                Ok(answer) => return Ok(answer),
-                Err(error) => last = Some(error),
+            let sent = self.send(&spec, self.part_of_time());
+            let free = sent.not_run();
+            match sent.into_answer() {
+                Ok(answer) if !ELSEWHERE.contains(&answer.status) => {
+                    if tried.is_empty() {
+                        self.entry.retries.lock().succeeded();
+                    }
+                    return Ok(answer);
+                }
+                result => last = Some(result),
             }
             tried.push(spec.id);
+            if !free && !self.entry.retries.lock().take() {
+                counter!("gentian_retries_refused_total").increment(1);
+                break;
+            }
         }
-        Err(last.map_or_else(|| Problem::overloaded(Duration::from_secs(1)), Problem::broken))
+        ended(last)
+    }
+
+    /// Gives the time for one attempt: half of what is left, so that a frozen service leaves time for another.
+    fn part_of_time(&self) -> Duration {
+        let left = self.until.saturating_duration_since(Instant::now());
+        (left / 2).max(MIN_ATTEMPT).min(left.max(Duration::from_millis(1)))
     }
 
     /// Claims a call that must run at most once, and sends it only with the claim.
@@ -140,7 +186,12 @@
         let revision = self.entry.current.revision();
         match claims::claim(&self.entry.state, revision, &keyed, &digest, self.until) {
             Verdict::Granted => self.send_claimed(&keyed),
-            Verdict::Done(Outcome::Answered { status, media, body }) => Ok(Answer { status, media, body }),
+            Verdict::Done(Outcome::Answered { status, media, body }) => Ok(Answer {
+                status,
+                media,
+                headers: Vec::new(),
+                body,
+            }),
             Verdict::Done(Outcome::NotRun) | Verdict::Unavailable => Err(Problem::no_quorum()),
             Verdict::Done(Outcome::Unknown) => Err(Problem::unknown_outcome("the earlier call's outcome is unknown")),
             Verdict::Mismatch => Err(Problem::key_reused()),
@@ -152,10 +203,10 @@
         let mut tried = Vec::new();
         let mut outcome = Outcome::NotRun;
         let mut result = Err(Problem::overloaded(Duration::from_secs(1)));
-        while tried.len() < ATTEMPTS
+        while Instant::now() < self.until
             && let Some(spec) = self.choose(&tried)
         {
-            let sent = self.send(&spec);
+            let sent = self.send(&spec, self.until.saturating_duration_since(Instant::now()));
             outcome = sent.outcome();
             if sent.not_run() {
                 tried.push(spec.id);
@@ -184,12 +235,11 @@
         view.config.upstreams.get(&choice.chosen).cloned()
     }
 
-    fn send(&self, spec: &UpstreamSpec) -> Attempt<crate::attempt::Sent> {
+    fn send(&self, spec: &UpstreamSpec, timeout: Duration) -> Attempt<Sent> {
         let entry = self.entry;
         let _visit = entry.fleet.visit(&spec.id, entry.clock.now());
-        let left = self.until.saturating_duration_since(Instant::now());
-        let sent = Attempt::new(spec.address).send(&entry.services, &self.call, left);
-        let good = matches!(sent.outcome(), Outcome::Answered { status, .. } if status < 500);
+        let sent = Attempt::new(spec.address).send(&entry.services, &self.call, timeout);
+        let good = sent.status().is_some_and(|status| status < 500);
         entry.fleet.ended(&spec.id, good, entry.clock.now());
         if !good {
             counter!("gentian_attempts_failed_total", "class" => self.class.name.to_string()).increment(1);
@@ -198,13 +248,20 @@
     }
 }
 
-fn respond(request: Request, id: &RequestId, answer: &Answer) {
-    let mut response = Response::from_data(answer.body.as_slice()).with_status_code(StatusCode(answer.status));
-    for (name, value) in [("Content-Type", answer.media.as_str()), ("X-Request-Id", id.as_str())] {
-        if let Ok(header) = Header::from_bytes(name, value) {
-            response.add_header(header);
-        }
+/// Gives the last answer or failure of an idempotent call.
+fn ended(last: Option<Result<Answer, UpstreamError>>) -> Result<Answer, Problem> {
+    match last {
+        None => Err(Problem::overloaded(Duration::from_secs(1))),
+        Some(Ok(answer)) => Ok(answer),
+        Some(Err(error)) if error.fate == upstream::Fate::NotRun => Err(Problem::overloaded(Duration::from_secs(1))),
+        Some(Err(error)) => Err(Problem::broken(error)),
     }
-    // A caller that has gone away needs no answer.
-    let _ = request.respond(response);
+}
+
+fn reply(id: &RequestId, answer: Answer) -> Reply {
+    let reply = Reply::new(answer.status, &answer.media, answer.body).with(REQUEST_HEADER, id.as_str());
+    answer
+        .headers
+        .into_iter()
+        .fold(reply, |reply, (name, value)| reply.with(name, value))
 }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -35,6 +35,15 @@
     /// requests that may wait
     #[argh(option)]
     pub waiting: Option<String>,
+    /// callers' connections at once
+    #[argh(option)]
+    pub connections: Option<String>,
+    /// name in the cloud of the host that this process runs on
+    #[argh(option)]
+    pub host: Option<String>,
+    /// milliseconds that the balancer gets to notice a planned stop
+    #[argh(option)]
+    pub notice_ms: Option<String>,
     /// json or terminal
     #[argh(option)]
     pub log: Option<String>,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use contract::RequestId;
+use parking_lot::Mutex;
+use policy::Tick;
+use policy::budget::RetryBudget;
 use slog::Logger;
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
@@ -13,13 +16,17 @@
 use wire::client::{CallError, Calls, StateClient};
 
 use crate::admission::Admission;
+use crate::callers::Shared;
 use crate::current::Current;
 use crate::fleet::Fleet;
 use crate::journal::Journals;
+use crate::peers::Peers;
 use crate::settings::Settings;
 
 /// Longest wait for a connection to an upstream.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Retries that each first attempt which succeeds pays for.
+const RETRY_SHARE: f64 = 0.2;
 
 /// The shared state of an entry host.
 #[derive(Debug)]
@@ -42,16 +49,34 @@
     pub state: StateClient,
     /// Engines.
     pub engines: EngineClient,
+    /// The other entry hosts.
+    pub peers: Peers,
+    /// What the connections of all callers share.
+    pub callers: Shared,
+    /// The budget for retries.
+    pub retries: Mutex<RetryBudget>,
     /// Services.
     pub services: ServiceClient,
-    /// Whether the process takes no new work.
+    /// Whether the host is leaving; the balancer is told, and new work is still taken until it has noticed.
     pub leaving: AtomicBool,
+    /// Whether new work is refused.
+    pub refusing: AtomicBool,
+    going: Mutex<Option<Going>>,
+    /// Whether the process was told to leave.
+    pub told: AtomicBool,
     /// Whether the threads are to end.
     pub stop: AtomicBool,
     started_ms: u64,
     requests: AtomicU64,
 }
 
+/// The announced end of this host.
+#[derive(Clone, Copy, Debug)]
+struct Going {
+    noticed: Tick,
+    gone: Tick,
+}
+
 impl Entry {
     /// Makes the shared state.
     ///
@@ -62,7 +87,6 @@
         let state = StateClient::new(calls, &settings.node, &settings.state)?;
         Ok(Self {
             admission: Admission::new(clock.clone(), settings.running, settings.waiting),
-            settings,
             clock,
             logger,
             current: Arc::default(),
@@ -70,14 +94,43 @@
             journals: Journals::default(),
             state,
             engines: EngineClient::new(CONNECT),
+            peers: Peers::new(calls, &settings.node, &settings.peers)?,
+            callers: Shared::default(),
+            retries: Mutex::new(RetryBudget::new(RETRY_SHARE)),
             services: ServiceClient::new(CONNECT),
             leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            going: Mutex::new(None),
+            settings,
+            told: AtomicBool::new(false),
             stop: AtomicBool::new(false),
             started_ms: wall_ms(),
             requests: AtomicU64::new(0),
         })
     }
 
+    /// Notes that this host will be taken away; an earlier end replaces a later one.
+    pub fn will_go(&self, left: Duration) {
+        let noticed = self.clock.now();
+        let gone = noticed + left;
+        let mut going = self.going.lock();
+        if going.is_none_or(|known| gone < known.gone) {
+            *going = Some(Going { noticed, gone });
+        }
+    }
+
+    /// Gives the time at which this host will be gone, if that was announced.
+    pub fn gone_at(&self) -> Option<Tick> {
+        self.going.lock().map(|going| going.gone)
+    }
+
+    /// Gives the time at which the end of this host was announced.
+    pub fn noticed_at(&self) -> Tick {
+        self.going
+            .lock()
+            .map_or_else(|| self.clock.now(), |going| going.noticed)
+    }
+
     /// Makes a request id that no other entry host and no earlier process of this one has used.
     pub fn request_id(&self) -> RequestId {
         let count = self.requests.fetch_add(1, Ordering::Relaxed);
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -1,38 +1,48 @@
-//! What was already sent of each streamed answer, so that a caller can resume by request id.
+//! What was already made of each answer, so that a caller can resume by request id.
 
-use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
+mod kept;
 
-use contract::RequestId;
-use parking_lot::Mutex;
+use contract::CustomerId;
+use parking_lot::{Condvar, Mutex};
 use policy::route::Choice;
+use upstream::engine::Chat;
 
-/// Ended requests that are kept.
-const KEPT: usize = 4_096;
-
-/// The journals of an entry host.
-#[derive(Debug, Default)]
-pub struct Journals {
-    inner: Mutex<Inner>,
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    open: HashMap<RequestId, Arc<Journal>>,
-    ended: VecDeque<RequestId>,
-}
+pub use kept::Journals;
 
 /// The answer to one request as far as it was made.
 #[derive(Debug)]
 pub struct Journal {
     /// Customer and account that asked.
     pub owner: String,
-    part: Mutex<Part>,
+    part: Mutex<Made>,
     choices: Mutex<Vec<Choice>>,
+    place: Mutex<Place>,
+    moved: Condvar,
+}
+
+/// Where the answer is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// By this process.
+    Here,
+    /// A peer is being asked to go on with it.
+    Moving,
+    /// By a peer.
+    Elsewhere,
+}
+
+/// Tokens as one text, with the end of each; a text for each token would cost five times the memory.
+#[derive(Debug, Default)]
+struct Made {
+    text: String,
+    ends: Vec<u32>,
+    ask: Option<Chat>,
+    whole: bool,
+    failed: bool,
 }
 
 /// A part of an answer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Part {
     /// Tokens in order.
     pub tokens: Vec<String>,
@@ -42,40 +52,89 @@
     pub failed: bool,
 }
 
-impl Journals {
-    /// Opens the journal of a request.
-    pub fn open(&self, request: &RequestId, owner: String) -> Arc<Journal> {
-        let journal = Arc::new(Journal {
+/// An answer that a peer makes now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moved;
+
+impl Journal {
+    fn new(owner: String, ask: &Chat) -> Self {
+        let made = Made {
+            ask: Some(ask.clone()),
+            ..Made::default()
+        };
+        Self {
             owner,
-            part: Mutex::default(),
+            part: Mutex::new(made),
             choices: Mutex::default(),
-        });
-        self.inner.lock().open.insert(request.clone(), Arc::clone(&journal));
-        journal
+            place: Mutex::new(Place::Here),
+            moved: Condvar::new(),
+        }
+    }
+
+    /// Gives the customer that asked.
+    #[must_use]
+    pub fn customer(&self) -> CustomerId {
+        self.owner.split('/').next().unwrap_or_default().into()
+    }
+
+    /// Appends a token.
+    ///
+    /// While a peer is being asked to go on with the answer, this waits for the peer's word: a token that was sent to
+    /// the caller after the peer had its copy would be made a second time, and the caller would see two answers mixed.
+    ///
+    /// # Errors
+    /// Fails when a peer goes on with the answer.
+    pub fn push(&self, token: &str) -> Result<(), Moved> {
+        let _place = self.settled()?;
+        let mut made = self.part.lock();
+        made.text.push_str(token);
+        let end = made.text.len() as u32;
+        made.ends.push(end);
+        Ok(())
+    }
+
+    /// Notes how the answer ended.
+    ///
+    /// # Errors
+    /// Fails when a peer goes on with the answer.
+    pub fn end(&self, whole: bool) -> Result<(), Moved> {
+        let _place = self.settled()?;
+        let mut made = self.part.lock();
+        made.whole = whole;
+        made.failed = !whole;
+        made.ask = None;
+        Ok(())
     }
 
-    /// Notes that a request ended; the oldest ended ones are forgotten.
-    pub fn end(&self, request: &RequestId) {
-        let mut inner = self.inner.lock();
-        inner.ended.push_back(request.clone());
-        if inner.ended.len() > KEPT
-            && let Some(oldest) = inner.ended.pop_front()
+    /// Hands the answer over, if it is still being made here.
+    ///
+    /// The function gets the request and the tokens so far, and tells whether a peer took them. Returns whether the
+    /// answer is made elsewhere now.
+    pub fn hand_over(&self, to_peer: impl FnOnce(&Chat, Vec<String>) -> bool) -> bool {
         {
-            inner.open.remove(&oldest);
+            let mut place = self.place.lock();
+            if *place != Place::Here {
+                return *place == Place::Elsewhere;
+            }
+            *place = Place::Moving;
         }
+        let ask = self.part.lock().ask.clone();
+        let taken = ask.is_some_and(|ask| to_peer(&ask, self.from(0).tokens));
+        *self.place.lock() = if taken { Place::Elsewhere } else { Place::Here };
+        self.moved.notify_all();
+        taken
     }
 
-    /// Finds the journal of a request.
+    /// Tells whether a peer makes the answer.
     #[must_use]
-    pub fn find(&self, request: &RequestId) -> Option<Arc<Journal>> {
-        self.inner.lock().open.get(request).cloned()
+    pub fn is_moved(&self) -> bool {
+        *self.place.lock() == Place::Elsewhere
     }
-}
 
-impl Journal {
-    /// Appends a token.
-    pub fn push(&self, token: &str) {
-        self.part.lock().tokens.push(token.to_owned());
+    /// Tells whether the answer is still being made.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.part.lock().ask.is_some()
     }
 
     /// Notes why an upstream was chosen for an attempt.
@@ -89,35 +148,30 @@
         self.choices.lock().clone()
     }
 
-    /// Notes how the answer ended.
-    pub fn end(&self, whole: bool) {
-        let mut part = self.part.lock();
-        part.whole = whole;
-        part.failed = !whole;
-    }
-
     /// Gives the answer from a position on.
     #[must_use]
     pub fn from(&self, position: usize) -> Part {
-        let part = self.part.lock();
-        let tokens = part.tokens.get(position..).unwrap_or_default().to_vec();
+        let made = self.part.lock();
+        let starts = std::iter::once(0).chain(made.ends.iter().copied());
+        let spans = starts.zip(made.ends.iter().copied()).skip(position);
+        let tokens = spans.map(|(start, end)| made.text[start as usize..end as usize].to_owned());
         Part {
-            tokens,
-            whole: part.whole,
-            failed: part.failed,
+            tokens: tokens.collect(),
+            whole: made.whole,
+            failed: made.failed,
         }
     }
 
     /// Gives the answer so far as one text.
     #[must_use]
     pub fn text(&self) -> String {
-        self.part.lock().tokens.concat()
+        self.part.lock().text.clone()
     }
 
     /// Gives the number of tokens so far.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.part.lock().tokens.len()
+        self.part.lock().ends.len()
     }
 
     /// Tells whether no token was made yet.
@@ -125,4 +179,23 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// Gives the memory that it takes once it has ended, in bytes.
+    fn size(&self) -> usize {
+        let made = self.part.lock();
+        let weighed: usize = self.choices.lock().iter().map(|choice| choice.weighed.len() + 1).sum();
+        size_of::<Self>() + made.text.capacity() + made.ends.capacity() * 4 + weighed * 96
+    }
+
+    fn settled(&self) -> Result<parking_lot::MutexGuard<'_, Place>, Moved> {
+        let mut place = self.place.lock();
+        while *place == Place::Moving {
+            self.moved.wait(&mut place);
+        }
+        if *place == Place::Elsewhere {
+            Err(Moved)
+        } else {
+            Ok(place)
+        }
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod claims;
 pub mod cli;
 pub mod current;
+pub mod drain;
 pub mod entry;
 pub mod fleet;
 pub mod journal;
 pub mod ops;
+pub mod peers;
 pub mod rpc;
 pub mod settings;
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,20 +1,21 @@
 //! `gentian-entry`: serves callers on an entry host.
 
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
+use anyhow::Context;
 use contract::settings::Sheet;
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, fleet, ops};
+use entry::{Entry, callers, current, drain, fleet, ops};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
 use telemetry::log;
 use telemetry::scrape::Scrape;
-use tiny_http::Server;
 use wire::client::Calls;
 use wire::entry::EntryRpcServer;
 
@@ -46,26 +47,22 @@
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
     let scrape = Scrape::install()?;
     let listen = entry.settings.listen;
-    let server = Server::http(listen).map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?;
+    let listener = TcpListener::bind(listen).with_context(|| format!("listen on {listen}"))?;
     let ops = start_ops(entry, scrape)?;
     let inner = calls.wait(jsonrpsee::server::Server::builder().build(entry.settings.inner))?;
     let inner_address = inner.local_addr()?;
     let rpc = Rpc::new(Arc::clone(entry));
     let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
     start_duties(entry)?;
-    let ring = callers::start_workers(entry)?;
-    info!(entry.logger, "serving"; "callers" => %server.server_addr(), "ops" => %ops,
+    info!(entry.logger, "serving"; "callers" => %listener.local_addr()?, "ops" => %ops,
         "inner" => %inner_address);
     thread::scope(|scope| {
-        let acceptor = scope.spawn(|| callers::accept(entry, &server, &ring));
-        while !stop.load(Ordering::Relaxed) && !acceptor.is_finished() {
-            thread::sleep(STEP);
-        }
-        entry.leaving.store(true, Ordering::Relaxed);
-        info!(entry.logger, "leaving");
-        while entry.admission.is_busy() {
+        let acceptor = scope.spawn(|| callers::accept(entry, &listener));
+        let told = || stop.load(Ordering::Relaxed) || entry.told.load(Ordering::Relaxed);
+        while !told() && !acceptor.is_finished() {
             thread::sleep(STEP);
         }
+        drain::leave(entry);
         entry.stop.store(true, Ordering::Relaxed);
     });
     // A second request to stop changes nothing.
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use contract::RequestId;
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -9,7 +10,7 @@
 use wire::Envelope;
 use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk, Sign};
 
-use crate::Entry;
+use crate::{Entry, callers};
 
 /// Answers other processes of the system.
 #[derive(Clone, Debug)]
@@ -24,6 +25,17 @@
         Self { entry }
     }
 
+    /// Leaves when the sign is about the host that this process runs on.
+    fn own_sign(&self, sign: &HostSign) {
+        if sign.host.as_str() != self.entry.settings.host.as_str() {
+            return;
+        }
+        if let Sign::Notice { left_ms } = sign.sign {
+            self.entry.will_go(Duration::from_millis(left_ms));
+        }
+        self.entry.told.store(true, Ordering::SeqCst);
+    }
+
     fn wrap<T>(&self, body: T) -> Envelope<T> {
         Envelope::new(&self.entry.settings.node, self.entry.current.revision(), body)
     }
@@ -34,26 +46,30 @@
     async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
         for sign in signs.body.iter().filter(|sign| sign.sign != Sign::Serving) {
             self.entry.fleet.leave(&sign.host, sign.incarnation);
+            self.own_sign(sign);
         }
         Ok(self.wrap(()))
     }
 
     async fn journal(&self, ask: Envelope<JournalAsk>) -> RpcResult<Envelope<Option<Journal>>> {
         let from = usize::try_from(ask.body.from).unwrap_or(usize::MAX);
-        let found = self.entry.journals.find(&ask.body.request).map(|journal| {
+        let found = self.entry.journals.find(&ask.body.request);
+        // The answer goes on at a peer, which has all of it.
+        let found = found.filter(|journal| !journal.is_moved()).map(|journal| {
             let part = journal.from(from);
             Journal {
                 owner: journal.owner.clone(),
                 tokens: part.tokens,
                 done: part.whole,
+                failed: part.failed,
             }
         });
         Ok(self.wrap(found))
     }
 
-    /// Declines every handover: an entry host finishes its own streams before it stops.
-    async fn adopt(&self, _handover: Envelope<Handover>) -> RpcResult<Envelope<bool>> {
-        Ok(self.wrap(false))
+    async fn adopt(&self, handover: Envelope<Handover>) -> RpcResult<Envelope<bool>> {
+        let taken = handover.from != self.entry.settings.node && callers::adopt(&self.entry, &handover.body);
+        Ok(self.wrap(taken))
     }
 
     async fn explain(&self, request: Envelope<RequestId>) -> RpcResult<Envelope<Option<serde_json::Value>>> {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of the program.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use contract::settings::{List, Setting, Sheet};
-use contract::{DataCenter, NodeId, Problems};
+use contract::{DataCenter, HostId, NodeId, Problems};
 use policy::route::Routing;
 use telemetry::log::Format;
 
@@ -102,6 +103,30 @@
     "1 to 4096",
     "Requests that wait at most."
 );
+setting!(
+    CONNECTIONS,
+    "connections",
+    "GENTIAN_CONNECTIONS",
+    Some("1024"),
+    "16 to 16384",
+    "Callers' connections at once; each has a thread."
+);
+setting!(
+    HOST,
+    "host",
+    "GENTIAN_HOST",
+    Some(""),
+    "a name of letters, digits and -_.:/, or empty for the name of the node",
+    "Name in the cloud of the host that this process runs on."
+);
+setting!(
+    NOTICE,
+    "notice-ms",
+    "GENTIAN_NOTICE_MS",
+    Some("1500"),
+    "0 to 2000",
+    "Milliseconds that the balancer gets to notice a planned stop before new requests are refused."
+);
 setting!(
     LOG,
     "log",
@@ -112,7 +137,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 11] = [
+pub static ALL: [&Setting; 14] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -123,6 +148,9 @@
     &ROUTING,
     &RUNNING,
     &WAITING,
+    &CONNECTIONS,
+    &HOST,
+    &NOTICE,
     &LOG,
 ];
 
@@ -149,6 +177,12 @@
     pub running: usize,
     /// Requests that wait at most.
     pub waiting: usize,
+    /// Callers' connections at once.
+    pub connections: usize,
+    /// The host that this process runs on.
+    pub host: HostId,
+    /// Time that the balancer gets to notice a planned stop.
+    pub notice: Duration,
     /// How log lines are written.
     pub log: Format,
 }
@@ -179,11 +213,20 @@
         let running = sheet.check(&RUNNING, running, |count| some.contains(count));
         let waiting = sheet.read(&WAITING, options.waiting.as_deref());
         let waiting = sheet.check(&WAITING, waiting, |count| some.contains(count));
+        let connections = sheet.read(&CONNECTIONS, options.connections.as_deref());
+        let connections = sheet.check(&CONNECTIONS, connections, |count| (16..=16_384).contains(count));
+        let host = sheet.read::<String>(&HOST, options.host.as_deref()).map(HostId::from);
+        let host = sheet.check(&HOST, host, |name| name.as_str().is_empty() || name.is_valid());
+        let notice = sheet.read(&NOTICE, options.notice_ms.as_deref());
+        let notice = sheet.check(&NOTICE, notice, |ms| *ms <= 2_000);
         let log = sheet.read(&LOG, options.log.as_deref());
         sheet.finish()?;
         let settings = || {
+            let node = node?;
+            let host = host.filter(|name| !name.as_str().is_empty());
             Some(Self {
-                node: node?,
+                host: host.unwrap_or_else(|| node.as_str().into()),
+                node,
                 data_center: place?,
                 listen: listen?,
                 ops: ops?,
@@ -193,6 +236,8 @@
                 routing: routing?,
                 running: running?,
                 waiting: waiting?,
+                connections: connections?,
+                notice: Duration::from_millis(notice?),
                 log: log?,
             })
         };
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -2,12 +2,15 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use contract::RequestId;
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
+use ureq::unversioned::transport::TcpConnector;
 
+use crate::pulse::{ByNumber, Pulse, PulseConnector};
 use crate::{Fate, UpstreamError};
 
 /// Header that carries the request id.
@@ -45,6 +48,9 @@
     /// Whether a new answer is begun; the opposite of the field before.
     #[serde(default = "yes")]
     pub add_generation_prompt: bool,
+    /// Other fields of the convention, passed on as they are.
+    #[serde(flatten)]
+    pub other: serde_json::Map<String, serde_json::Value>,
 }
 
 /// What an engine counted.
@@ -133,7 +139,22 @@
             .max_idle_connections(0)
             .proxy(None)
             .build();
-        Self { agent: config.into() }
+        Self {
+            agent: Agent::with_parts(config, TcpConnector::default(), ByNumber),
+        }
+    }
+
+    /// Makes a client for one request that asks the pulse, while it waits, whether to wait on.
+    #[must_use]
+    pub fn watched(connect: Duration, pulse: Arc<dyn Pulse>) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .proxy(None)
+            .build();
+        Self {
+            agent: Agent::with_parts(config, PulseConnector { connect, pulse }, ByNumber),
+        }
     }
 
     /// Starts an answer that is streamed, to be read until the deadline.
@@ -164,7 +185,8 @@
             } else {
                 Fate::Unknown
             };
-            return Err(UpstreamError::new(STEP, peer, fate, format!("status {status}")));
+            let error = UpstreamError::new(STEP, peer, fate, format!("status {status}"));
+            return Err(error.with_status(status.as_u16()));
         }
         let body: Box<dyn Read + Send> = Box::new(answer.into_body().into_reader());
         Ok(TokenStream {
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -27,6 +27,8 @@
     pub fate: Fate,
     /// Why it failed.
     pub reason: String,
+    /// The status that the upstream answered with, if it did.
+    pub status: Option<u16>,
 }
 
 impl UpstreamError {
@@ -36,6 +38,14 @@
             peer: peer.to_string(),
             fate,
             reason: reason.to_string(),
+            status: None,
+        }
+    }
+
+    pub(crate) fn with_status(self, status: u16) -> Self {
+        Self {
+            status: Some(status),
+            ..self
         }
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cloud;
 pub mod engine;
 mod error;
+pub mod pulse;
 pub mod service;
 
 pub use error::{Fate, UpstreamError};
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -4,14 +4,29 @@
 use std::time::Duration;
 
 use ureq::Agent;
-use ureq::http::Request;
+use ureq::http::{HeaderMap, Request};
+use ureq::unversioned::transport::TcpConnector;
 
 use crate::UpstreamError;
+use crate::pulse::ByNumber;
 
 /// Largest answer of a service, in bytes.
 pub const MAX_ANSWER: u64 = 8 * 1024 * 1024;
 /// Header that carries the caller's idempotency key.
 pub const KEY_HEADER: &str = "Idempotency-Key";
+/// Headers of an answer that are passed back; all others belong to one connection or to the service's own hosts.
+const PASSED_BACK: [&str; 10] = [
+    "Cache-Control",
+    "Content-Disposition",
+    "Content-Encoding",
+    "Content-Language",
+    "ETag",
+    "Expires",
+    "Last-Modified",
+    "Location",
+    "Retry-After",
+    "Vary",
+];
 
 /// A call as it is passed on.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +48,8 @@
     pub status: u16,
     /// Media type.
     pub media: String,
+    /// Further headers that are passed back.
+    pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -57,7 +74,9 @@
             .max_idle_connections(0)
             .proxy(None)
             .build();
-        Self { agent: config.into() }
+        Self {
+            agent: Agent::with_parts(config, TcpConnector::default(), ByNumber),
+        }
     }
 
     /// Sends a call once.
@@ -86,12 +105,26 @@
             .get("Content-Type")
             .and_then(|value| value.to_str().ok());
         let media = media.unwrap_or("application/octet-stream").to_owned();
+        let headers = passed_back(answer.headers());
         let body = answer
             .body_mut()
             .with_config()
             .limit(MAX_ANSWER)
             .read_to_vec()
             .map_err(failed)?;
-        Ok(Answer { status, media, body })
+        Ok(Answer {
+            status,
+            media,
+            headers,
+            body,
+        })
     }
 }
+
+fn passed_back(headers: &HeaderMap) -> Vec<(String, String)> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    PASSED_BACK
+        .iter()
+        .filter_map(|name| text(name).map(|value| ((*name).to_owned(), value.to_owned())))
+        .collect()
+}
--- a/crates/wire/src/entry.rs
+++ b/crates/wire/src/entry.rs
@@ -85,6 +85,9 @@
     pub tokens: Vec<String>,
     /// Whether the answer is whole.
     pub done: bool,
+    /// Whether the answer ended without being whole.
+    #[serde(default)]
+    pub failed: bool,
 }
 
 /// An accepted request that another entry host is to finish.
