--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -57,6 +57,12 @@
         self.stage.result.as_ref().ok().map(|answer| answer.status)
     }
 
+    /// Gives why there is no answer, if there is none.
+    #[must_use]
+    pub fn error(&self) -> Option<&UpstreamError> {
+        self.stage.result.as_ref().err()
+    }
+
     /// Gives what is to be recorded of the call.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
--- a/crates/entry/src/callers/ask.rs
+++ b/crates/entry/src/callers/ask.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Display, Error};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 use upstream::engine::{Chat, Message};
 
@@ -44,9 +45,17 @@
 /// Why a body is no request for a chat completion.
 #[derive(Debug, Display, Error)]
 pub(crate) enum BadAsk {
-    /// It isn't JSON of the right types.
+    /// It isn't a JSON object.
     #[display("the body is no chat completion request: {_0}")]
     Json(serde_json::Error),
+    /// A field is of a wrong type.
+    #[display("{field}: {source}")]
+    Type {
+        /// The field.
+        field: &'static str,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
     /// A field has a value that isn't allowed.
     #[display("{field}: {value} is not allowed, expected {allowed}")]
     Field {
@@ -59,19 +68,6 @@
     },
 }
 
-#[derive(Deserialize)]
-struct Body {
-    model: String,
-    messages: Vec<Said>,
-    max_tokens: Option<u64>,
-    max_completion_tokens: Option<u64>,
-    #[serde(default)]
-    stream: bool,
-    n: Option<u64>,
-    #[serde(flatten)]
-    other: Map<String, Value>,
-}
-
 #[derive(Deserialize)]
 struct Said {
     role: String,
@@ -96,29 +92,28 @@
     /// # Errors
     /// Names the first field that is missing, of a wrong type or out of range.
     pub(crate) fn read(bytes: &[u8]) -> Result<Self, BadAsk> {
-        let body: Body = serde_json::from_slice(bytes).map_err(BadAsk::Json)?;
-        check(!body.model.is_empty(), "model", &"an empty text", "the name of a model")?;
-        let count = body.messages.len();
+        let mut body: Map<String, Value> = serde_json::from_slice(bytes).map_err(BadAsk::Json)?;
+        let model: String = take(&mut body, "model")?.unwrap_or_default();
+        check(!model.is_empty(), "model", &"nothing", "the name of a model")?;
+        let messages: Vec<Said> = take(&mut body, "messages")?.unwrap_or_default();
+        let count = messages.len();
         check(
             (1..=MAX_MESSAGES).contains(&count),
             "messages",
             &count,
             format!("1 to {MAX_MESSAGES} messages"),
         )?;
-        check(
-            body.n.is_none_or(|n| n == 1),
-            "n",
-            &body.n.unwrap_or_default(),
-            "1 choice",
-        )?;
-        let max_tokens = body.max_tokens.or(body.max_completion_tokens).unwrap_or(DEFAULT_TOKENS);
+        let n: u64 = take(&mut body, "n")?.unwrap_or(1);
+        check(n == 1, "n", &n, "1 choice")?;
+        let newer: Option<u64> = take(&mut body, "max_completion_tokens")?;
+        let max_tokens = take(&mut body, "max_tokens")?.or(newer).unwrap_or(DEFAULT_TOKENS);
         check(
             (1..=MAX_TOKENS).contains(&max_tokens),
             "max_tokens",
             &max_tokens,
             format!("1 to {MAX_TOKENS}"),
         )?;
-        let messages = body.messages.into_iter().map(message).collect::<Result<Vec<_>, _>>()?;
+        let messages = messages.into_iter().map(message).collect::<Result<Vec<_>, _>>()?;
         let words = |message: &Message| message.content.split_whitespace().count() as u64;
         let prompt_tokens = messages.iter().map(words).sum();
         check(
@@ -128,18 +123,24 @@
             "a message that says something",
         )?;
         let chat = Chat {
-            model: body.model,
+            model,
             messages,
             max_tokens,
-            stream: body.stream,
+            stream: take(&mut body, "stream")?.unwrap_or_default(),
             add_generation_prompt: true,
-            other: passed_on(body.other)?,
+            other: passed_on(body)?,
             ..Chat::default()
         };
         Ok(Self { chat, prompt_tokens })
     }
 }
 
+/// Takes a field out; `null` counts as absent.
+fn take<T: DeserializeOwned>(body: &mut Map<String, Value>, field: &'static str) -> Result<Option<T>, BadAsk> {
+    let value = body.remove(field).unwrap_or(Value::Null);
+    serde_json::from_value(value).map_err(|source| BadAsk::Type { field, source })
+}
+
 fn message(said: Said) -> Result<Message, BadAsk> {
     check(
         matches!(said.role.as_str(), "system" | "developer" | "user" | "assistant"),
--- a/crates/entry/src/callers/http/mod.rs
+++ b/crates/entry/src/callers/http/mod.rs
@@ -22,7 +22,7 @@
 /// Longest time from the first byte of a head to its last.
 pub(super) const HEAD_TIME: Duration = Duration::from_secs(5);
 /// Longest time for a body.
-pub(super) const BODY_TIME: Duration = Duration::from_secs(15);
+pub(super) const BODY_TIME: Duration = Duration::from_secs(10);
 /// Longest time that a connection may wait for its next request.
 pub(super) const IDLE_TIME: Duration = Duration::from_mins(1);
 /// Longest time in which a caller must take what is sent to it.
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -173,6 +173,10 @@
 impl Caller<'_> {
     /// Reads the body, once the caller is known.
     fn body(&mut self, entry: &Entry) -> Result<Vec<u8>, Problem> {
+        if self.is_read {
+            return Ok(Vec::new());
+        }
+        // Slow senders fill these places and no others, so that calls without a body go on.
         let _reader = entry
             .callers
             .reader(entry.settings.connections / 2)
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -169,7 +169,9 @@
                 error.reason
             ))));
         }
-        entry.fleet.ended(&spec.id, false, entry.clock.now());
+        let now = entry.clock.now();
+        entry.fleet.hosts.failed(&spec.host, &error, now);
+        entry.fleet.ended(&spec.id, false, now);
         self.failed(&error)
     }
 
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -240,7 +240,11 @@
         let _visit = entry.fleet.visit(&spec.id, entry.clock.now());
         let sent = Attempt::new(spec.address).send(&entry.services, &self.call, timeout);
         let good = sent.status().is_some_and(|status| status < 500);
-        entry.fleet.ended(&spec.id, good, entry.clock.now());
+        let now = entry.clock.now();
+        entry.fleet.ended(&spec.id, good, now);
+        if let Some(error) = sent.error() {
+            entry.fleet.hosts.failed(&spec.host, error, now);
+        }
         if !good {
             counter!("gentian_attempts_failed_total", "class" => self.class.name.to_string()).increment(1);
         }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -44,6 +44,12 @@
     /// milliseconds that the balancer gets to notice a planned stop
     #[argh(option)]
     pub notice_ms: Option<String>,
+    /// IP:PORT of the cloud API
+    #[argh(option)]
+    pub cloud: Option<String>,
+    /// on or off: move KV cache of streams whose host leaves
+    #[argh(option)]
+    pub kv_export: Option<String>,
     /// json or terminal
     #[argh(option)]
     pub log: Option<String>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod entry;
 pub mod fleet;
+pub mod hosts;
 pub mod journal;
 pub mod ops;
 pub mod peers;
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -44,9 +44,12 @@
 #[async_trait]
 impl EntryRpcServer for Rpc {
     async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
-        for sign in signs.body.iter().filter(|sign| sign.sign != Sign::Serving) {
-            self.entry.fleet.leave(&sign.host, sign.incarnation);
-            self.own_sign(sign);
+        let now = self.entry.clock.now();
+        for sign in &signs.body {
+            self.entry.fleet.hosts.hear(sign, now);
+            if sign.sign != Sign::Serving {
+                self.own_sign(sign);
+            }
         }
         Ok(self.wrap(()))
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -127,6 +127,22 @@
     "0 to 2000",
     "Milliseconds that the balancer gets to notice a planned stop before new requests are refused."
 );
+setting!(
+    CLOUD,
+    "cloud",
+    "GENTIAN_CLOUD",
+    Some(""),
+    "IP:PORT,… or nothing",
+    "Addresses of the cloud API, from which reclaim notices are read besides what capacity tells."
+);
+setting!(
+    KV_EXPORT,
+    "kv-export",
+    "GENTIAN_KV_EXPORT",
+    Some("on"),
+    "on or off",
+    "Whether the KV cache of streams is moved when their host leaves; otherwise they are replayed."
+);
 setting!(
     LOG,
     "log",
@@ -137,7 +153,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 14] = [
+pub static ALL: [&Setting; 16] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -151,6 +167,8 @@
     &CONNECTIONS,
     &HOST,
     &NOTICE,
+    &CLOUD,
+    &KV_EXPORT,
     &LOG,
 ];
 
@@ -183,6 +201,10 @@
     pub host: HostId,
     /// Time that the balancer gets to notice a planned stop.
     pub notice: Duration,
+    /// Addresses of the cloud API.
+    pub cloud: Vec<SocketAddr>,
+    /// Whether the KV cache of streams is moved when their host leaves.
+    pub kv_export: bool,
     /// How log lines are written.
     pub log: Format,
 }
@@ -219,6 +241,9 @@
         let host = sheet.check(&HOST, host, |name| name.as_str().is_empty() || name.is_valid());
         let notice = sheet.read(&NOTICE, options.notice_ms.as_deref());
         let notice = sheet.check(&NOTICE, notice, |ms| *ms <= 2_000);
+        let cloud = sheet.read::<List<SocketAddr>>(&CLOUD, options.cloud.as_deref());
+        let export = sheet.read::<String>(&KV_EXPORT, options.kv_export.as_deref());
+        let export = sheet.check(&KV_EXPORT, export, |text| text == "on" || text == "off");
         let log = sheet.read(&LOG, options.log.as_deref());
         sheet.finish()?;
         let settings = || {
@@ -238,6 +263,8 @@
                 waiting: waiting?,
                 connections: connections?,
                 notice: Duration::from_millis(notice?),
+                cloud: cloud?.0,
+                kv_export: export? == "on",
                 log: log?,
             })
         };
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -25,6 +25,8 @@
     pub peer: String,
     /// Whether the upstream can have seen the request.
     pub fate: Fate,
+    /// Whether a connection stood.
+    pub connected: bool,
     /// Why it failed.
     pub reason: String,
     /// The status that the upstream answered with, if it did.
@@ -37,6 +39,7 @@
             step,
             peer: peer.to_string(),
             fate,
+            connected: true,
             reason: reason.to_string(),
             status: None,
         }
@@ -62,6 +65,9 @@
             _ => false,
         };
         let fate = if before { Fate::NotRun } else { Fate::Unknown };
-        Self::new(step, peer, fate, error)
+        Self {
+            connected: !before,
+            ..Self::new(step, peer, fate, error)
+        }
     }
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,7 +3,11 @@
 pub mod cloud;
 pub mod engine;
 mod error;
+pub mod kv;
+mod limits;
+pub mod orders;
 pub mod pulse;
 pub mod service;
+mod stream;
 
 pub use error::{Fate, UpstreamError};
