--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -12,7 +12,8 @@
 
 use contract::{CustomerId, RequestId, UpstreamSpec};
 use metrics::counter;
-use policy::route::Need;
+use policy::prefix::Prefix;
+use policy::route::{Need, Target};
 use slog::warn;
 use upstream::engine::{Chat, EngineClient, Event, Message, Usage};
 use upstream::{Fate, UpstreamError};
@@ -21,6 +22,7 @@
 use super::problem::Problem;
 use super::watch::{Stop, Watch};
 use crate::Entry;
+use crate::fleet::{self, Visit};
 use crate::journal::Journal;
 use search::Cause;
 
@@ -63,6 +65,15 @@
     Failed(Cause),
 }
 
+/// One attempt: what is sent, and what the fleet is told of it.
+struct Trip<'a> {
+    visit: Visit<'a>,
+    chat: Chat,
+    prefix: Prefix,
+    believed: u64,
+    usage: Option<Usage>,
+}
+
 /// One admitted request.
 pub(super) struct Run<'a> {
     pub(super) entry: &'a Entry,
@@ -78,12 +89,14 @@
     pub(super) fn drive(&self, search: &mut Search, sink: &mut dyn Sink) -> Ended {
         loop {
             if self.journal.len() as u64 >= self.ask.chat.max_tokens {
-                return Ended::Whole(self.counted(Usage::default()));
+                return Ended::Whole(self.counted(None));
             }
             if let Some(stop) = self.watch.look() {
                 return self.stopped(stop);
             }
-            let Some(spec) = self.choose(search) else {
+            let chat = self.continued();
+            let prefix = blocks(&chat.messages);
+            let Some((spec, believed)) = self.choose(&prefix, search) else {
                 if search.is_first() && self.journal.is_empty() {
                     return Ended::Failed(Problem::overloaded(Duration::from_secs(1)));
                 }
@@ -91,7 +104,16 @@
                 search.pause();
                 continue;
             };
-            match self.attempt(&spec, search, sink) {
+            let mut trip = Trip {
+                visit: self.entry.fleet.visit(&spec.id, self.entry.clock.now()),
+                chat,
+                prefix,
+                believed,
+                usage: None,
+            };
+            let tried = self.attempt(&spec, &mut trip, search, sink);
+            drop(trip);
+            match tried {
                 Tried::Ended(ended) => return ended,
                 Tried::NotRun => search.note(spec.id),
                 Tried::Failed(cause) => {
@@ -119,33 +141,32 @@
         true
     }
 
-    fn choose(&self, search: &Search) -> Option<UpstreamSpec> {
+    fn choose(&self, prefix: &Prefix, search: &Search) -> Option<(UpstreamSpec, u64)> {
         let entry = self.entry;
         let view = entry.current.view();
-        let specs = view.config.upstreams.values();
-        let specs = specs.filter(|spec| spec.serves_model(&self.ask.chat.model));
         let need = Need {
             prompt_tokens: self.ask.prompt_tokens,
             answer_tokens: self.ask.chat.max_tokens,
             turn: 0,
         };
-        let now = entry.clock.now();
-        let choice = entry
-            .fleet
-            .choose(entry.settings.routing, specs, need, search.tried(), now)?;
-        let spec = view.config.upstreams.get(&choice.chosen).cloned();
+        let ask = fleet::Ask {
+            target: &Target::Model(self.ask.chat.model.clone()),
+            prefix,
+            need,
+            tried: search.tried(),
+        };
+        let choice = entry.fleet.choose(&view, &ask, entry.clock.now())?;
+        let spec = view.config.upstreams.get(&choice.chosen).cloned()?;
+        let believed = choice.cached;
         self.journal.chose(choice);
-        spec
+        Some((spec, believed))
     }
 
-    fn attempt(&self, spec: &UpstreamSpec, search: &mut Search, sink: &mut dyn Sink) -> Tried {
+    fn attempt(&self, spec: &UpstreamSpec, trip: &mut Trip<'_>, search: &mut Search, sink: &mut dyn Sink) -> Tried {
         let entry = self.entry;
         let begun = self.journal.len();
-        let visit = entry.fleet.visit(&spec.id, entry.clock.now());
-        let mut usage = None;
-        let result = self.read(spec, &mut usage, sink);
-        drop(visit);
-        self.count_recomputed(search, begun, usage);
+        let result = self.read(spec, trip, sink);
+        self.count_recomputed(search, begun, trip.usage);
         let error = match result {
             Ok(ended) => {
                 entry.fleet.ended(&spec.id, true, entry.clock.now());
@@ -155,7 +176,7 @@
                 return Tried::Ended(ended);
             }
             // The counts come last, so a connection that breaks after them has brought everything.
-            Err(_) if usage.is_some() => return Tried::Ended(Ended::Whole(self.counted(usage.unwrap_or_default()))),
+            Err(_) if trip.usage.is_some() => return Tried::Ended(Ended::Whole(self.counted(trip.usage))),
             Err(error) => error,
         };
         match self.watch.stop() {
@@ -189,20 +210,20 @@
         }
     }
 
-    fn read(
-        &self,
-        spec: &UpstreamSpec,
-        usage: &mut Option<Usage>,
-        sink: &mut dyn Sink,
-    ) -> Result<Ended, UpstreamError> {
+    fn read(&self, spec: &UpstreamSpec, trip: &mut Trip<'_>, sink: &mut dyn Sink) -> Result<Ended, UpstreamError> {
+        let clock = &self.entry.clock;
         self.watch.begin();
         let pulse: Arc<Watch> = Arc::clone(&self.watch);
         let client = EngineClient::watched(CONNECT, pulse);
-        let mut stream = client.stream(spec.address, self.id, &self.continued(), FOREVER)?;
+        let mut stream = client.stream(spec.address, self.id, &trip.chat, FOREVER)?;
+        let mut first = true;
         loop {
             match stream.next_event()? {
                 Event::Token(token) => {
                     self.watch.progress();
+                    if std::mem::take(&mut first) {
+                        trip.visit.first_token(&trip.prefix, trip.believed, clock.now());
+                    }
                     if self.journal.push(&token).is_err() {
                         return Ok(Ended::Moved);
                     }
@@ -211,8 +232,14 @@
                         return Ok(Ended::CallerGone);
                     }
                 }
-                Event::Usage(counts) => *usage = Some(counts),
-                Event::Done => return Ok(Ended::Whole(self.counted(usage.unwrap_or_default()))),
+                Event::Usage(counts) => {
+                    trip.visit.counted(trip.believed, counts.cached_tokens);
+                    trip.usage = Some(counts);
+                }
+                Event::Done => {
+                    trip.visit.whole(&blocks(&self.continued().messages), clock.now());
+                    return Ok(Ended::Whole(self.counted(trip.usage)));
+                }
             }
         }
     }
@@ -236,11 +263,11 @@
         chat
     }
 
-    fn counted(&self, usage: Usage) -> Usage {
+    fn counted(&self, usage: Option<Usage>) -> Usage {
         Usage {
             prompt_tokens: self.ask.prompt_tokens,
             completion_tokens: self.journal.len() as u64,
-            ..usage
+            ..usage.unwrap_or_default()
         }
     }
 
@@ -269,3 +296,8 @@
         }
     }
 }
+
+/// Hashes the blocks of a conversation as engines do.
+fn blocks(messages: &[Message]) -> Prefix {
+    Prefix::of(messages.iter().flat_map(|message| message.content.split_whitespace()))
+}
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -4,7 +4,8 @@
 
 use contract::{Class, Contract, Repeat, RequestId, UpstreamId, UpstreamSpec};
 use metrics::counter;
-use policy::route::Need;
+use policy::prefix::Prefix;
+use policy::route::{Need, Target};
 use upstream::UpstreamError;
 use upstream::engine::REQUEST_HEADER;
 use upstream::service::{Answer, Call, KEY_HEADER};
@@ -17,6 +18,7 @@
 use crate::admission::Work;
 use crate::attempt::{Attempt, Sent};
 use crate::claims::{self, Keyed, Verdict};
+use crate::fleet::Ask;
 
 /// Headers that are passed on to a service.
 const PASSED: [&str; 9] = [
@@ -224,14 +226,13 @@
     fn choose(&self, tried: &[UpstreamId]) -> Option<UpstreamSpec> {
         let entry = self.entry;
         let view = entry.current.view();
-        let specs = view
-            .config
-            .upstreams
-            .values()
-            .filter(|spec| spec.serves_service(self.service));
-        let choice = entry
-            .fleet
-            .choose(entry.settings.routing, specs, Need::default(), tried, entry.clock.now())?;
+        let ask = Ask {
+            target: &Target::Service(self.service.to_owned()),
+            prefix: &Prefix::default(),
+            need: Need::default(),
+            tried,
+        };
+        let choice = entry.fleet.choose(&view, &ask, entry.clock.now())?;
         view.config.upstreams.get(&choice.chosen).cloned()
     }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::budget::RetryBudget;
+use policy::route::Rules;
 use slog::Logger;
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
@@ -85,12 +86,17 @@
     pub fn new(settings: Settings, logger: Logger, calls: &Calls) -> Result<Self, CallError> {
         let clock = Clock::start();
         let state = StateClient::new(calls, &settings.node, &settings.state)?;
+        let rules = Rules {
+            routing: settings.routing,
+            without: settings.without.clone(),
+        };
+        let fleet = Fleet::new(clock.clone(), rules, settings.data_center.clone());
         Ok(Self {
             admission: Admission::new(clock.clone(), settings.running, settings.waiting),
             clock,
             logger,
             current: Arc::default(),
-            fleet: Fleet::default(),
+            fleet,
             journals: Journals::default(),
             state,
             engines: EngineClient::new(CONNECT),
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -46,7 +46,7 @@
     async fn hosts(&self, signs: Envelope<Vec<HostSign>>) -> RpcResult<Envelope<()>> {
         let now = self.entry.clock.now();
         for sign in &signs.body {
-            self.entry.fleet.hosts.hear(sign, now);
+            self.entry.fleet.sign(sign, now);
             if sign.sign != Sign::Serving {
                 self.own_sign(sign);
             }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,7 +5,7 @@
 
 use contract::settings::{List, Setting, Sheet};
 use contract::{DataCenter, HostId, NodeId, Problems};
-use policy::route::Routing;
+use policy::route::{Routing, Without};
 use telemetry::log::Format;
 
 use crate::cli::Options;
@@ -87,6 +87,14 @@
     "cost, least-loaded or round-robin",
     "How an upstream is chosen."
 );
+setting!(
+    WITHOUT,
+    "without",
+    "GENTIAN_WITHOUT",
+    Some(""),
+    "affinity, rendezvous, risk, price, distance, report-expiry, corrections, cache-events",
+    "Parts that routing by cost leaves out; for comparisons only."
+);
 setting!(
     RUNNING,
     "running",
@@ -153,7 +161,7 @@
 );
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 16] = [
+pub static ALL: [&Setting; 17] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -162,6 +170,7 @@
     &STATE,
     &PEERS,
     &ROUTING,
+    &WITHOUT,
     &RUNNING,
     &WAITING,
     &CONNECTIONS,
@@ -191,6 +200,8 @@
     pub peers: Vec<SocketAddr>,
     /// How an upstream is chosen.
     pub routing: Routing,
+    /// Parts that routing by cost leaves out.
+    pub without: Vec<Without>,
     /// Requests that run at once.
     pub running: usize,
     /// Requests that wait at most.
@@ -231,6 +242,7 @@
         }
         let peers = sheet.read::<List<SocketAddr>>(&PEERS, options.peers.as_deref());
         let routing = sheet.read(&ROUTING, options.routing.as_deref());
+        let without = sheet.read::<List<Without>>(&WITHOUT, options.without.as_deref());
         let running = sheet.read(&RUNNING, options.running.as_deref());
         let running = sheet.check(&RUNNING, running, |count| some.contains(count));
         let waiting = sheet.read(&WAITING, options.waiting.as_deref());
@@ -259,6 +271,7 @@
                 state: state?.0,
                 peers: peers?.0,
                 routing: routing?,
+                without: without?.0,
                 running: running?,
                 waiting: waiting?,
                 connections: connections?,
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -68,7 +68,7 @@
         let handle = calls.wait(async { server.start(rpc) });
         std::thread::spawn(move || std::mem::forget(handle));
         let poller = Arc::clone(&entry);
-        std::thread::spawn(move || fleet::poll(&poller.fleet, &poller.current, &poller.clock, &poller.stop));
+        std::thread::spawn(move || fleet::poll::poll(&poller.fleet, &poller.current, &poller.stop));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&entry);
