--- /dev/null
+++ b/crates/entry/tests/at_most_once.rs
@@ -0,0 +1,95 @@
+//! Calls that may not be repeated are sent at most once, whatever becomes of them.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::ask::{Answer, call};
+use common::state::FakeState;
+use common::{Host, config, fake, free_address, service};
+use contract::{Config, UpstreamSpec};
+use entry::cli::Options;
+
+fn start(upstreams: Vec<UpstreamSpec>) -> (Host, FakeState) {
+    let state = FakeState::start(Config::default());
+    let options = Options {
+        state: Some(state.address.to_string()),
+        ..Options::default()
+    };
+    (Host::with(config(upstreams), options), state)
+}
+
+/// A service that counts its calls and answers them, or breaks off after each.
+fn till(breaks: bool) -> (std::net::SocketAddr, Arc<AtomicUsize>) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let seen = Arc::clone(&count);
+    let address = fake::serve(move |_, stream| {
+        let times = seen.fetch_add(1, Ordering::SeqCst) + 1;
+        if !breaks {
+            fake::reply(&stream, "201 Created", "", &format!("booked {times}"));
+        }
+    });
+    (address, count)
+}
+
+fn deposit(host: &Host, key: &str, body: &str) -> Answer {
+    let headers = [("Idempotency-Key", key)];
+    call(
+        host.address,
+        "POST",
+        "/services/till/deposits",
+        &headers,
+        body.as_bytes(),
+    )
+}
+
+#[test]
+fn same_answer_again() {
+    let (address, count) = till(false);
+    let (host, _state) = start(vec![service("t", "till", address)]);
+    for _ in 0..3 {
+        let answer = deposit(&host, "labret-17", "50");
+        assert_eq!((answer.status, answer.text().as_str()), (201, "booked 1"));
+    }
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+    let other = deposit(&host, "labret-17", "70");
+    assert_eq!(other.status, 422);
+    assert_eq!(other.header("Gentian-Outcome"), Some("not-run"));
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+}
+
+/// The till takes the deposit and dies before it answers. Nobody here can know whether the customer was charged, so
+/// the call must not go to another till and must not be called "not run"; the resend gets the same word.
+#[test]
+fn breaks_after() {
+    let (broken, count) = till(true);
+    let (good, others) = till(false);
+    let (host, _state) = start(vec![service("a", "till", broken)]);
+    for _ in 0..3 {
+        let answer = deposit(&host, "labret-18", "50");
+        assert_eq!(answer.status, 504);
+        assert_eq!(answer.json()["title"], "unknown-outcome");
+        assert_eq!(answer.header("Gentian-Outcome"), Some("unknown"));
+    }
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+    let both = vec![service("a", "till", broken), service("b", "till", good)];
+    let (host, _state) = start(both);
+    for turn in 0..8 {
+        deposit(&host, &format!("seat-{turn}"), "1");
+    }
+    assert_eq!(count.load(Ordering::SeqCst) - 1 + others.load(Ordering::SeqCst), 8);
+}
+
+/// One till can't be reached, so that no byte of the deposit can have left; another till may take it, once.
+#[test]
+fn unreachable_first() {
+    let (good, count) = till(false);
+    let mut tills = vec![service("z", "till", good)];
+    tills.extend((0..3).map(|at| service(&format!("dead-{at}"), "till", free_address())));
+    let (host, _state) = start(tills);
+    for turn in 0..4 {
+        assert_eq!(deposit(&host, &format!("seat-{turn}"), "1").status, 201);
+    }
+    assert_eq!(count.load(Ordering::SeqCst), 4);
+}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod ask;
 pub mod fake;
+pub mod state;
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
@@ -46,11 +47,14 @@
     }
 
     pub fn with(config: Config, options: Options) -> Self {
-        let inner = free_address();
+        let inner = options
+            .inner
+            .as_deref()
+            .map_or_else(free_address, |text| text.parse().unwrap());
         let options = Options {
             node: options.node.or_else(|| Some("entry-1".into())),
             data_center: Some("dc-1".into()),
-            state: Some("127.0.0.1:1".into()),
+            state: options.state.or_else(|| Some("127.0.0.1:1".into())),
             inner: Some(inner.to_string()),
             ..options
         };
--- /dev/null
+++ b/crates/entry/tests/planned_stop.rs
@@ -0,0 +1,103 @@
+//! A planned stop cuts no request short and takes nothing new.
+
+mod common;
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use common::ask::{self, call, expected};
+use common::state::FakeState;
+use common::{PATIENCE, Standin, config, engine, fake, free_address, service, signal};
+
+struct Program {
+    child: Child,
+    callers: SocketAddr,
+    ops: SocketAddr,
+}
+
+impl Program {
+    fn start(state: &FakeState) -> Self {
+        let [callers, ops, inner] = [free_address(), free_address(), free_address()];
+        let child = Command::new(env!("CARGO_BIN_EXE_gentian-entry"))
+            .args(["--node", "entry-1", "--data-center", "dc-1", "--notice-ms", "2000"])
+            .args(["--listen", &callers.to_string(), "--ops", &ops.to_string()])
+            .args(["--inner", &inner.to_string(), "--state", &state.address.to_string()])
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let program = Self { child, callers, ops };
+        program.wait_until(|| program.ready() == Some(200));
+        program
+    }
+
+    fn ready(&self) -> Option<u16> {
+        let mut connection = std::net::TcpStream::connect(self.ops).ok()?;
+        connection.set_read_timeout(Some(PATIENCE)).ok()?;
+        std::io::Write::write_all(&mut connection, b"GET /readyz HTTP/1.0\r\n\r\n").ok()?;
+        let mut text = String::new();
+        connection.read_to_string(&mut text).ok()?;
+        text.split(' ').nth(1)?.parse().ok()
+    }
+
+    fn wait_until(&self, condition: impl Fn() -> bool) {
+        let begun = Instant::now();
+        while !condition() {
+            assert!(begun.elapsed() < PATIENCE);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An operator restarts an entry host in the evening, with consultations open and lookups coming in. Nobody may notice:
+/// every open answer is finished, what the balancer still sends is served or refused as not run, and the program ends
+/// by itself without an error.
+#[test]
+fn nothing_cut() {
+    let a = Standin::engine(&["--decode-us", "30000"]);
+    let till = fake::serve(|_, stream| fake::reply(&stream, "200 OK", "", "7"));
+    let state = FakeState::start(config([engine("a", a.address), service("t", "till", till)]));
+    let mut program = Program::start(&state);
+    let (entry, callers) = (program.callers, 8);
+    let streams: Vec<_> = (0..callers)
+        .map(|turn| {
+            std::thread::spawn(move || {
+                let prompt = format!("evening {turn}");
+                let (text, done) = ask::stream(entry, &prompt, 150).rest();
+                assert_eq!(text, expected(&prompt, 150));
+                assert!(done);
+            })
+        })
+        .collect();
+    while call(entry, "GET", "/services/till/stock", &[], b"").status != 200 {}
+    std::thread::sleep(Duration::from_millis(300));
+    signal(program.child.id(), "TERM");
+    program.wait_until(|| program.ready() == Some(503));
+    // The balancer has not noticed yet and sends on.
+    assert_eq!(call(entry, "GET", "/services/till/stock", &[], b"").status, 200);
+    program.wait_until(|| call(entry, "GET", "/services/till/stock", &[], b"").status == 503);
+    let refused = call(entry, "GET", "/services/till/stock", &[], b"");
+    assert_eq!(refused.json()["title"], "leaving");
+    assert_eq!(refused.header("Gentian-Outcome"), Some("not-run"));
+    assert!(refused.header("Retry-After").is_some());
+    for stream in streams {
+        stream.join().unwrap();
+    }
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn idle_stop() {
+    let state = FakeState::start(config([]));
+    let mut program = Program::start(&state);
+    signal(program.child.id(), "TERM");
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+}
--- /dev/null
+++ b/crates/entry/tests/recomputed_count.rs
@@ -0,0 +1,36 @@
+//! Tokens that an engine had to compute again are counted by customer and cause.
+
+mod common;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::ask::{self, Events};
+use common::{Host, config, engine, fake};
+use telemetry::scrape::Scrape;
+
+/// An engine dies after two tokens and the next one has none of the prompt in its cache. The customer pays for tokens
+/// that are computed again with time, so an operator must see how many there were, whose and why.
+#[test]
+fn died_engine() {
+    let scrape = Scrape::install().unwrap();
+    let turns = AtomicUsize::new(0);
+    let address = fake::serve(move |_, stream| {
+        fake::begin(&stream);
+        if turns.fetch_add(1, Ordering::SeqCst) == 0 {
+            fake::token(&stream, "one ");
+            fake::token(&stream, "two ");
+            return;
+        }
+        fake::token(&stream, "three ");
+        let usage = r#"data: {"choices":[],"usage":{"prompt_tokens":6,"completion_tokens":1,"cached_tokens":1}}"#;
+        std::io::Write::write_all(&mut &stream, format!("{usage}\n\n").as_bytes()).unwrap();
+        fake::done(&stream);
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let mut events: Events = ask::stream(host.address, "count up to three", 3);
+    assert_eq!(events.rest(), ("one two three ".to_owned(), true));
+    // Four words of the prompt and two tokens, one of them cached.
+    let line = "gentian_recomputed_tokens_total{customer=\"tan-seng-huat\",cause=\"died\"} 5";
+    let text = scrape.render();
+    assert!(text.contains(line), "{text}");
+}
--- /dev/null
+++ b/crates/entry/tests/resume_by_id.rs
@@ -0,0 +1,91 @@
+//! An answer can be fetched by its request's id through any entry host of the data centre, by its own account only.
+
+mod common;
+
+use std::sync::mpsc::channel;
+
+use common::ask::{self, Answer, call};
+use common::{Host, OTHER_KEY, config, engine, fake, free_address};
+use contract::Config;
+use entry::cli::Options;
+use parking_lot::Mutex;
+
+/// Starts entry hosts that know each other.
+fn hosts(count: usize, config: &Config) -> Vec<Host> {
+    let inners: Vec<String> = (0..count).map(|_| free_address().to_string()).collect();
+    let start = |at: usize| {
+        let options = Options {
+            node: Some(format!("entry-{at}")),
+            inner: Some(inners[at].clone()),
+            peers: Some(inners.join(",")),
+            ..Options::default()
+        };
+        Host::with(config.clone(), options)
+    };
+    (0..count).map(start).collect()
+}
+
+fn fetch(host: &Host, id: &str, query: &str) -> Answer {
+    call(host.address, "GET", &format!("/v1/requests/{id}{query}"), &[], b"")
+}
+
+/// A phone loses its connection to one entry host and comes back through the balancer to another one, which has never
+/// heard of the request. It must find the rest of its answer there, while it is made and afterwards.
+#[test]
+fn through_any_host() {
+    let (go, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
+    let address = fake::serve(move |_, stream| {
+        fake::begin(&stream);
+        fake::token(&stream, "one ");
+        fake::token(&stream, "two ");
+        gate.lock().recv().unwrap();
+        fake::token(&stream, "three ");
+        fake::done(&stream);
+    });
+    let hosts = hosts(3, &config([engine("a", address)]));
+    let mut events = ask::stream(hosts[0].address, "count", 9);
+    let id = events.request_id();
+    assert_eq!((events.token(), events.token()), ("one ".into(), "two ".into()));
+    for host in &hosts {
+        let part = fetch(host, &id, "?from=1");
+        assert_eq!(part.header("Retry-After"), Some("1"));
+        let part = part.json();
+        assert_eq!((&part["text"], &part["next"]), (&"two ".into(), &2.into()));
+        assert_eq!((&part["whole"], &part["failed"]), (&false.into(), &false.into()));
+    }
+    go.send(()).unwrap();
+    assert_eq!(events.rest(), ("three ".to_owned(), true));
+    for host in &hosts {
+        let part = fetch(host, &id, "").json();
+        assert_eq!((&part["text"], &part["next"]), (&"one two three ".into(), &3.into()));
+        assert_eq!(part["whole"], true);
+        assert_eq!(fetch(host, &id, "?from=99").json()["text"], "");
+    }
+}
+
+/// Another account of the same customer guesses the id. It must learn neither the answer nor that there is one.
+#[test]
+fn own_account_only() {
+    let address = fake::serve(|_, stream| {
+        fake::begin(&stream);
+        fake::token(&stream, "secret ");
+        fake::done(&stream);
+    });
+    let hosts = hosts(2, &config([engine("a", address)]));
+    let mut events = ask::stream(hosts[0].address, "count", 9);
+    let id = events.request_id();
+    assert!(events.rest().1);
+    let key = format!("Bearer {OTHER_KEY}");
+    let as_other = |host: &Host, id: &str| {
+        let path = format!("/v1/requests/{id}");
+        call(host.address, "GET", &path, &[("Authorization", &key)], b"")
+    };
+    for host in &hosts {
+        let (there, nowhere) = (as_other(host, &id), as_other(host, "entry-9-1-1"));
+        assert_eq!((there.status, nowhere.status), (404, 404));
+        assert_eq!(there.text(), nowhere.text());
+        assert_eq!(fetch(host, &id, "?from=x").status, 400);
+        assert_eq!(fetch(host, "not%20a%20name", "").status, 404);
+    }
+}
