--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -6,6 +6,7 @@
 use contract::{Class, Contract, RequestId};
 use metrics::counter;
 use policy::Tick;
+use policy::route::Target;
 use serde_json::json;
 use telemetry::clock::wall_ms;
 use upstream::engine::{REQUEST_HEADER, Usage};
@@ -39,7 +40,7 @@
     }
     let class =
         class(contract, &ask).ok_or_else(|| Problem::not_found("the contract has no class for this request"))?;
-    let permit = entry.admission.enter(contract, &work(&ask, class, arrived))?;
+    let mut permit = entry.admission.enter(contract, &work(&ask, class, arrived))?;
     let peer = Peer::of(caller.connection).map_err(|_gone| Problem::bad_request("the connection broke"))?;
     let id = entry.request_id();
     let owner = format!("{}/{account}", contract.customer);
@@ -60,6 +61,7 @@
         whole(&run)
     };
     entry.journals.end(&id, entry.clock.now());
+    permit.used((ask.prompt_tokens + run.journal.len() as u64) as f64);
     drop(permit);
     count(contract, class);
     Ok(answered)
@@ -84,6 +86,7 @@
 fn work(ask: &Ask, class: &Class, arrived: Tick) -> Work {
     let target = class.targets.first_token_ms.unwrap_or(class.targets.whole_answer_ms);
     Work {
+        target: Target::Model(ask.chat.model.clone()),
         tokens: (ask.prompt_tokens + ask.chat.max_tokens) as f64,
         latest: arrived + Duration::from_millis(target),
         shed: class.shed,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod current;
 pub mod drain;
 pub mod entry;
+pub mod exchange;
 pub mod fleet;
 pub mod hosts;
 pub mod journal;
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, fleet};
+use entry::{Entry, callers, exchange, fleet};
 use slog::{Discard, Logger, o};
 use wire::client::Calls;
 use wire::entry::EntryRpcServer;
@@ -72,7 +72,10 @@
         let handle = calls.wait(async { server.start(rpc) });
         std::thread::spawn(move || std::mem::forget(handle));
         let poller = Arc::clone(&entry);
-        std::thread::spawn(move || fleet::poll::poll(&poller.fleet, &poller.current, &poller.stop));
+        std::thread::spawn(move || fleet::poll::run(&poller));
+        let socket = exchange::open(inner).unwrap();
+        let exchanger = Arc::clone(&entry);
+        std::thread::spawn(move || exchange::run(&exchanger, &socket, inner));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&entry);
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -28,7 +28,7 @@
             .spawn()
             .unwrap();
         let program = Self { child, callers, ops };
-        program.wait_until(|| program.ready() == Some(200));
+        wait_until(|| program.ready() == Some(200));
         program
     }
 
@@ -40,13 +40,13 @@
         connection.read_to_string(&mut text).ok()?;
         text.split(' ').nth(1)?.parse().ok()
     }
+}
 
-    fn wait_until(&self, condition: impl Fn() -> bool) {
-        let begun = Instant::now();
-        while !condition() {
-            assert!(begun.elapsed() < PATIENCE);
-            std::thread::sleep(Duration::from_millis(10));
-        }
+fn wait_until(condition: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !condition() {
+        assert!(begun.elapsed() < PATIENCE);
+        std::thread::sleep(Duration::from_millis(10));
     }
 }
 
@@ -80,10 +80,10 @@
     while call(entry, "GET", "/services/till/stock", &[], b"").status != 200 {}
     std::thread::sleep(Duration::from_millis(300));
     signal(program.child.id(), "TERM");
-    program.wait_until(|| program.ready() == Some(503));
+    wait_until(|| program.ready() == Some(503));
     // The balancer has not noticed yet and sends on.
     assert_eq!(call(entry, "GET", "/services/till/stock", &[], b"").status, 200);
-    program.wait_until(|| call(entry, "GET", "/services/till/stock", &[], b"").status == 503);
+    wait_until(|| call(entry, "GET", "/services/till/stock", &[], b"").status == 503);
     let refused = call(entry, "GET", "/services/till/stock", &[], b"");
     assert_eq!(refused.json()["title"], "leaving");
     assert_eq!(refused.header("Gentian-Outcome"), Some("not-run"));
