--- /dev/null
+++ b/crates/entry/tests/passed_fields.rs
@@ -0,0 +1,72 @@
+//! What callers may say to engines, and what they may not.
+
+mod common;
+
+use std::sync::mpsc::channel;
+
+use common::ask::{chat, post_chat};
+use common::{Host, config, engine, fake};
+use serde_json::{Value, json};
+
+/// Sends a chat and gives what the engine got of it.
+fn sent(change: impl Fn(&mut Value)) -> Value {
+    let (tell, told) = channel();
+    let address = fake::serve(move |got, stream| {
+        tell.send(got.body).unwrap();
+        fake::begin(&stream);
+        fake::token(&stream, "yes ");
+        fake::done(&stream);
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let mut body = chat("hello", 4, false);
+    change(&mut body);
+    assert_eq!(post_chat(host.address, &body.to_string()).status, 200);
+    serde_json::from_slice(&told.recv().unwrap()).unwrap()
+}
+
+#[test]
+fn sampling_passes() {
+    let got = sent(|body| {
+        body["temperature"] = json!(0.25);
+        body["stop"] = json!(["\n\n"]);
+        body["seed"] = json!(7);
+    });
+    assert_eq!(got["temperature"], 0.25);
+    assert_eq!(got["stop"], json!(["\n\n"]));
+    assert_eq!(got["seed"], 7);
+    assert_eq!(got["stream"], true);
+}
+
+#[test]
+fn text_parts() {
+    let parts = json!([{"type": "text", "text": "a rose "}, {"type": "text", "text": "gold ring"}]);
+    let got = sent(|body| body["messages"][0]["content"] = parts.clone());
+    assert_eq!(got["messages"][0]["content"], "a rose gold ring");
+}
+
+#[test]
+fn bound_by_default() {
+    let got = sent(|body| {
+        body.as_object_mut().unwrap().remove("max_tokens");
+        body["max_completion_tokens"] = json!(9);
+    });
+    assert_eq!(got["max_tokens"], 9);
+    let got = sent(|body| {
+        body.as_object_mut().unwrap().remove("max_tokens");
+    });
+    assert!(got["max_tokens"].as_u64().unwrap() > 0);
+}
+
+/// A caller asks the engine for a better place in its batch. If that passed through, one customer's caller would be
+/// served before everybody else's, whatever the contracts say.
+#[test]
+fn priority_stays() {
+    let got = sent(|body| {
+        body["priority"] = json!(-100);
+        body["continue_final_message"] = json!(true);
+        body["kv_transfer_params"] = json!({"remote": 1});
+    });
+    assert_eq!(got["priority"], 0);
+    assert_eq!(got["continue_final_message"], false);
+    assert_eq!(got.get("kv_transfer_params"), None);
+}
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -29,6 +29,8 @@
     pub connected: bool,
     /// Why it failed.
     pub reason: String,
+    /// The status that the upstream answered with, if it did.
+    pub status: Option<u16>,
 }
 
 impl UpstreamError {
@@ -39,6 +41,14 @@
             fate,
             connected: true,
             reason: reason.to_string(),
+            status: None,
+        }
+    }
+
+    pub(crate) fn with_status(self, status: u16) -> Self {
+        Self {
+            status: Some(status),
+            ..self
         }
     }
 
