Create a demo process's output file before it is read

A look for an address before the shell had opened the file failed and ended the demo; the stop signal then hit a child that was not yet the program, was lost, and the demo waited for ever. Seen once, on a busy machine.

--- a/demo.sh
+++ b/demo.sh
@@ -37,6 +37,8 @@
 start() {
   local name=$1
   shift
+  # The file must be there before anybody looks for an address in it; the process itself may start later.
+  : >"$RUN/$name.out"
   "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
   PIDS+=($!)
 }
