--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -35,9 +35,10 @@
 }
 
 impl Hosts {
-    /// Takes in what another process or the cloud told.
-    pub fn hear(&self, sign: &HostSign, now: Tick) {
-        self.take(&sign.host, sign.incarnation, from_wire(sign.sign), now);
+    /// Takes in what another process or the cloud told; gives whether the host began to leave by it.
+    pub fn hear(&self, sign: &HostSign, now: Tick) -> bool {
+        let life = self.take(&sign.host, sign.incarnation, from_wire(sign.sign), now);
+        matches!(life, Some(AnyLife::Leaving(_)))
     }
 
     /// Notes that an upstream on a host answered.
@@ -74,10 +75,10 @@
         rows.collect()
     }
 
-    fn take(&self, host: &HostId, incarnation: u64, sign: Sign, now: Tick) {
-        if let Some(life) = self.lives.lock().hear(host, incarnation, sign, now) {
-            counter!("gentian_host_stages_total", "stage" => life.to_string()).increment(1);
-        }
+    fn take(&self, host: &HostId, incarnation: u64, sign: Sign, now: Tick) -> Option<AnyLife> {
+        let life = self.lives.lock().hear(host, incarnation, sign, now)?;
+        counter!("gentian_host_stages_total", "stage" => life.to_string()).increment(1);
+        Some(life)
     }
 
     /// Forgets hosts that are in no configuration and need no memory of their end.
@@ -120,7 +121,7 @@
     };
     let now = entry.clock.now();
     for notice in notices {
-        entry.fleet.hosts.hear(&from_notice(notice), now);
+        entry.fleet.sign(&from_notice(notice), now);
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,7 +1,10 @@
 //! Load and experiment tool.
 
 pub mod cli;
+pub mod compare;
 pub mod demo;
 pub mod link;
-pub mod process;
 pub mod slopes;
+pub mod table;
+pub mod trial;
+pub mod workload;
