--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use contract::{DataCenter, UpstreamId};
+use contract::{DataCenter, Revision, UpstreamId};
 use metrics::{counter, gauge};
 use parking_lot::{Mutex, RwLock};
 use policy::Tick;
@@ -94,8 +94,15 @@
         if self.index.load().revision >= view.config.revision {
             return;
         }
-        // Requests go on with the index before while another thread makes the next one.
-        let Some(mut numbers) = self.numbers.try_lock() else {
+        // Requests go on with the index before while another thread makes the next one. Before the first one there is
+        // nothing to go on with: requests that came together would be refused but for the one that makes it.
+        let first = self.index.load().revision == Revision::default();
+        let numbers = if first {
+            Some(self.numbers.lock())
+        } else {
+            self.numbers.try_lock()
+        };
+        let Some(mut numbers) = numbers else {
             return;
         };
         let before = self.index.load_full();
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -2,14 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use contract::RequestId;
 use jsonrpsee::core::{RpcResult, async_trait};
 use serde_json::json;
 use wire::Envelope;
-use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk};
+use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk, Sign};
 
-use crate::Entry;
+use crate::{Entry, callers};
 
 /// Answers other processes of the system.
 #[derive(Clone, Debug)]
@@ -24,6 +25,17 @@
         Self { entry }
     }
 
+    /// Leaves when the sign is about the host that this process runs on.
+    fn own_sign(&self, sign: &HostSign) {
+        if sign.host.as_str() != self.entry.settings.host.as_str() {
+            return;
+        }
+        if let Sign::Notice { left_ms } = sign.sign {
+            self.entry.will_go(Duration::from_millis(left_ms));
+        }
+        self.entry.told.store(true, Ordering::SeqCst);
+    }
+
     fn wrap<T>(&self, body: T) -> Envelope<T> {
         Envelope::new(&self.entry.settings.node, self.entry.current.revision(), body)
     }
@@ -35,26 +47,32 @@
         let now = self.entry.clock.now();
         for sign in &signs.body {
             self.entry.fleet.sign(sign, now);
+            if sign.sign != Sign::Serving {
+                self.own_sign(sign);
+            }
         }
         Ok(self.wrap(()))
     }
 
     async fn journal(&self, ask: Envelope<JournalAsk>) -> RpcResult<Envelope<Option<Journal>>> {
         let from = usize::try_from(ask.body.from).unwrap_or(usize::MAX);
-        let found = self.entry.journals.find(&ask.body.request).map(|journal| {
+        let found = self.entry.journals.find(&ask.body.request);
+        // The answer goes on at a peer, which has all of it.
+        let found = found.filter(|journal| !journal.is_moved()).map(|journal| {
             let part = journal.from(from);
             Journal {
                 owner: journal.owner.clone(),
                 tokens: part.tokens,
                 done: part.whole,
+                failed: part.failed,
             }
         });
         Ok(self.wrap(found))
     }
 
-    /// Declines every handover: an entry host finishes its own streams before it stops.
-    async fn adopt(&self, _handover: Envelope<Handover>) -> RpcResult<Envelope<bool>> {
-        Ok(self.wrap(false))
+    async fn adopt(&self, handover: Envelope<Handover>) -> RpcResult<Envelope<bool>> {
+        let taken = handover.from != self.entry.settings.node && callers::adopt(&self.entry, &handover.body);
+        Ok(self.wrap(taken))
     }
 
     async fn explain(&self, request: Envelope<RequestId>) -> RpcResult<Envelope<Option<serde_json::Value>>> {
--- /dev/null
+++ b/crates/entry/tests/crossed_answers.rs
@@ -0,0 +1,143 @@
+//! Answers that come late or in another order than their requests reach nobody else.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+use common::ask::{call, chat, post_chat, token_of};
+use common::{Host, PATIENCE, config, engine, fake, service};
+use parking_lot::Mutex;
+use quickcheck::{Gen, QuickCheck};
+
+/// Requests under way at the same time.
+const CALLS: usize = 8;
+
+type Held = (String, TcpStream);
+
+/// Puts numbers into an order that follows from keys.
+fn order(keys: &[u8]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..CALLS).collect();
+    order.sort_by_key(|at| keys.get(*at).copied().unwrap_or_default());
+    order
+}
+
+fn holder() -> (Sender<Held>, Receiver<Held>) {
+    channel()
+}
+
+/// Holds every call of a round until all are there, then answers them in the drawn order.
+fn answer_in_order(held: &Receiver<Held>, keys: &[u8], answer: impl Fn(&str, &TcpStream)) {
+    let mut calls: HashMap<usize, Held> = HashMap::new();
+    while calls.len() < CALLS {
+        let (name, stream) = held.recv_timeout(PATIENCE).unwrap();
+        let number = name.rsplit('-').next().unwrap().parse().unwrap();
+        calls.insert(number, (name, stream));
+    }
+    for at in order(keys) {
+        let (name, stream) = &calls[&at];
+        answer(name, stream);
+    }
+}
+
+fn check(property: fn(Vec<u8>) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(CALLS, 7))
+        .tests(25)
+        .quickcheck(property);
+}
+
+/// Eight lookups are under way at once and the service answers them in any order. A volunteer who got the answer to
+/// somebody else's lookup would seat the wrong family.
+#[test]
+fn lookups_cross() {
+    fn property(keys: Vec<u8>) -> bool {
+        let (taken, calls) = holder();
+        let taken = Mutex::new(taken);
+        let address = fake::serve(move |got, stream| {
+            let name = got.head.split(' ').nth(1).unwrap().to_owned();
+            taken.lock().send((name, stream)).unwrap();
+        });
+        let host = Host::start(config([service("t", "seats", address)]));
+        let callers: Vec<_> = (0..CALLS)
+            .map(|at| {
+                let entry = host.address;
+                let path = format!("/services/seats/tent-{at}");
+                std::thread::spawn(move || call(entry, "GET", &path, &[], b"").text() == format!("/tent-{at}"))
+            })
+            .collect();
+        answer_in_order(&calls, &keys, |name, stream| fake::reply(stream, "200 OK", "", name));
+        callers.into_iter().all(|caller| caller.join().unwrap())
+    }
+    check(property);
+}
+
+/// Eight chats are under way and tokens come crosswise. Every caller must see its own answer only.
+#[test]
+fn tokens_cross() {
+    fn property(keys: Vec<u8>) -> bool {
+        let (taken, calls) = holder();
+        let taken = Mutex::new(taken);
+        let address = fake::serve(move |got, stream| {
+            let body: serde_json::Value = serde_json::from_slice(&got.body).unwrap();
+            let name = body["messages"][0]["content"].as_str().unwrap().to_owned();
+            fake::begin(&stream);
+            taken.lock().send((name, stream)).unwrap();
+        });
+        let host = Host::start(config([engine("a", address)]));
+        let callers: Vec<_> = (0..CALLS)
+            .map(|at| {
+                let entry = host.address;
+                std::thread::spawn(move || {
+                    let body = chat(&format!("plan-{at}"), 2, true).to_string();
+                    let answer = post_chat(entry, &body).text();
+                    let tokens = answer.lines().filter_map(|line| token_of(line.strip_prefix("data: ")?));
+                    tokens.collect::<String>() == format!("plan-{at} plan-{at} ")
+                })
+            })
+            .collect();
+        let streams = Arc::new(Mutex::new(Vec::new()));
+        let open = Arc::clone(&streams);
+        answer_in_order(&calls, &keys, move |name, stream| {
+            fake::token(stream, &format!("{name} "));
+            open.lock().push((name.to_owned(), stream.try_clone().unwrap()));
+        });
+        for (name, stream) in streams.lock().iter().rev() {
+            fake::token(stream, &format!("{name} "));
+            fake::done(stream);
+        }
+        callers.into_iter().all(|caller| caller.join().unwrap())
+    }
+    check(property);
+}
+
+/// A service answers a lookup only after the entry gave it up and asked another one. The late answer must not be taken
+/// for the answer to whatever the entry asks next.
+#[test]
+fn late_answer() {
+    let (taken, calls) = holder();
+    let taken = Mutex::new(taken);
+    let slow = fake::serve(move |got, stream| {
+        let name = got.head.split(' ').nth(1).unwrap().to_owned();
+        taken.lock().send((name, stream)).unwrap();
+    });
+    let quick = fake::serve(|got, stream| {
+        let name = got.head.split(' ').nth(1).unwrap().to_owned();
+        fake::reply(&stream, "200 OK", "", &name);
+    });
+    let mut config = config([service("a", "seats", slow), service("b", "seats", quick)]);
+    let contract = config.contracts.values_mut().next().unwrap();
+    for class in &mut contract.classes {
+        class.targets.whole_answer_ms = 1_000;
+    }
+    let host = Host::start(config);
+    for at in 0..6 {
+        let answer = call(host.address, "GET", &format!("/services/seats/tent-{at}"), &[], b"");
+        assert_eq!(answer.text(), format!("/tent-{at}"));
+        for (name, stream) in calls.try_iter() {
+            fake::reply(&stream, "200 OK", "", &format!("late {name}"));
+        }
+    }
+}
