Move streams off hosts that will be taken away

At a notice each open stream is finished there, moved with its KV cache or replayed elsewhere (policy::rescue, a pure function with properties). The cache is copied while the stream goes on, one copy from an engine at a time; the target is in a zone under no notice if there is one. A target that breaks off or leaves gives way to the next, and a stream whose host dies during the import waits for the import. Nothing depends on rescue: if it fails, the stream breaks off with its host and is replayed by its attempt loop. Recomputed tokens are counted as exported or reclaimed.

--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use contract::{CustomerId, RequestId, UpstreamSpec};
+use contract::{CustomerId, RequestId, UpstreamId, UpstreamSpec};
 use metrics::counter;
 use policy::prefix::Prefix;
+use policy::rescue::How;
 use policy::route::{Need, Target};
 use slog::warn;
 use upstream::engine::{Chat, EngineClient, Event, Message, Usage};
@@ -22,8 +23,10 @@
 use super::problem::Problem;
 use super::watch::{Stop, Watch};
 use crate::Entry;
+use crate::current::View;
 use crate::fleet::{self, Visit};
 use crate::journal::Journal;
+use crate::rescue::{Boarding, Move};
 use search::Cause;
 
 pub use adopted::adopt;
@@ -63,6 +66,7 @@
     Ended(Ended),
     NotRun,
     Failed(Cause),
+    Moved(Move),
 }
 
 /// One attempt: what is sent, and what the fleet is told of it.
@@ -116,6 +120,8 @@
             match tried {
                 Tried::Ended(ended) => return ended,
                 Tried::NotRun => search.note(spec.id),
+                Tried::Moved(Move { to, how: How::Export }) => search.moved(spec.id, to, Cause::Exported),
+                Tried::Moved(_) => search.moved(spec.id, None, Cause::Reclaimed),
                 Tried::Failed(cause) => {
                     search.broke(spec.id, cause);
                     if !self.may_retry(search) {
@@ -141,9 +147,10 @@
         true
     }
 
-    fn choose(&self, prefix: &Prefix, search: &Search) -> Option<(UpstreamSpec, u64)> {
+    fn choose(&self, prefix: &Prefix, search: &mut Search) -> Option<(UpstreamSpec, u64)> {
         let entry = self.entry;
         let view = entry.current.view();
+        let target = search.take_target();
         let need = Need {
             prompt_tokens: self.ask.prompt_tokens,
             answer_tokens: self.ask.chat.max_tokens,
@@ -155,7 +162,14 @@
             need,
             tried: search.tried(),
         };
-        let choice = entry.fleet.choose(&view, &ask, entry.clock.now())?;
+        let now = entry.clock.now();
+        // An engine that holds the moved cache comes before all others, as long as it takes work.
+        let only = target.map(|target| others(&view, &self.ask.chat.model, &target));
+        let there = only.and_then(|others| {
+            let tried = &others;
+            entry.fleet.choose(&view, &fleet::Ask { tried, ..ask }, now)
+        });
+        let choice = there.or_else(|| entry.fleet.choose(&view, &ask, now))?;
         let spec = view.config.upstreams.get(&choice.chosen).cloned()?;
         let believed = choice.cached;
         self.journal.chose(choice);
@@ -165,6 +179,7 @@
     fn attempt(&self, spec: &UpstreamSpec, trip: &mut Trip<'_>, search: &mut Search, sink: &mut dyn Sink) -> Tried {
         let entry = self.entry;
         let begun = self.journal.len();
+        let ride = entry.rescue.board(self.id, self.boarding(spec));
         let result = self.read(spec, trip, sink);
         self.count_recomputed(search, begun, trip.usage);
         let error = match result {
@@ -181,8 +196,13 @@
         };
         match self.watch.stop() {
             Some(stop @ (Stop::CallerGone | Stop::Moved | Stop::Late)) => return Tried::Ended(self.stopped(stop)),
-            Some(Stop::Stalled) | None => {}
+            Some(Stop::Stalled | Stop::Rescued) | None => {}
+        }
+        if let Some(to) = ride.destination() {
+            counter!("gentian_rescued_total", "how" => to.how.to_string()).increment(1);
+            return Tried::Moved(to);
         }
+        drop(ride);
         if error.status.is_some_and(|status| REFUSALS.contains(&status)) {
             entry.fleet.ended(&spec.id, true, entry.clock.now());
             return Tried::Ended(Ended::Failed(Problem::bad_request(format!(
@@ -193,7 +213,22 @@
         let now = entry.clock.now();
         entry.fleet.hosts.failed(&spec.host, &error, now);
         entry.fleet.ended(&spec.id, false, now);
-        self.failed(&error)
+        match self.failed(&error) {
+            Tried::Failed(_) if !entry.fleet.hosts.takes_work(&spec.host) => Tried::Failed(Cause::Reclaimed),
+            tried => tried,
+        }
+    }
+
+    fn boarding(&self, spec: &UpstreamSpec) -> Boarding {
+        Boarding {
+            spec: spec.clone(),
+            journal: Arc::clone(&self.journal),
+            prompt: self.ask.prompt_tokens,
+            most: self.ask.chat.max_tokens,
+            due: self.watch.due(),
+            now: self.entry.clock.now(),
+            asked: self.watch.asked(),
+        }
     }
 
     fn failed(&self, error: &UpstreamError) -> Tried {
@@ -289,7 +324,7 @@
         match stop {
             Stop::CallerGone => Ended::CallerGone,
             Stop::Moved => Ended::Moved,
-            Stop::Stalled | Stop::Late => {
+            Stop::Stalled | Stop::Late | Stop::Rescued => {
                 warn!(self.entry.logger, "answer given up"; "request" => %self.id);
                 Ended::Failed(Problem::broken("the answer took too long"))
             }
@@ -297,6 +332,13 @@
     }
 }
 
+/// Gives every engine of a model but one.
+fn others(view: &View, model: &str, target: &UpstreamId) -> Vec<UpstreamId> {
+    let specs = view.config.upstreams.values();
+    let others = specs.filter(|spec| spec.serves_model(model) && spec.id != *target);
+    others.map(|spec| spec.id.clone()).collect()
+}
+
 /// Hashes the blocks of a conversation as engines do.
 fn blocks(messages: &[Message]) -> Prefix {
     Prefix::of(messages.iter().flat_map(|message| message.content.split_whitespace()))
--- a/crates/entry/src/callers/run/search.rs
+++ b/crates/entry/src/callers/run/search.rs
@@ -18,6 +18,10 @@
     Stalled,
     /// The entry host left.
     Handover,
+    /// The engine's host was taken away.
+    Reclaimed,
+    /// The engine's host leaves; the KV cache was moved.
+    Exported,
 }
 
 /// What was tried so far.
@@ -28,6 +32,7 @@
     resumes: u32,
     pauses: u32,
     cause: Option<Cause>,
+    target: Option<UpstreamId>,
 }
 
 impl Cause {
@@ -37,6 +42,8 @@
             Self::Died => "died",
             Self::Stalled => "stalled",
             Self::Handover => "handover",
+            Self::Reclaimed => "reclaimed",
+            Self::Exported => "exported",
         }
     }
 }
@@ -72,6 +79,17 @@
         self.cause = self.cause.or(Some(cause));
     }
 
+    /// Notes an attempt that ended because the engine's host leaves, and where the answer goes on.
+    pub(super) fn moved(&mut self, engine: UpstreamId, target: Option<UpstreamId>, cause: Cause) {
+        self.broke(engine, cause);
+        self.target = target;
+    }
+
+    /// Gives the engine that holds the moved KV cache, once.
+    pub(super) const fn take_target(&mut self) -> Option<UpstreamId> {
+        self.target.take()
+    }
+
     /// Takes one of the resumptions that cost nothing, if one is left.
     pub(super) const fn takes_free_resume(&mut self) -> bool {
         self.resumes += 1;
--- a/crates/entry/src/callers/watch.rs
+++ b/crates/entry/src/callers/watch.rs
@@ -1,6 +1,7 @@
 //! What ends the wait for an engine: a caller who left, an engine that froze, a peer that took over, or time.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use contract::Targets;
@@ -36,6 +37,8 @@
     Late,
     /// A peer goes on with the answer.
     Moved,
+    /// The engine's host leaves, and the answer goes on at another engine.
+    Rescued,
 }
 
 /// Times after which waiting is of no use.
@@ -43,6 +46,7 @@
 pub(super) struct Limits {
     first: Duration,
     gap: Duration,
+    due: Tick,
     until: Tick,
 }
 
@@ -53,6 +57,7 @@
     caller: Option<Peer>,
     journal: Arc<Journal>,
     limits: Limits,
+    asked: Arc<AtomicBool>,
     wait: Mutex<Wait>,
 }
 
@@ -75,6 +80,7 @@
         Self {
             first: first + PREFILL * u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
             gap: gap.clamp(GAP.0, GAP.1),
+            due: arrived + whole,
             until: arrived + whole * LATE,
         }
     }
@@ -82,12 +88,13 @@
 
 impl Watch {
     /// Watches over a request; an adopted one has no caller.
-    pub(super) const fn new(clock: Clock, caller: Option<Peer>, journal: Arc<Journal>, limits: Limits) -> Self {
+    pub(super) fn new(clock: Clock, caller: Option<Peer>, journal: Arc<Journal>, limits: Limits) -> Self {
         Self {
             clock,
             caller,
             journal,
             limits,
+            asked: Arc::default(),
             wait: Mutex::new(Wait {
                 until: limits.until,
                 looked: Tick(Duration::ZERO),
@@ -96,6 +103,16 @@
         }
     }
 
+    /// Gives the flag by which rescue asks an attempt to end.
+    pub(super) fn asked(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.asked)
+    }
+
+    /// Gives the time at which the whole answer is due.
+    pub(super) const fn due(&self) -> Tick {
+        self.limits.due
+    }
+
     /// Notes that an attempt begins.
     pub(super) fn begin(&self) {
         let mut wait = self.wait.lock();
@@ -134,6 +151,9 @@
             wait.looked = now;
             wait.stop = self.look();
         }
+        if wait.stop.is_none() && self.asked.load(Ordering::SeqCst) {
+            wait.stop = Some(Stop::Rescued);
+        }
         if wait.stop.is_none() && now >= wait.until {
             wait.stop = Some(Stop::Stalled);
         }
@@ -143,6 +163,7 @@
             Some(Stop::Stalled) => Err("no token came for too long"),
             Some(Stop::Late) => Err("the answer took too long"),
             Some(Stop::Moved) => Err("a peer goes on with the answer"),
+            Some(Stop::Rescued) => Err("the host leaves"),
         }
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::fleet::Fleet;
 use crate::journal::Journals;
 use crate::peers::Peers;
+use crate::rescue::Rescue;
 use crate::settings::Settings;
 
 /// Longest wait for a connection to an upstream.
@@ -58,6 +59,8 @@
     pub peers: Peers,
     /// What the connections of all callers share.
     pub callers: Shared,
+    /// Streams that may have to move.
+    pub rescue: Rescue,
     /// The budget for retries.
     pub retries: Mutex<RetryBudget>,
     /// Services.
@@ -111,6 +114,7 @@
             engines: EngineClient::new(CONNECT),
             peers: Peers::new(calls, &settings.node, &settings.peers)?,
             callers: Shared::default(),
+            rescue: Rescue::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_SHARE)),
             services: ServiceClient::new(CONNECT),
             leaving: AtomicBool::new(false),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod journal;
 pub mod ops;
 pub mod peers;
+pub mod rescue;
 pub mod rpc;
 pub mod settings;
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -11,7 +11,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, drain, exchange, fleet, hosts, ops};
+use entry::{Entry, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
 use telemetry::log;
@@ -99,6 +99,7 @@
             &learner.stop,
         );
     })?;
+    rescue::start(entry)?;
     let watcher = Arc::clone(entry);
     thread::Builder::new()
         .name("hosts".to_owned())
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, exchange, fleet};
+use entry::{Entry, callers, exchange, fleet, rescue};
 use slog::{Discard, Logger, o};
 use wire::client::Calls;
 use wire::entry::EntryRpcServer;
@@ -76,6 +76,7 @@
         let socket = exchange::open(inner).unwrap();
         let exchanger = Arc::clone(&entry);
         std::thread::spawn(move || exchange::run(&exchanger, &socket, inner));
+        rescue::start(&entry).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&entry);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod load;
 pub mod prefix;
+pub mod rescue;
 pub mod room;
 pub mod route;
 mod time;
