--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod core;
 pub mod disk;
-pub mod learner;
+pub mod peers;
+pub mod raft;
 pub mod rpc;
 pub mod settings;
