--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,12 +6,15 @@
 pub mod claims;
 pub mod cli;
 pub mod current;
+pub mod drain;
 pub mod entry;
 pub mod exchange;
 pub mod fleet;
 pub mod hosts;
 pub mod journal;
 pub mod ops;
+pub mod peers;
+pub mod rescue;
 pub mod rpc;
 pub mod settings;
 
--- /dev/null
+++ b/crates/entry/tests/first_token.rs
@@ -0,0 +1,94 @@
+//! Tokens reach the caller as they come, and a caller who leaves costs an engine nothing more.
+
+mod common;
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::mpsc::channel;
+
+use common::ask::{self, chat, post_chat};
+use common::{Host, PATIENCE, config, engine, fake};
+use parking_lot::Mutex;
+
+/// The engine makes its second token only after the caller has read the first. An entry that held tokens back in a
+/// buffer would never deliver the first, and a customer would stare at an empty page while the answer is being made.
+#[test]
+fn first_before_second() {
+    let (seen, go_on) = channel::<()>();
+    let go_on = Mutex::new(go_on);
+    let address = fake::serve(move |_, stream| {
+        fake::begin(&stream);
+        fake::token(&stream, "one ");
+        go_on.lock().recv_timeout(PATIENCE).unwrap();
+        fake::token(&stream, "two ");
+        fake::done(&stream);
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let mut events = ask::stream(host.address, "count", 2);
+    assert_eq!(events.token(), "one ");
+    seen.send(()).unwrap();
+    assert_eq!(events.rest(), ("two ".to_owned(), true));
+}
+
+/// A caller closes the page while the engine still reads the prompt. Nothing has been written to the caller yet, so no
+/// write can fail; unless the entry looks at the connection, the engine makes a whole answer for nobody.
+#[test]
+fn leaves_before_first() {
+    for stream in [true, false] {
+        let (noticed, notice) = channel();
+        let address = fake::serve(move |_, stream| {
+            noticed.send("asked").unwrap();
+            fake::wait_closed(&stream);
+            noticed.send("closed").unwrap();
+        });
+        let host = Host::start(config([engine("a", address)]));
+        let body = chat("a long prompt", 8, stream).to_string();
+        let caller = ask::send(host.address, "POST", "/v1/chat/completions", &[], body.as_bytes());
+        assert_eq!(notice.recv_timeout(PATIENCE).unwrap(), "asked");
+        caller.shutdown(Shutdown::Both).unwrap();
+        drop(caller);
+        assert_eq!(notice.recv_timeout(PATIENCE).unwrap(), "closed");
+        while host.entry.callers.working() > 0 {
+            std::thread::yield_now();
+        }
+        assert!(!host.entry.admission.is_busy());
+    }
+}
+
+/// A caller closes the page in the middle of an answer; the engine's stream must end with it.
+#[test]
+fn leaves_amid_answer() {
+    let (noticed, notice) = channel();
+    let address = fake::serve(move |_, stream| {
+        fake::begin(&stream);
+        while fake::token(&stream, "more ") {
+            std::thread::yield_now();
+        }
+        noticed.send(()).unwrap();
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let mut events = ask::stream(host.address, "count", 30_000);
+    events.token();
+    drop(events);
+    notice.recv_timeout(PATIENCE).unwrap();
+}
+
+#[test]
+fn whole_answer() {
+    let address = fake::serve(|_, stream| {
+        fake::begin(&stream);
+        fake::token(&stream, "one ");
+        let usage =
+            "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":1,\"cached_tokens\":4}}\n\n";
+        (&stream).write_all(usage.as_bytes()).unwrap();
+        fake::done(&stream);
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let answer = post_chat(host.address, &chat("count one", 8, false).to_string());
+    assert_eq!(answer.status, 200);
+    let body = answer.json();
+    assert_eq!(body["choices"][0]["message"]["content"], "one ");
+    assert_eq!(body["choices"][0]["finish_reason"], "stop");
+    assert_eq!(body["usage"]["cached_tokens"], 4);
+    assert_eq!(body["id"], answer.header("X-Request-Id").unwrap());
+}
--- /dev/null
+++ b/crates/entry/tests/streams_survive.rs
@@ -0,0 +1,140 @@
+//! Streams go on at another engine when theirs dies or freezes.
+
+mod common;
+
+use common::ask::{self, expected};
+use common::{Host, Standin, config, engine};
+
+const SLOW: [&str; 2] = ["--decode-us", "20000"];
+
+/// Starts two engines and an entry in front of them.
+fn pair() -> (Standin, Standin, Host) {
+    let (a, b) = (Standin::engine(&SLOW), Standin::engine(&SLOW));
+    let host = Host::start(config([engine("a", a.address), engine("b", b.address)]));
+    (a, b, host)
+}
+
+/// Gives the engine that the newest attempt of a request went to.
+fn serving(host: &Host, id: &str) -> String {
+    let journal = host.entry.journals.find(&id.into()).unwrap();
+    journal.choices().last().unwrap().chosen.to_string()
+}
+
+/// The host of an engine is reclaimed without a word while a consultation is being written. Without a second engine
+/// taking over from the tokens that were sent already, the customer's quote would stop in the middle.
+#[test]
+fn engine_killed() {
+    let (mut a, mut b, host) = pair();
+    let mut events = ask::stream(host.address, "a custom septum quote", 60);
+    let mut text: String = (0..5).map(|_| events.token()).collect();
+    let id = events.request_id();
+    if serving(&host, &id) == "a" {
+        a.kill();
+    } else {
+        b.kill();
+    }
+    let (rest, done) = events.rest();
+    text.push_str(&rest);
+    assert_eq!(text, expected("a custom septum quote", 60));
+    assert!(done);
+    let journal = host.entry.journals.find(&id.as_str().into()).unwrap();
+    assert_eq!(journal.choices().len(), 2);
+    assert_eq!(journal.text(), text);
+}
+
+/// An engine freezes with its connection open, as a host does that the cloud has suspended. No error ever comes, so
+/// without a bound on the silence between two tokens the caller would look at half an answer until it gives up.
+#[test]
+fn engine_frozen() {
+    let (a, b, host) = pair();
+    let mut events = ask::stream(host.address, "aftercare for a helix", 60);
+    let mut text: String = (0..5).map(|_| events.token()).collect();
+    if serving(&host, &events.request_id()) == "a" {
+        a.freeze();
+    } else {
+        b.freeze();
+    }
+    let (rest, done) = events.rest();
+    text.push_str(&rest);
+    assert_eq!(text, expected("aftercare for a helix", 60));
+    assert!(done);
+}
+
+/// An engine is frozen before it is asked. It still accepts connections, since the operating system does that for it,
+/// and a caller who asks for the first token would wait for ever.
+#[test]
+fn frozen_before() {
+    let (a, b, host) = pair();
+    a.freeze();
+    for turn in 0..4 {
+        let prompt = format!("question {turn}");
+        let (text, done) = ask::stream(host.address, &prompt, 8).rest();
+        assert_eq!(text, expected(&prompt, 8));
+        assert!(done);
+    }
+    drop(b);
+}
+
+/// Both engines die one after the other and the first comes back under its address only later. The answer has nowhere
+/// to go on for a while; it must wait for an engine and not be given up while there is time.
+#[test]
+fn engine_returns() {
+    let (mut a, mut b, host) = pair();
+    let mut events = ask::stream(host.address, "a season plan", 60);
+    let mut text: String = (0..5).map(|_| events.token()).collect();
+    let address = a.address.to_string();
+    a.kill();
+    b.kill();
+    let _back = Standin::engine(&["--decode-us", "5000", "--listen", &address]);
+    let (rest, done) = events.rest();
+    text.push_str(&rest);
+    assert_eq!(text, expected("a season plan", 60));
+    assert!(done);
+}
+
+/// Twenty streams are open on an engine that dies. All of them must be resumed; a budget for retries that treats them
+/// like retries of an overloaded engine would cut half of them off.
+#[test]
+fn many_resume() {
+    let (mut a, _b, host) = pair();
+    let callers: Vec<_> = (0..20)
+        .map(|turn| {
+            let (address, prompt) = (host.address, format!("quote {turn}"));
+            std::thread::spawn(move || {
+                let (text, done) = ask::stream(address, &prompt, 60).rest();
+                assert_eq!(text, expected(&prompt, 60));
+                assert!(done);
+            })
+        })
+        .collect();
+    while host
+        .entry
+        .journals
+        .open_ones()
+        .iter()
+        .filter(|(_, journal)| journal.len() > 2)
+        .count()
+        < 20
+    {
+        std::thread::yield_now();
+    }
+    a.kill();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+}
+
+/// The last token came and the engine dies before it says that the answer ended. Asking another engine for zero more
+/// tokens would fail or add one; the caller already has everything.
+#[test]
+fn dies_after_last() {
+    use common::fake;
+    let address = fake::serve(|_, stream| {
+        fake::begin(&stream);
+        fake::token(&stream, "one ");
+        fake::token(&stream, "two ");
+    });
+    let host = Host::start(config([engine("a", address)]));
+    let (text, done) = ask::stream(host.address, "count", 2).rest();
+    assert_eq!((text.as_str(), done), ("one two ", true));
+}
