--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,8 @@
 
 use argh::FromArgs;
 
+use crate::state::StateOptions;
+
 /// Operate gentianspring.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -32,6 +34,8 @@
     Contract(ContractOptions),
     /// Upstreams.
     Upstream(UpstreamOptions),
+    /// The state group.
+    State(StateOptions),
 }
 
 /// Read and change contracts.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod admin;
 pub mod cli;
 pub mod contracts;
+pub mod state;
 pub mod upstreams;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,7 +4,7 @@
 
 use ctl::admin::{Admin, AdminError};
 use ctl::cli::{Command, Options};
-use ctl::{contracts, upstreams};
+use ctl::{contracts, state, upstreams};
 
 const FAILED: u8 = 1;
 const CONFLICT: u8 = 2;
@@ -25,11 +25,15 @@
 }
 
 fn run(options: &Options) -> anyhow::Result<String> {
-    let key = std::env::var("GENTIAN_OPERATOR_KEY")
-        .map_err(|_absent| anyhow::anyhow!("GENTIAN_OPERATOR_KEY is not set, expected the operator's bearer key"))?;
-    let admin = Admin::new(options.addresses()?, key);
     match &options.command {
-        Command::Contract(options_of) => contracts::run(&admin, &options_of.command, options.json),
-        Command::Upstream(options_of) => upstreams::run(&admin, &options_of.command, options.json),
+        Command::Contract(options_of) => contracts::run(&admin(options)?, &options_of.command, options.json),
+        Command::Upstream(options_of) => upstreams::run(&admin(options)?, &options_of.command, options.json),
+        Command::State(options_of) => state::run(|| admin(options), &options_of.command, options.json),
     }
 }
+
+fn admin(options: &Options) -> anyhow::Result<Admin> {
+    let key = std::env::var("GENTIAN_OPERATOR_KEY")
+        .map_err(|_absent| anyhow::anyhow!("GENTIAN_OPERATOR_KEY is not set, expected the operator's bearer key"))?;
+    Ok(Admin::new(options.addresses()?, key))
+}
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -187,7 +187,8 @@
         };
         let digest = claims::digest(self.call.method, self.call.path, self.call.body);
         let revision = self.entry.current.revision();
-        match claims::claim(&self.entry.state, revision, &keyed, &digest, self.until) {
+        let verdict = claims::claim(&self.entry.state, revision, &keyed, &digest, self.until);
+        match claims::ask_if_unknown(self.entry, self.service, &keyed, verdict) {
             Verdict::Granted => self.send_claimed(&keyed),
             Verdict::Done(Outcome::Answered { status, media, body }) => Ok(Answer {
                 status,
@@ -196,10 +197,7 @@
                 body,
             }),
             Verdict::Done(Outcome::NotRun) | Verdict::Unavailable => Err(Problem::no_quorum()),
-            Verdict::Done(Outcome::Unknown) => match claims::ask_service(self.entry, self.service, &keyed) {
-                Some(Outcome::Answered { status, media, body }) => Ok(Answer { status, media, body }),
-                _ => Err(Problem::unknown_outcome("the earlier call's outcome is unknown")),
-            },
+            Verdict::Done(Outcome::Unknown) => Err(Problem::unknown_outcome("the earlier call's outcome is unknown")),
             Verdict::Mismatch => Err(Problem::key_reused()),
             Verdict::Running => Err(Problem::under_way()),
         }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -116,11 +116,19 @@
     }
 }
 
+/// Replaces an unknown outcome by what the service tells of it, where it can tell.
+pub fn ask_if_unknown(entry: &Entry, service: &str, call: &Keyed<'_>, verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::Done(Outcome::Unknown) => Verdict::Done(ask_service(entry, service, call).unwrap_or(Outcome::Unknown)),
+        other => other,
+    }
+}
+
 /// Asks the service how an earlier call under the key ended, and records what it says.
 ///
 /// Only an answer counts. A service that knows nothing of the key may still be about to run the call, so that stays
 /// unknown and the call is never sent again.
-pub fn ask_service(entry: &Entry, service: &str, call: &Keyed<'_>) -> Option<Outcome> {
+fn ask_service(entry: &Entry, service: &str, call: &Keyed<'_>) -> Option<Outcome> {
     let view = entry.current.view();
     let tells = |spec: &&UpstreamSpec| {
         spec.serves_service(service)
--- a/crates/entry/tests/common/fake.rs
+++ b/crates/entry/tests/common/fake.rs
@@ -25,6 +25,8 @@
                 match read(&stream) {
                     // Load reports are asked for all the time and are no caller's request.
                     Some(got) if got.head.starts_with("GET /load ") => reply(&stream, "404 Not Found", "", ""),
+                    // Neither is the question how an earlier call ended, which these upstreams can't answer.
+                    Some(got) if got.head.starts_with("GET /outcomes/") => reply(&stream, "404 Not Found", "", ""),
                     Some(got) => answer(got, stream),
                     None => {}
                 }
