--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -93,7 +93,7 @@
         signal_hook::flag::register(SIGINT, Arc::clone(&interrupted))?;
         signal_hook::flag::register(SIGTERM, Arc::clone(&interrupted))?;
         let faults = if quiet {
-            Schedule::quiet()
+            Schedule::quiet(extent)
         } else {
             Schedule::new(extent)
         };
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,10 +1,21 @@
 //! `gentian-load`: loads gentianspring and measures what comes out.
 
+use std::process::ExitCode;
+
 use load::cli::{Command, Options};
 use load::{compare, demo, slopes};
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gentian-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
         Command::Demo(options) => demo::run(&options),
         Command::Slopes(options) => slopes::run(&options),
--- a/crates/load/src/trial/faults.rs
+++ b/crates/load/src/trial/faults.rs
@@ -34,8 +34,9 @@
 }
 
 /// Faults in order of time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Schedule {
+    length: Duration,
     faults: Vec<(Duration, Fault)>,
 }
 
@@ -68,13 +69,19 @@
             faults.push((at(0.35) + NOTICE + REPLACED, Fault::Return(engine)));
         }
         faults.sort_by_key(|(at, _)| *at);
-        Self { faults }
+        Self {
+            length: extent.duration,
+            faults,
+        }
     }
 
     /// Makes a schedule without faults.
     #[must_use]
-    pub fn quiet() -> Self {
-        Self::default()
+    pub const fn quiet(extent: &Extent) -> Self {
+        Self {
+            length: extent.duration,
+            faults: Vec::new(),
+        }
     }
 
     /// Brings the faults about until told to end; gives the system back.
@@ -83,11 +90,18 @@
     /// Fails when a fault can't be brought about, or when an entry host does not stop cleanly.
     pub fn run(&self, mut system: System, start: Instant, done: &AtomicBool) -> anyhow::Result<System> {
         let mut next = self.faults.iter().peekable();
+        let mut billed = false;
+        system.fleet.open_bill();
         while !done.load(Ordering::Relaxed) {
             if let Some((_, fault)) = next.next_if(|(at, _)| start.elapsed() >= *at) {
                 bring_about(&mut system, *fault)?;
                 continue;
             }
+            if !billed && start.elapsed() >= self.length {
+                // Hosts are paid for the time of the arrivals: one late answer must not change what all the others cost.
+                system.fleet.close_bill();
+                billed = true;
+            }
             system.tend()?;
             std::thread::sleep(STEP);
         }
--- a/crates/load/src/trial/fleet.rs
+++ b/crates/load/src/trial/fleet.rs
@@ -19,7 +19,7 @@
     "--slots",
     "6",
     "--prefill-us",
-    "1500",
+    "400",
     "--decode-us",
     "16000",
     "--batch-us",
@@ -135,11 +135,24 @@
             .map_or(Ok(()), |process| process.signal(signal))
     }
 
-    /// Gives what the hosts cost from their start until now, in dollars.
-    pub fn cost(&mut self) -> f64 {
+    /// Begins to count what the hosts cost; what their start cost is the same for every policy.
+    pub fn open_bill(&mut self) {
+        for member in &mut self.members {
+            member.paid = 0.0;
+            member.held = Some(Instant::now());
+        }
+    }
+
+    /// Ends counting for every host that is still held.
+    pub fn close_bill(&mut self) {
         for member in &mut self.members {
             member.pay();
         }
+    }
+
+    /// Gives what the hosts cost between the two, in dollars.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
         self.members.iter().map(|member| member.paid).sum()
     }
 }
--- a/crates/load/src/trial/run.rs
+++ b/crates/load/src/trial/run.rs
@@ -79,7 +79,7 @@
     };
     let system = System::start(&place, plan, &choice).with_context(|| format!("start for {policy}"))?;
     let balancer = Balancer::new(system.doors());
-    let (told, mut system) = play(plan, faults, system, &balancer, interrupted)?;
+    let (told, system) = play(plan, faults, system, &balancer, interrupted)?;
     let dollars = system.fleet.cost();
     drop(system);
     ensure!(!interrupted.load(Ordering::Relaxed), "interrupted");
--- a/crates/load/src/trial/system.rs
+++ b/crates/load/src/trial/system.rs
@@ -219,10 +219,15 @@
         bail!("put {path}: no node decided it: {last}")
     }
 
-    fn wait_ready(&self) -> anyhow::Result<()> {
+    fn wait_ready(&mut self) -> anyhow::Result<()> {
         let until = Instant::now() + PATIENCE;
-        for (at, entry) in self.entries.iter().enumerate() {
-            while self.revision(entry.ops).is_none_or(|revision| revision < self.changes) {
+        for at in 0..self.entries.len() {
+            let ops = self.entries[at].ops;
+            while self.revision(ops).is_none_or(|revision| revision < self.changes) {
+                let ended = self.entries[at].process.as_mut().map_or(Ok(None), Process::ended)?;
+                if let Some(status) = ended {
+                    bail!("entry host {} ended with {status}; its log says why", at + 1);
+                }
                 ensure!(
                     Instant::now() < until,
                     "entry host {} has no whole configuration",
--- a/crates/load/src/workload/mod.rs
+++ b/crates/load/src/workload/mod.rs
@@ -35,7 +35,7 @@
     pub const fn usual_rate(self) -> f64 {
         match self {
             Self::TanSengHuat => 70.0,
-            Self::Mwangaza => 110.0,
+            Self::Mwangaza => 130.0,
         }
     }
 }
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -19,6 +19,7 @@
 /// How an upstream is chosen.
 #[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum Routing {
     /// Lowest predicted cost.
     #[default]
