--- /dev/null
+++ b/crates/telemetry/src/burn/ring.rs
@@ -0,0 +1,150 @@
+//! Counters over time, coarser the further they reach back.
+
+use std::collections::VecDeque;
+
+use contract::{HostId, Zone};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::Cause;
+
+/// Most pairs of cause and host in one bucket; further hosts are counted without a name.
+pub const MAX_BLAMED: usize = 32;
+
+/// A window of the report.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Window {
+    /// 5 minutes, in buckets of 10 s.
+    #[display("5 min")]
+    #[serde(rename = "5m")]
+    Minutes5,
+    /// 1 hour, in buckets of a minute.
+    #[display("1 h")]
+    #[serde(rename = "1h")]
+    Hour1,
+    /// 6 hours, in buckets of 6 minutes.
+    #[display("6 h")]
+    #[serde(rename = "6h")]
+    Hours6,
+    /// 3 days, in buckets of an hour.
+    #[display("3 d")]
+    #[serde(rename = "3d")]
+    Days3,
+}
+
+impl Window {
+    /// Every window, the shortest first.
+    pub const ALL: [Self; 4] = [Self::Minutes5, Self::Hour1, Self::Hours6, Self::Days3];
+
+    /// Gives its length in seconds.
+    #[must_use]
+    pub const fn length(self) -> u64 {
+        match self {
+            Self::Minutes5 => 300,
+            Self::Hour1 => 3_600,
+            Self::Hours6 => 21_600,
+            Self::Days3 => 259_200,
+        }
+    }
+
+    /// Gives the length of its buckets in seconds.
+    #[must_use]
+    pub const fn step(self) -> u64 {
+        match self {
+            Self::Minutes5 => 10,
+            Self::Hour1 => 60,
+            Self::Hours6 => 360,
+            Self::Days3 => 3_600,
+        }
+    }
+}
+
+/// Requests that ended within one step of a window.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bucket {
+    /// Start in seconds since 1970, a multiple of the step.
+    pub at_s: u64,
+    /// Requests within their targets.
+    pub good: u64,
+    /// Requests refused by the customer's own limit.
+    pub limited: u64,
+    /// Requests that missed their targets.
+    pub bad: Vec<Bad>,
+}
+
+/// Misses of one cause on one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bad {
+    /// Why.
+    pub cause: Cause,
+    /// Where, if a host had to do with it.
+    pub host: Option<HostId>,
+    /// The zone of the host.
+    pub zone: Option<Zone>,
+    /// How many.
+    pub count: u64,
+}
+
+impl Bucket {
+    /// Counts a miss.
+    pub fn miss(&mut self, cause: Cause, host: Option<(&HostId, &Zone)>) {
+        let same = |bad: &&mut Bad| bad.cause == cause && bad.host.as_ref() == host.map(|(host, _)| host);
+        if let Some(bad) = self.bad.iter_mut().find(same) {
+            bad.count += 1;
+            return;
+        }
+        // A wave hits many hosts at once. Their names are dropped beyond the bound; the misses are still counted.
+        let host = host.filter(|_| self.bad.len() < MAX_BLAMED);
+        if host.is_none()
+            && let Some(bad) = self.bad.iter_mut().find(|bad| bad.cause == cause && bad.host.is_none())
+        {
+            bad.count += 1;
+            return;
+        }
+        self.bad.push(Bad {
+            cause,
+            host: host.map(|(host, _)| host.clone()),
+            zone: host.map(|(_, zone)| zone.clone()),
+            count: 1,
+        });
+    }
+}
+
+/// The buckets of one window, oldest first.
+#[derive(Clone, Debug)]
+pub(super) struct Ring {
+    window: Window,
+    buckets: VecDeque<Bucket>,
+}
+
+impl Ring {
+    pub(super) const fn new(window: Window) -> Self {
+        Self {
+            window,
+            buckets: VecDeque::new(),
+        }
+    }
+
+    /// Gives the bucket of a time; a clock that goes back counts into the newest one.
+    pub(super) fn bucket(&mut self, now_s: u64) -> &mut Bucket {
+        let at_s = now_s - now_s % self.window.step();
+        if self.buckets.back().is_none_or(|last| last.at_s < at_s) {
+            self.buckets.push_back(Bucket {
+                at_s,
+                ..Bucket::default()
+            });
+        }
+        while self
+            .buckets
+            .front()
+            .is_some_and(|first| first.at_s + self.window.length() < at_s)
+        {
+            self.buckets.pop_front();
+        }
+        self.buckets.back_mut().expect("one was added if there was none")
+    }
+
+    pub(super) fn buckets(&self) -> Vec<Bucket> {
+        self.buckets.iter().cloned().collect()
+    }
+}
