Report error budgets, requests, status and contract differences with gentianctl

gentianctl gains burn, status, request show and explain, contract diff and history, key hash; exit codes tell absent, incomplete and different apart.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -8,14 +8,23 @@
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "gentianctl contract apply tan-seng-huat.json",
-    error_code(1, "The command failed; the message says at which step and peer."),
+    error_code(
+        1,
+        "The command failed; the message says at which step and peer, and what to do next."
+    ),
     error_code(2, "Another change came first; read the item again and repeat."),
-    note = "The key is read from GENTIAN_OPERATOR_KEY, the addresses from GENTIAN_ADMIN unless --admin gives them."
+    error_code(3, "What was asked for is not there."),
+    error_code(4, "Some processes did not answer; what is printed is incomplete."),
+    error_code(5, "The contracts differ (contract diff)."),
+    note = "The key is read from GENTIAN_OPERATOR_KEY. Addresses are read from GENTIAN_ADMIN and GENTIAN_ENTRIES unless --admin and --entries give them."
 )]
 pub struct Options {
     /// administration API of the state group as IP:PORT,…
     #[argh(option)]
     pub admin: Option<String>,
+    /// inner addresses of the entry hosts as IP:PORT,…
+    #[argh(option)]
+    pub entries: Option<String>,
     /// print JSON
     #[argh(switch)]
     pub json: bool,
@@ -32,11 +41,107 @@
     Contract(ContractOptions),
     /// Upstreams.
     Upstream(UpstreamOptions),
+    /// Processes.
+    Status(Status),
+    /// Error budgets.
+    Burn(Burn),
+    /// Requests.
+    Request(RequestOptions),
+    /// Keys.
+    Key(KeyOptions),
+}
+
+/// Show state nodes and entry hosts with the revision that each has in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status", example = "gentianctl status --json")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "the derive of argh asks for named fields"
+)]
+pub struct Status {}
+
+/// Show how fast each customer's classes use up their error budgets.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "burn",
+    example = "gentianctl burn --customer mwangaza --html burn.html"
+)]
+pub struct Burn {
+    /// only this customer
+    #[argh(option)]
+    pub customer: Option<String>,
+    /// write a page with plots into this file
+    #[argh(option)]
+    pub html: Option<std::path::PathBuf>,
+}
+
+/// Look into single requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "request", example = "gentianctl request explain entry-1-19a3-7")]
+pub struct RequestOptions {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: RequestCommand,
+}
+
+/// What to do with a request.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum RequestCommand {
+    /// Show.
+    Show(Show),
+    /// Explain.
+    Explain(Explain),
+}
+
+/// Show who made a request and how far its answer is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show", example = "gentianctl request show entry-1-19a3-7")]
+pub struct Show {
+    /// request id, as in the X-Request-Id header of the answer
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Tell for each attempt which upstream was chosen and why the others were not.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain", example = "gentianctl request explain entry-1-19a3-7")]
+pub struct Explain {
+    /// request id, as in the X-Request-Id header of the answer
+    #[argh(positional)]
+    pub id: String,
 }
 
+/// Prepare keys of accounts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key", example = "gentianctl key hash < key.txt")]
+pub struct KeyOptions {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: KeyCommand,
+}
+
+/// What to do with a key.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum KeyCommand {
+    /// Hash.
+    Hash(Hash),
+}
+
+/// Read a bearer key from standard input and print the `key_hash` for its account.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash", example = "gentianctl key hash < key.txt")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "the derive of argh asks for named fields"
+)]
+pub struct Hash {}
+
 /// Read and change contracts.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "contract")]
+#[argh(subcommand, name = "contract", example = "gentianctl contract list")]
 pub struct ContractOptions {
     /// what to do
     #[argh(subcommand)]
@@ -53,11 +158,33 @@
     Get(Get),
     /// List.
     List(List),
+    /// Diff.
+    Diff(Diff),
+    /// History.
+    History(History),
+}
+
+/// Show what applying a JSON file would change; standard input for -.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff", example = "gentianctl contract diff mwangaza.json")]
+pub struct Diff {
+    /// the file
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// List the changes of contracts that the state group still keeps, the newest last.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history", example = "gentianctl contract history mwangaza")]
+pub struct History {
+    /// only this customer
+    #[argh(positional)]
+    pub name: Option<String>,
 }
 
 /// Register and read upstreams.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "upstream")]
+#[argh(subcommand, name = "upstream", example = "gentianctl upstream apply upstreams.json")]
 pub struct UpstreamOptions {
     /// what to do
     #[argh(subcommand)]
@@ -117,18 +244,27 @@
     /// # Errors
     /// Fails when none is given or one is not an address.
     pub fn addresses(&self) -> anyhow::Result<Vec<SocketAddr>> {
-        let text = self
-            .admin
-            .clone()
-            .or_else(|| std::env::var("GENTIAN_ADMIN").ok())
-            .unwrap_or_default();
-        let list: contract::settings::List<SocketAddr> = text.parse().map_err(|error| {
-            anyhow::anyhow!("--admin (GENTIAN_ADMIN): {text} is not allowed ({error}), expected IP:PORT,…")
-        })?;
-        anyhow::ensure!(
-            !list.0.is_empty(),
-            "--admin (GENTIAN_ADMIN) is not given, expected IP:PORT,…"
-        );
-        Ok(list.0)
+        listed(self.admin.as_deref(), "--admin", "GENTIAN_ADMIN")
+    }
+
+    /// Gives the inner addresses of the entry hosts.
+    ///
+    /// # Errors
+    /// Fails when none is given or one is not an address.
+    pub fn entry_hosts(&self) -> anyhow::Result<Vec<SocketAddr>> {
+        listed(self.entries.as_deref(), "--entries", "GENTIAN_ENTRIES")
     }
 }
+
+fn listed(flag: Option<&str>, name: &str, variable: &str) -> anyhow::Result<Vec<SocketAddr>> {
+    let text = flag.map(str::to_owned).or_else(|| std::env::var(variable).ok());
+    let text = text.unwrap_or_default();
+    let list: contract::settings::List<SocketAddr> = text
+        .parse()
+        .map_err(|error| anyhow::anyhow!("{name} ({variable}): {text} is not allowed ({error}), expected IP:PORT,…"))?;
+    anyhow::ensure!(
+        !list.0.is_empty(),
+        "{name} ({variable}) is not given, expected IP:PORT,…"
+    );
+    Ok(list.0)
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,14 @@
 //! The operator's command line.
 
 pub mod admin;
+pub mod burn;
+pub mod chart;
 pub mod cli;
 pub mod contracts;
+pub mod diff;
+pub mod entries;
+pub mod exit;
+pub mod keys;
+pub mod requests;
+pub mod status;
 pub mod upstreams;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,34 +2,52 @@
 
 use std::process::ExitCode;
 
-use ctl::admin::{Admin, AdminError};
-use ctl::cli::{Command, Options};
-use ctl::{contracts, upstreams};
-
-const FAILED: u8 = 1;
-const CONFLICT: u8 = 2;
+use ctl::admin::Admin;
+use ctl::cli::{Command, KeyCommand, Options};
+use ctl::entries::Entries;
+use ctl::exit::{Output, code};
+use ctl::{burn, contracts, keys, requests, status, upstreams};
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
     match run(&options) {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
+        Ok(output) => {
+            println!("{}", output.text);
+            for note in &output.notes {
+                eprintln!("gentianctl: {note}");
+            }
+            output.ending.into()
         }
         Err(error) => {
-            eprintln!("gentianctl: {error}");
-            let conflict = matches!(error.downcast_ref(), Some(AdminError::Conflict { .. }));
-            ExitCode::from(if conflict { CONFLICT } else { FAILED })
+            eprintln!("gentianctl: {error:#}");
+            code(&error)
         }
     }
 }
 
-fn run(options: &Options) -> anyhow::Result<String> {
-    let key = std::env::var("GENTIAN_OPERATOR_KEY")
-        .map_err(|_absent| anyhow::anyhow!("GENTIAN_OPERATOR_KEY is not set, expected the operator's bearer key"))?;
-    let admin = Admin::new(options.addresses()?, key);
+fn run(options: &Options) -> anyhow::Result<Output> {
+    let json = options.json;
     match &options.command {
-        Command::Contract(options_of) => contracts::run(&admin, &options_of.command, options.json),
-        Command::Upstream(options_of) => upstreams::run(&admin, &options_of.command, options.json),
+        Command::Contract(of) => contracts::run(&admin(options)?, &of.command, json),
+        Command::Upstream(of) => upstreams::run(&admin(options)?, &of.command, json).map(Output::from),
+        Command::Status(_) => status::run(&options.addresses()?, &operator_key()?, &entries(options)?, json),
+        Command::Burn(of) => burn::run(&entries(options)?, of, json),
+        Command::Request(of) => requests::run(&entries(options)?, &of.command, json),
+        Command::Key(of) => match &of.command {
+            KeyCommand::Hash(_) => keys::hash(std::io::stdin()).map(Output::from),
+        },
     }
 }
+
+fn admin(options: &Options) -> anyhow::Result<Admin> {
+    Ok(Admin::new(options.addresses()?, operator_key()?))
+}
+
+fn entries(options: &Options) -> anyhow::Result<Entries> {
+    Entries::new(options.entry_hosts()?)
+}
+
+fn operator_key() -> anyhow::Result<String> {
+    std::env::var("GENTIAN_OPERATOR_KEY")
+        .map_err(|_absent| anyhow::anyhow!("GENTIAN_OPERATOR_KEY is not set, expected the operator's bearer key"))
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,6 +9,7 @@
 use policy::route::Rules;
 use slog::Logger;
 use telemetry::Clock;
+use telemetry::burn::Ledger;
 use telemetry::clock::wall_ms;
 use upstream::engine::EngineClient;
 use upstream::service::ServiceClient;
@@ -43,6 +44,8 @@
     pub live: ArcSwap<Live>,
     /// Streamed answers.
     pub journals: Journals,
+    /// What the burn report counts.
+    pub burn: Ledger,
     /// The state group.
     pub state: StateClient,
     /// Engines.
@@ -83,6 +86,7 @@
             current: Arc::default(),
             fleet,
             journals: Journals::default(),
+            burn: Ledger::default(),
             state,
             engines: EngineClient::new(CONNECT),
             services: ServiceClient::new(CONNECT),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod burn;
 pub mod callers;
 pub mod claims;
 pub mod cli;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,7 +9,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, exchange, fleet, hosts, ops};
+use entry::{Entry, burn, callers, current, exchange, fleet, hosts, ops};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
 use telemetry::log;
@@ -53,6 +53,9 @@
     let rpc = Rpc::new(Arc::clone(entry));
     let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
     start_duties(entry)?;
+    let (rememberer, remembering) = (Arc::clone(entry), calls.clone());
+    let remember = move || burn::remember(&rememberer, &remembering, inner_address);
+    thread::Builder::new().name("burn".to_owned()).spawn(remember)?;
     start_exchange(entry, inner_address)?;
     let ring = callers::start_workers(entry)?;
     info!(entry.logger, "serving"; "callers" => %server.server_addr(), "ops" => %ops,
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -9,7 +9,7 @@
 use wire::Envelope;
 use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk};
 
-use crate::Entry;
+use crate::{Entry, burn};
 
 /// Answers other processes of the system.
 #[derive(Clone, Debug)]
@@ -62,6 +62,10 @@
         Ok(self.wrap(found.map(|journal| json!(journal.choices()))))
     }
 
+    async fn burn(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
+        Ok(self.wrap(json!(burn::parts(&self.entry))))
+    }
+
     async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
         let entry = &self.entry;
         let status = json!({
--- /dev/null
+++ b/crates/entry/tests/burn_peers.rs
@@ -0,0 +1,28 @@
+//! Who remembers whose counts for the burn report.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use entry::burn::next;
+
+fn addresses(count: u16) -> Vec<SocketAddr> {
+    (1..=count)
+        .rev()
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .collect()
+}
+
+/// A host that nobody remembers loses its counts at a restart, and the customer's budget looks full again.
+#[test]
+fn all_remembered() {
+    let all = addresses(7);
+    let asked: BTreeSet<SocketAddr> = all.iter().filter_map(|own| next(&all, *own)).collect();
+    assert_eq!(asked.len(), all.len());
+    assert!(all.iter().all(|own| next(&all, *own) != Some(*own)));
+}
+
+#[test]
+fn alone() {
+    let all = addresses(1);
+    assert_eq!(next(&all, all[0]), None);
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -72,6 +72,14 @@
             })
     }
 
+    /// Starts a call that goes on beside the calling thread.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = T> + Send + 'static,
+    ) -> tokio::task::JoinHandle<T> {
+        self.runtime.spawn(call)
+    }
+
     /// Runs a call to its end.
     pub fn wait<T>(&self, call: impl Future<Output = T>) -> T {
         self.runtime.block_on(call)
