--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -32,6 +32,8 @@
     Compare(Compare),
     /// One policy.
     Run(RunOptions),
+    /// A page with plots.
+    Report(Report),
 }
 
 /// Compare policies on the same seeded arrivals and faults.
@@ -143,3 +145,19 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Make one self-contained page with plots from the JSON output of comparisons.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "report",
+    example = "gentian-load report tan-1.json tan-2.json --out report.html"
+)]
+pub struct Report {
+    /// files that hold the output of compare --json
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+    /// file that the page is written into
+    #[argh(option, default = "PathBuf::from(\"report.html\")")]
+    pub out: PathBuf,
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use load::cli::{Command, Options};
-use load::{compare, demo, slopes};
+use load::{compare, demo, report, slopes};
 
 fn main() -> ExitCode {
     match run(argh::from_env()) {
@@ -21,5 +21,6 @@
         Command::Slopes(options) => slopes::run(&options),
         Command::Compare(options) => compare::compare(&options),
         Command::Run(options) => compare::single(&options),
+        Command::Report(options) => report::write(&options),
     }
 }
