--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -11,7 +11,7 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, drain, exchange, fleet, hosts, ops, rescue};
+use entry::{Entry, burn, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
 use telemetry::log;
@@ -56,6 +56,9 @@
     let rpc = Rpc::new(Arc::clone(entry));
     let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
     start_duties(entry)?;
+    let (rememberer, remembering) = (Arc::clone(entry), calls.clone());
+    let remember = move || burn::remember(&rememberer, &remembering, inner_address);
+    thread::Builder::new().name("burn".to_owned()).spawn(remember)?;
     start_exchange(entry, inner_address)?;
     info!(entry.logger, "serving"; "callers" => %listener.local_addr()?, "ops" => %ops,
         "inner" => %inner_address);
