--- a/crates/entry/src/current.rs
+++ b/crates/entry/src/current.rs
@@ -2,18 +2,18 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use contract::{AccountName, Config, Contract, CustomerId, KeyHash, Revision};
 use metrics::gauge;
 use policy::Tick;
-use slog::{Logger, info, warn};
-use telemetry::Clock;
-use wire::client::StateClient;
+use slog::{info, warn};
 use wire::state::{Watch, Watched};
 
+use crate::Entry;
+
 /// How long a node of the state group may hold the question.
 const WAIT_MS: u64 = 2_000;
 /// Age from which another node of the state group is asked.
@@ -85,6 +85,17 @@
         now.since(Tick::from_millis(self.heard_ms.load(Ordering::Relaxed)))
     }
 
+    /// Gives a peer what is in force here, if that is newer than what it has.
+    #[must_use]
+    pub fn since(&self, after: Revision, now: Tick) -> Watched {
+        let view = self.view();
+        Watched {
+            snapshot: (view.config.revision > after).then(|| view.config.clone()),
+            records: Vec::new(),
+            age_ms: self.age(now).as_millis() as u64,
+        }
+    }
+
     /// Takes over news; a configuration that is older than the one in force is dropped, so that none ever reverts.
     pub fn take(&self, news: Watched, now: Tick) {
         let before = self.view();
@@ -103,26 +114,24 @@
     }
 }
 
-/// Follows the state group until told to stop.
-pub fn follow(current: &Current, state: &StateClient, clock: &Clock, logger: &Logger, stop: &AtomicBool) {
+/// Follows the state group until told to stop; while no node of it answers, the peers are asked.
+pub fn follow(entry: &Entry) {
+    let (current, state, logger) = (&entry.current, &entry.state, &entry.logger);
     let mut node = state.home();
     let mut lost = false;
-    while !stop.load(Ordering::Relaxed) {
-        let revision = current.revision();
-        match state.watch(
-            node,
-            revision,
-            Watch {
-                after: revision,
-                wait_ms: WAIT_MS,
-            },
-        ) {
+    while !entry.stop.load(Ordering::Relaxed) {
+        let after = current.revision();
+        let ask = Watch {
+            after,
+            wait_ms: WAIT_MS,
+        };
+        match state.watch(node, after, ask) {
             Ok(news) => {
                 // A node that is cut off from the others answers for ever with what it had; another may know more.
                 if news.body.age_ms > STALE_MS {
                     node += 1;
                 }
-                current.take(news.body, clock.now());
+                current.take(news.body, entry.clock.now());
                 if std::mem::take(&mut lost) {
                     info!(logger, "state group answers again"; "revision" => current.revision().0);
                 }
@@ -132,10 +141,23 @@
                     warn!(logger, "state node does not answer"; "error" => %error);
                 }
                 node += 1;
+                ask_peer(entry);
                 std::thread::sleep(PAUSE);
             }
         }
         gauge!("gentian_config_revision").set(current.revision().0 as f64);
-        gauge!("gentian_config_age_seconds").set(current.age(clock.now()).as_secs_f64());
+        gauge!("gentian_config_age_seconds").set(current.age(entry.clock.now()).as_secs_f64());
+    }
+}
+
+/// Takes a newer configuration from a peer, which may have heard of it before the cut, or be on its other side.
+///
+/// A host that starts during a cut would otherwise have no contract at all and refuse every caller.
+fn ask_peer(entry: &Entry) {
+    if let Some(news) = entry.peers.config(entry.current.revision()) {
+        // A peer that has no configuration either would make this host look ready.
+        if news.snapshot.is_some() || entry.current.is_ready() {
+            entry.current.take(news, entry.clock.now());
+        }
     }
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -101,15 +101,9 @@
 
 fn start_duties(entry: &Arc<Entry>) -> std::io::Result<()> {
     let learner = Arc::clone(entry);
-    thread::Builder::new().name("learner".to_owned()).spawn(move || {
-        current::follow(
-            &learner.current,
-            &learner.state,
-            &learner.clock,
-            &learner.logger,
-            &learner.stop,
-        );
-    })?;
+    thread::Builder::new()
+        .name("learner".to_owned())
+        .spawn(move || current::follow(&learner))?;
     rescue::start(entry)?;
     let watcher = Arc::clone(entry);
     thread::Builder::new()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 use wire::Envelope;
 use wire::client::{CallError, Calls};
 use wire::entry::{EntryRpcClient, Handover, Journal, JournalAsk};
+use wire::state::Watched;
 
 /// Clients of the other entry hosts.
 #[derive(Debug)]
@@ -40,6 +41,15 @@
         })
     }
 
+    /// Asks one peer, each time another, for a newer configuration than a revision.
+    pub fn config(&self, after: Revision) -> Option<Watched> {
+        let count = self.clients.len();
+        let at = self.turn.fetch_add(1, Ordering::Relaxed).checked_rem(count)?;
+        let message = Envelope::new(&self.me, after, after);
+        let answer = self.calls.wait(self.clients[at].config(message)).ok()?;
+        Some(answer.body)
+    }
+
     /// Looks a request up, first at the peer whose name the request carries.
     pub fn journal(&self, revision: Revision, request: &RequestId, from: usize) -> Option<Journal> {
         let first = self.made_by(request);
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use contract::RequestId;
+use contract::{RequestId, Revision};
 use jsonrpsee::core::{RpcResult, async_trait};
 use serde_json::json;
 use wire::Envelope;
 use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk, Sign};
+use wire::state::Watched;
 
 use crate::{Entry, burn, callers};
 
@@ -84,6 +85,10 @@
         Ok(self.wrap(json!(burn::parts(&self.entry))))
     }
 
+    async fn config(&self, after: Envelope<Revision>) -> RpcResult<Envelope<Watched>> {
+        Ok(self.wrap(self.entry.current.since(after.body, self.entry.clock.now())))
+    }
+
     async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
         let entry = &self.entry;
         let status = json!({
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod ask;
 pub mod fake;
+pub mod process;
 pub mod state;
 
 use std::io::{BufRead, BufReader};
--- /dev/null
+++ b/crates/entry/tests/common/process.rs
@@ -0,0 +1,76 @@
+//! Entry hosts and state nodes as processes of their own.
+
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::Once;
+use std::time::{Duration, Instant};
+
+use super::ask::call;
+use super::{PATIENCE, free_address};
+
+/// The state program is of another package, which a test run of this one alone doesn't build.
+static BUILT: Once = Once::new();
+
+/// A process that is killed when it goes away.
+pub struct Process(Child);
+
+impl Process {
+    /// Starts a group of one state node.
+    pub fn state(address: SocketAddr, folder: &Path) -> Self {
+        BUILT.call_once(|| {
+            let mut build = Command::new(env!("CARGO"));
+            build.args(["build", "--locked", "--quiet", "--package", "state", "--bins"]);
+            if !cfg!(debug_assertions) {
+                build.arg("--release");
+            }
+            assert!(build.status().unwrap().success());
+        });
+        let (text, data) = (address.to_string(), folder.to_str().unwrap());
+        let arguments = ["--node", "state-1", "--peers", &text, "--listen", &text, "--data", data];
+        Self::start("gentian-state", &arguments)
+    }
+
+    /// Starts an entry host and waits until it answers health checks; gives where callers and health checks go.
+    pub fn entry(name: &str, state: SocketAddr, more: &[&str]) -> (Self, SocketAddr, SocketAddr) {
+        let (listen, ops) = (free_address(), free_address());
+        let (state, listens, opens) = (state.to_string(), listen.to_string(), ops.to_string());
+        let arguments = ["--node", name, "--data-center", "dc-1", "--state", &state];
+        let addresses = ["--listen", &listens, "--ops", &opens];
+        let process = Self::start("gentian-entry", &[&arguments[..], &addresses[..], more].concat());
+        until("an entry host", || {
+            TcpStream::connect(ops).is_ok() && call(ops, "GET", "/readyz", &[], &[]).status == 200
+        });
+        (process, listen, ops)
+    }
+
+    pub fn kill(&mut self) {
+        // It may have been killed already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+
+    fn start(name: &str, arguments: &[&str]) -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_gentian-entry")).with_file_name(name);
+        let mut command = Command::new(program);
+        command
+            .args(arguments)
+            .env("GENTIAN_OPERATOR_KEY", "test-operator-key-0001");
+        Self(command.stderr(Stdio::null()).spawn().unwrap())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until something holds; the bound only keeps a test from hanging.
+pub fn until(what: &str, done: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !done() {
+        assert!(begin.elapsed() < PATIENCE, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/entry/tests/killed_between.rs
+++ b/crates/entry/tests/killed_between.rs
@@ -3,14 +3,13 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
 use common::ask::{Answer, call, send};
 use common::fake::{Got, reply, serve};
+use common::process::{Process, until};
 use common::{PATIENCE, contract, free_address, service};
 use contract::{Change, Revision};
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -20,43 +19,6 @@
 /// How long a deposit may take in these tests; its claim counts as overdue after that.
 const WHOLE_MS: u64 = 1_500;
 
-/// The state program is of another package, which a test run of this one alone doesn't build.
-static BUILT: Once = Once::new();
-
-/// A process that is killed when it goes away.
-struct Process(Child);
-
-impl Process {
-    fn start(name: &str, arguments: &[&str]) -> Self {
-        BUILT.call_once(|| {
-            let mut build = Command::new(env!("CARGO"));
-            build.args(["build", "--locked", "--quiet", "--package", "state", "--bins"]);
-            if !cfg!(debug_assertions) {
-                build.arg("--release");
-            }
-            assert!(build.status().unwrap().success());
-        });
-        let program = Path::new(env!("CARGO_BIN_EXE_gentian-entry")).with_file_name(name);
-        let mut command = Command::new(program);
-        command
-            .args(arguments)
-            .env("GENTIAN_OPERATOR_KEY", "test-operator-key-0001");
-        Self(command.stderr(Stdio::null()).spawn().unwrap())
-    }
-
-    fn kill(&mut self) {
-        // It may have been killed already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// A state node, a till, and a relay before the node that keeps answers back when told to.
 struct Bench {
     node: Process,
@@ -74,11 +36,8 @@
 impl Bench {
     fn start(keep: &'static str) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let (state, admin) = (free_address(), free_address());
-        let (text, data) = (state.to_string(), folder.path().to_str().unwrap().to_owned());
-        let arguments = ["--node", "state-1", "--peers", &text, "--listen", &text];
-        let more = ["--admin", &admin.to_string(), "--data", &data];
-        let node = Process::start("gentian-state", &[&arguments[..], &more[..]].concat());
+        let state = free_address();
+        let node = Process::state(state, folder.path());
         let (keeps, kept) = bounded(8);
         let (starts, started) = bounded(8);
         let (slow, ran) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
@@ -123,31 +82,9 @@
         }
     }
 
-    fn entry(name: &str, state: SocketAddr) -> (Process, SocketAddr) {
-        let (listen, ops) = (free_address(), free_address());
-        let (state, listens, opens) = (state.to_string(), listen.to_string(), ops.to_string());
-        let arguments = [
-            "--node",
-            name,
-            "--data-center",
-            "dc-1",
-            "--state",
-            &state,
-            "--listen",
-            &listens,
-            "--ops",
-            &opens,
-        ];
-        let process = Process::start("gentian-entry", &arguments);
-        until("an entry host", || {
-            std::net::TcpStream::connect(ops).is_ok() && call(ops, "GET", "/readyz", &[], &[]).status == 200
-        });
-        (process, listen)
-    }
-
     /// Sends a deposit through a host that is killed at the moment that the test waits for.
     fn kill_during(&self, moment: &Receiver<()>) {
-        let (mut entry, address) = Self::entry("entry-1", self.relay);
+        let (mut entry, address, _) = Process::entry("entry-1", self.relay, &[]);
         let connection = send(
             address,
             "POST",
@@ -162,7 +99,7 @@
 
     /// Resends the deposit through another host until its end is known or it is known to be unknown.
     fn resend(&self) -> Answer {
-        let (_entry, address) = Self::entry("entry-2", self.state);
+        let (_entry, address, _) = Process::entry("entry-2", self.state, &[]);
         let begin = Instant::now();
         loop {
             let answer = deposit(address);
@@ -233,14 +170,6 @@
     address
 }
 
-fn until(what: &str, done: impl Fn() -> bool) {
-    let begin = Instant::now();
-    while !done() {
-        assert!(begin.elapsed() < PATIENCE, "waited too long for {what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
 /// The host dies when the claim is written and nothing is sent yet. The resend must not send the deposit either, as
 /// nobody else can know whether the first host had; the caller is told that its end is unknown.
 #[test]
@@ -283,7 +212,7 @@
 #[test]
 fn cut_off() {
     let mut bench = Bench::start("");
-    let (_entry, address) = Bench::entry("entry-1", bench.state);
+    let (_entry, address, _) = Process::entry("entry-1", bench.state, &[]);
     bench.node.kill();
     let refused = deposit(address);
     assert_eq!(
@@ -294,14 +223,7 @@
     assert!(refused.header("Retry-After").is_some());
     assert_eq!(call(address, "GET", "/services/till/stock", &[], &[]).status, 404);
     assert_eq!(bench.ran(), 0);
-    let (text, data) = (
-        bench.state.to_string(),
-        bench.folder.path().to_str().unwrap().to_owned(),
-    );
-    let arguments = [
-        "--node", "state-1", "--peers", &text, "--listen", &text, "--data", &data,
-    ];
-    bench.node = Process::start("gentian-state", &arguments);
+    bench.node = Process::state(bench.state, bench.folder.path());
     until("the deposit", || deposit(address).status == 201);
     assert_eq!(deposit(address).status, 201);
     assert_eq!(bench.ran(), 1);
--- a/crates/state/src/core/forming.rs
+++ b/crates/state/src/core/forming.rs
@@ -159,7 +159,7 @@
                     };
                     self.node.receive(message, now);
                     if told.is_some_and(|commit| commit <= self.node.committed()) {
-                        self.heard = now;
+                        self.heard = Some(now);
                     }
                 }
                 Parcel::Hello(hello) => self.on_hello(from, address, hello, now),
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -31,6 +31,8 @@
 const BATCH: usize = 1_024;
 /// How often time moves on when nothing is asked.
 const STEP: Duration = Duration::from_millis(10);
+/// Age of what a node has that heard nothing since its start: it may be of any age.
+const UNHEARD: Duration = Duration::from_hours(24);
 /// Pause before a write is tried again on a full disk.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -48,8 +50,8 @@
     time: LogTime,
     clock: Clock,
     logger: Logger,
-    /// When this node last knew that it had everything that is agreed.
-    heard: Tick,
+    /// When this node last knew that it had everything that is agreed; nothing after a start.
+    heard: Option<Tick>,
     /// Writes that found no room, and when they are tried again.
     stalled: Option<(Ready, Tick)>,
     /// When a snapshot may be tried again.
@@ -87,7 +89,7 @@
             watchers: Watchers::default(),
             clock,
             logger,
-            heard: now,
+            heard: None,
             stalled: None,
             snapshot_at: now,
             role: "",
@@ -234,9 +236,9 @@
     /// Gives for how long news may have passed this node by.
     fn age(&mut self, now: Tick) -> Duration {
         if self.node.leads(now) {
-            self.heard = now;
+            self.heard = Some(now);
         }
-        now.since(self.heard)
+        self.heard.map_or(UNHEARD, |heard| now.since(heard))
     }
 
     fn note_role(&mut self, now: Tick) {
--- a/crates/wire/src/entry.rs
+++ b/crates/wire/src/entry.rs
@@ -1,12 +1,13 @@
 //! Calls to `gentian-entry`: signs about hosts, requests of other entry hosts, status.
 
-use contract::{HostId, RequestId};
+use contract::{HostId, RequestId, Revision};
 use derive_more::Display;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 
 use crate::Envelope;
+use crate::state::Watched;
 
 /// The calls that `gentian-entry` answers.
 #[rpc(server, client, namespace = "entry")]
@@ -31,6 +32,10 @@
     #[method(name = "burn")]
     async fn burn(&self, request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>>;
 
+    /// Gives the configuration that the process has in force, if it is newer than a revision.
+    #[method(name = "config")]
+    async fn config(&self, after: Envelope<Revision>) -> RpcResult<Envelope<Watched>>;
+
     /// Tells what the process knows of itself.
     #[method(name = "status")]
     async fn status(&self, request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>>;
