--- a/crates/entry/src/admission/mod.rs
+++ b/crates/entry/src/admission/mod.rs
@@ -21,6 +21,7 @@
 use wire::digest::Demand;
 
 use crate::current::View;
+use crate::fleet::Size;
 use limits::Customers;
 use queues::Queues;
 
@@ -152,7 +153,7 @@
     }
 
     /// Sets what upstreams can take, by what they serve.
-    pub fn resize(&self, sizes: &[(Target, usize)]) {
+    pub fn resize(&self, sizes: &[Size]) {
         let mut inner = self.inner.lock();
         inner.queues.resize(sizes);
         inner.grant();
--- a/crates/entry/src/admission/queues.rs
+++ b/crates/entry/src/admission/queues.rs
@@ -10,6 +10,8 @@
 use policy::room::Room;
 use policy::route::Target;
 
+use crate::fleet::Size;
+
 /// Lanes with the waiting threads' handles.
 #[derive(Debug)]
 pub(super) struct Queues<W> {
@@ -88,12 +90,14 @@
     }
 
     /// Sets what upstreams can take; lanes that nothing serves any more take nothing, and go once they are empty.
-    pub(super) fn resize(&mut self, sizes: &[(Target, usize)]) {
+    pub(super) fn resize(&mut self, sizes: &[Size]) {
         for lane in self.lanes.values_mut() {
             lane.resize(0);
         }
-        for (target, slots) in sizes {
-            self.lane(target).resize(*slots);
+        for size in sizes {
+            let lane = self.lane(&size.target);
+            lane.resize(size.slots);
+            lane.set_first(size.first);
         }
         self.lanes
             .retain(|_, lane| lane.running() + lane.waiting() + lane.capacity() > 0);
--- a/crates/entry/src/fleet/index.rs
+++ b/crates/entry/src/fleet/index.rs
@@ -5,6 +5,7 @@
 
 use contract::{DataCenter, HostId, Revision, UpstreamId, UpstreamSpec};
 use parking_lot::Mutex;
+use policy::cache::Trust;
 use policy::route::{Group, Place, Rates, Target};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -35,6 +36,8 @@
     pub(super) spec: Arc<UpstreamSpec>,
     pub(super) member: Arc<Member>,
     pub(super) rates: Arc<Mutex<Rates>>,
+    /// How far the guess is right that a prompt is cached at its home.
+    pub(super) home: Arc<Mutex<Trust>>,
 }
 
 /// Numbers that were given to upstreams.
@@ -49,12 +52,16 @@
         let mut by_target: HashMap<Target, Vec<Row>> = HashMap::new();
         for spec in view.config.upstreams.values() {
             let target = Target::of(spec);
-            let rates = self.pools.get(&target).map(|pool| Arc::clone(&pool.rates));
-            let rates = rates.or_else(|| Some(Arc::clone(&by_target.get(&target)?.first()?.rates)));
+            // What is measured of a model or service is kept from revision to revision.
+            let before = self.pools.get(&target).and_then(|pool| pool.rows.first());
+            let shared = before.or_else(|| by_target.get(&target)?.first());
+            let rates = shared.map(|row| Arc::clone(&row.rates));
+            let home = shared.map(|row| Arc::clone(&row.home));
             let row = Row {
                 spec: Arc::new(spec.clone()),
                 member: self.member(spec, numbers),
                 rates: rates.unwrap_or_default(),
+                home: home.unwrap_or_default(),
             };
             by_target.entry(target).or_default().push(row);
         }
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use contract::{DataCenter, UpstreamId};
-use metrics::{counter, gauge};
+use metrics::counter;
 use parking_lot::{Mutex, RwLock};
 use policy::Tick;
 use policy::load::Report;
@@ -63,12 +63,37 @@
     pub tried: &'a [UpstreamId],
 }
 
+/// What one host may run at once at everything that serves one thing.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// The model or service.
+    pub target: Target,
+    /// Requests at once.
+    pub slots: usize,
+    /// Time from the sending of a request to its first token; zero for services.
+    pub first: Duration,
+}
+
 /// One request under way at an upstream; it ends when dropped.
 #[derive(Debug)]
 pub struct Visit<'a> {
     fleet: &'a Fleet,
     row: Option<Row>,
     started: Tick,
+    /// Predicted load there before it.
+    load: f64,
+    seen: Mutex<Seen>,
+}
+
+/// What was seen of a visit so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    first_at: Option<Tick>,
+    /// Words that own dispatches and events said were cached.
+    held: u64,
+    /// Words that were guessed to be cached because it is the prompt's home.
+    guess: u64,
+    fresh: u64,
 }
 
 impl Fleet {
@@ -148,8 +173,31 @@
         } else {
             Vec::new()
         };
-        let lead = (with_prefix && self.rules.with(Without::Rendezvous)).then(|| prefix.lead());
-        group.propose(lead, &holders, turn)
+        group.propose(&self.leads(prefix), &holders, turn)
+    }
+
+    /// Gives the hashes of the beginnings by which a prompt is placed.
+    fn leads(&self, prefix: &Prefix) -> Vec<u64> {
+        let leads = prefix.leads();
+        let used = leads.iter().filter(|_| self.rules.with(Without::Rendezvous));
+        used.map(|lead| lead.hash).collect()
+    }
+
+    /// Gives where a prompt is at home with the words that are likely to be cached there, longest beginning first.
+    ///
+    /// Entry hosts don't tell each other what they sent where. But all of them prefer the same home, so that a
+    /// conversation whose earlier turns came through another entry host is most likely there.
+    fn homes(&self, pool: &Pool, prefix: &Prefix) -> Vec<(usize, u64)> {
+        if !self.rules.with(Without::Rendezvous) || !self.rules.with(Without::Affinity) {
+            return Vec::new();
+        }
+        let share = pool.rows.first().map_or(0.0, |row| row.home.lock().share());
+        let leads = prefix.leads();
+        let homes = leads.iter().filter_map(|lead| {
+            let at = pool.group.home(lead.hash)?;
+            Some((at, (lead.words as f64 * share) as u64))
+        });
+        homes.collect()
     }
 
     fn candidates<'a>(&self, pool: &'a Pool, proposed: &[Proposed], ask: &Ask<'_>, now: Tick) -> Vec<Candidate<'a>> {
@@ -160,6 +208,7 @@
             vec![0; numbers.len()]
         };
         let expiry = self.expiry();
+        let homes = self.homes(pool, ask.prefix);
         let waves = self.waves.read();
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
@@ -170,6 +219,8 @@
             } else {
                 1.0
             };
+            let home = homes.iter().find(|(at, _)| *at == proposed.at);
+            let guess = home.map_or(0, |(_, words)| *words);
             Candidate {
                 id: &spec.id,
                 reason: proposed.reason,
@@ -179,7 +230,7 @@
                 near: spec.host.data_center == self.place,
                 reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
-                cached: (held as f64 * trust) as u64,
+                cached: ((held as f64 * trust) as u64).max(guess),
                 barred: state.barred(!self.hosts.takes_work(&spec.host), ask.tried.contains(&spec.id), now),
             }
         };
@@ -189,15 +240,19 @@
     /// Notes that a request goes to an upstream.
     pub fn visit(&self, upstream: &UpstreamId, now: Tick) -> Visit<'_> {
         let row = self.index.load().rows.get(upstream).cloned();
-        if let Some(row) = &row {
+        let load = row.as_ref().map_or(0.0, |row| {
             let mut state = row.member.state.lock();
+            let before = state.load.predict(now, self.expiry(), true);
             state.load.sent(now);
             state.sent = Some(now);
-        }
+            before.reported.unwrap_or(f64::from(before.own))
+        });
         Visit {
             fleet: self,
             row,
             started: now,
+            load,
+            seen: Mutex::default(),
         }
     }
 
@@ -260,16 +315,17 @@
         rows.collect()
     }
 
-    /// Gives the slots that upstreams which are up have free of other entry hosts' requests, by what they serve.
+    /// Gives what this host may run at once at upstreams that are up, by what they serve.
     ///
-    /// The other entry hosts' requests are what a report shows beyond our own; of an upstream that is full with them we
-    /// still count the part that would be ours if all entry hosts had the same, so that a full one is shared fairly
-    /// and not kept by whoever came first.
+    /// Each entry host keeps what it runs and takes half of what is free, but at least the part that would be its own if
+    /// all had the same. Reports lag: if each took all that looks free, all of them would fill the same slots at once,
+    /// and the wait would be in the engines, where it can't be ordered by contract or refused any more.
     #[must_use]
-    pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<(Target, usize)> {
+    pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<Size> {
         let index = self.index.load();
         let expiry = self.expiry();
-        let size = |row: &Row| {
+        let hosts = hosts.max(1) as f64;
+        let size = |row: &Row, ease: f64| {
             let state = row.member.state.lock();
             let load = state.load.predict(now, expiry, true);
             let own = f64::from(load.own);
@@ -281,18 +337,21 @@
                 // A probe needs a slot, or the breaker would never close.
                 return own.max(1.0);
             }
-            let slots = f64::from(row.spec.slots);
-            let others = load
-                .reported
-                .map_or(0.0, |reported| (reported - f64::from(load.own)).max(0.0));
-            (slots - others).max(slots / hosts.max(1) as f64)
+            let slots = f64::from(row.spec.slots) * ease;
+            let free = load.reported.map_or(slots - own, |reported| slots - reported);
+            let taken = if free > 0.0 && hosts > 1.0 { free / 2.0 } else { free };
+            (own + taken).max(slots / hosts).min(slots)
         };
-        let total = |pool: &Pool| pool.rows.iter().map(size).sum::<f64>().floor() as usize;
-        index
-            .pools
-            .iter()
-            .map(|(target, pool)| (target.clone(), total(pool)))
-            .collect()
+        let sizes = index.pools.iter().map(|(target, pool)| {
+            let rates = *pool.rates.lock();
+            let slots: f64 = pool.rows.iter().map(|row| size(row, rates.ease)).sum();
+            Size {
+                target: target.clone(),
+                slots: slots.round() as usize,
+                first: Duration::from_secs_f64(rates.first_ms / 1_000.0),
+            }
+        });
+        sizes.collect()
     }
 
     /// Gives the memory that the history of prefixes takes, in bytes.
@@ -314,41 +373,68 @@
     /// Notes the first token of an answer: by now the engine holds the prompt.
     pub fn first_token(&self, prefix: &Prefix, cached: u64, now: Tick) {
         let Some(row) = &self.row else { return };
-        let fresh = prefix.words().saturating_sub(cached);
-        let free = row.member.state.lock().load.predict(now, self.fleet.expiry(), true);
-        if free.reported.is_some_and(|load| load <= f64::from(row.spec.slots)) {
-            row.rates
-                .lock()
-                .prefilled(fresh, now.since(self.started).as_secs_f64() * 1_000.0);
-        }
-        self.fleet.history.lock().store(prefix, row.member.number, now);
+        let mut history = self.fleet.history.lock();
+        let held = history.held(prefix, &[row.member.number]);
+        history.store(prefix, row.member.number, now);
+        drop(history);
+        let mut seen = self.seen.lock();
+        seen.first_at = Some(now);
+        seen.held = held.first().copied().unwrap_or_default();
+        seen.guess = self.guess(row, prefix);
+        seen.fresh = prefix.words().saturating_sub(cached);
+        let ms = millis(now.since(self.started));
+        row.rates.lock().first_token(seen.fresh, self.load, ms);
     }
 
     /// Notes an answer that is whole: the engine holds the prompt with the answer.
     pub fn whole(&self, prefix: &Prefix, now: Tick) {
-        if let Some(row) = &self.row {
-            self.fleet.history.lock().store(prefix, row.member.number, now);
-        }
+        let Some(row) = &self.row else { return };
+        self.fleet.history.lock().store(prefix, row.member.number, now);
     }
 
     /// Takes in the engine's own count of the words of a prompt that were cached before.
     pub fn counted(&self, believed: u64, cached: u64) {
-        gauge!("gentian_cached_tokens_believed").increment(believed as f64);
-        gauge!("gentian_cached_tokens_counted").increment(cached as f64);
+        counter!("gentian_cached_tokens_total", "who" => "believed").increment(believed);
+        counter!("gentian_cached_tokens_total", "who" => "counted").increment(cached);
+        let seen = *self.seen.lock();
         if let Some(row) = &self.row
             && self.fleet.rules.with(Without::CacheEvents)
         {
-            row.member.state.lock().trust.counted(believed, cached);
+            row.member.state.lock().trust.counted(seen.held, cached);
+            // Only where nothing was known does the count tell how good the guess is.
+            if seen.held < seen.guess {
+                row.home.lock().counted(seen.guess, cached);
+            }
         }
     }
+
+    /// Gives the longest beginning of a prompt that has its home here.
+    fn guess(&self, row: &Row, prefix: &Prefix) -> u64 {
+        let index = self.fleet.index.load();
+        let pool = index.pools.get(&Target::of(&row.spec));
+        let at = pool.and_then(|pool| pool.group.position(row.member.number));
+        let Some((pool, at)) = pool.zip(at) else { return 0 };
+        let leads = prefix.leads();
+        let home = leads.iter().find(|lead| pool.group.home(lead.hash) == Some(at));
+        home.map_or(0, |lead| lead.words)
+    }
 }
 
 impl Drop for Visit<'_> {
     fn drop(&mut self) {
         let now = self.fleet.clock.now();
-        if let Some(row) = &self.row {
-            row.member.state.lock().load.ended(now);
-            row.rates.lock().held(now.since(self.started).as_secs_f64() * 1_000.0);
-        }
+        let Some(row) = &self.row else { return };
+        row.member.state.lock().load.ended(now);
+        let seen = *self.seen.lock();
+        let mut rates = row.rates.lock();
+        let held = match seen.first_at {
+            Some(first) => seen.fresh as f64 * rates.prefill_ms + millis(now.since(first)),
+            None => millis(now.since(self.started)),
+        };
+        rates.held(held);
     }
 }
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/crates/entry/src/fleet/poll.rs
+++ b/crates/entry/src/fleet/poll.rs
@@ -21,8 +21,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of one poll both ways, with the headers of TCP and IP: about 350 of HTTP and ten packets of 52.
 const BYTES: f64 = 900.0;
-/// Bytes a second that polls may take, beside peers and alone.
-const BUDGET: (f64, f64) = (2_000.0, 6_000.0);
+/// Bytes a second that polls may take when there are no peers; each peer takes some of it for digests, down to a least.
+const BUDGET: (f64, f64, f64) = (6_400.0, 400.0, 2_000.0);
 /// Shortest pause between two polls of one upstream.
 const SHORTEST: Duration = Duration::from_millis(250);
 /// Bounds of the age at which a report no longer counts.
@@ -73,7 +73,8 @@
 
 /// Gives the pause between two polls of one upstream that keeps all polls within the budget.
 fn interval(upstreams: usize, hosts: usize) -> Duration {
-    let budget = if hosts > 1 { BUDGET.0 } else { BUDGET.1 };
+    let peers = hosts.saturating_sub(1) as f64;
+    let budget = (BUDGET.0 - peers * BUDGET.1).max(BUDGET.2);
     Duration::from_secs_f64(upstreams as f64 * BYTES / budget).max(SHORTEST)
 }
 
--- a/crates/policy/benches/choice.rs
+++ b/crates/policy/benches/choice.rs
@@ -80,7 +80,8 @@
 
 fn pick(fleet: &Fleet, prefix: &Prefix, turn: u64) -> Option<UpstreamId> {
     let holders: Vec<u32> = fleet.history.holders(prefix).iter().map(|held| held.upstream).collect();
-    let proposed = fleet.group.propose(Some(prefix.lead()), &holders, turn);
+    let leads: Vec<u64> = prefix.leads().iter().map(|lead| lead.hash).collect();
+    let proposed = fleet.group.propose(&leads, &holders, turn);
     let numbers: Vec<u32> = proposed.iter().map(|p| fleet.group.places()[p.at].number).collect();
     let held = fleet.history.held(prefix, &numbers);
     let rows = proposed.iter().zip(held);
--- a/crates/policy/src/cache.rs
+++ b/crates/policy/src/cache.rs
@@ -67,6 +67,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Trust(f64);
 
+/// What a gap in which everything was lost takes from the trust.
+///
+/// Most lost events tell of other prompts that were stored, so that a gap alone says little; the engine's own counts say
+/// more, and would be drowned if each gap weighed heavily.
+const GAP_WEIGHT: f64 = 0.05;
 /// Weight of one count of an engine against all earlier ones.
 const COUNT_WEIGHT: f64 = 0.2;
 /// The least trust; a little is kept, so that an engine can show by its counts that it has earned more.
@@ -88,7 +93,7 @@
     /// Takes in that events were lost, each of which may have been an eviction.
     pub fn lost(&mut self, lost: u64, fresh: usize) {
         let share = lost as f64 / (lost + fresh as u64).max(1) as f64;
-        self.0 = (self.0 * (1.0 - share / 2.0)).max(LEAST);
+        self.0 = (self.0 * (1.0 - share * GAP_WEIGHT)).max(LEAST);
     }
 
     /// Takes in an engine's own count of the cached words of a prompt against what was believed.
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -35,6 +35,8 @@
     rate: ServiceRate,
     /// Until when the slots are taken by callers who were asked to come back.
     promised: Tick,
+    /// Time from a request's start to its first token.
+    first: Duration,
     /// Whether the answer is due as a whole at the latest start, as with services, and not just begun.
     whole: bool,
 }
@@ -80,6 +82,7 @@
             running: 0,
             rate: ServiceRate::default(),
             promised: Tick::default(),
+            first: Duration::ZERO,
             whole,
         }
     }
@@ -89,6 +92,11 @@
         self.capacity = capacity;
     }
 
+    /// Changes the time that a request is expected to take from its start to its first token.
+    pub const fn set_first(&mut self, first: Duration) {
+        self.first = first;
+    }
+
     /// Changes what may wait.
     pub const fn set_waiting(&mut self, waiting: usize) {
         self.queue.set_bound(waiting);
@@ -145,6 +153,10 @@
                 retry_after: NOTHING_UP,
             });
         }
+        let mut ticket = ticket;
+        // It must start so early that its first token is on time. At most half of the time is kept for that: were it all,
+        // nothing would be let in any more after a slow spell, and no faster one could be measured.
+        ticket.latest = ticket.latest - self.first.min(ticket.latest.since(now) / 2);
         let wait = self.wait(&ticket);
         let run = if self.whole {
             self.rate.hold().unwrap_or_default()
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -62,16 +62,31 @@
         &self.blocks
     }
 
-    /// Gives a number that prompts with the same beginning share; prompts shorter than a block share one.
+    /// Gives the beginnings of the prompt by which it is placed, longest first.
     ///
-    /// Two blocks are taken where there are as many, so that conversations that only share their first words are
-    /// still spread.
+    /// Beginnings are cut at powers of two of blocks. A conversation that grows keeps one of its two longest ones from
+    /// turn to turn, while the instructions that many conversations share are too short to place them all together.
     #[must_use]
-    pub fn lead(&self) -> u64 {
-        self.blocks.get(1).or(self.blocks.first()).copied().unwrap_or_default()
+    pub fn leads(&self) -> Vec<Lead> {
+        let lead = |blocks: usize| Lead {
+            hash: self.blocks[blocks - 1],
+            words: (blocks * BLOCK) as u64,
+        };
+        let longest = self.blocks.len().checked_ilog2().map(|power| 1 << power);
+        let leads = longest.into_iter().flat_map(|blocks: usize| [blocks, blocks / 2]);
+        leads.filter(|blocks| *blocks > 0).map(lead).collect()
     }
 }
 
+/// A beginning of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lead {
+    /// Hash of everything in it.
+    pub hash: u64,
+    /// Its length in words.
+    pub words: u64,
+}
+
 /// How many words at the start of a prompt an upstream is believed to hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -17,6 +17,17 @@
 const DISTANCE_MS: f64 = 5.0;
 const MS_PER_HOUR: f64 = 3_600_000.0;
 
+/// How fast the measured prefill follows a faster and a slower one.
+///
+/// What is slower is mostly a wait in the engine and no prefill, so that the measure keeps near the fastest.
+const PREFILL_WEIGHT: (f64, f64) = (0.2, 0.01);
+/// Fewest tokens from which the time of prefill can be read; with fewer, the connection takes most of the time.
+const PREFILL_TOKENS: u64 = 64;
+/// Wait that is no sign of too many requests at once, in milliseconds.
+const EASY_MS: f64 = 150.0;
+/// By how much the allowed use of slots falls after a long wait and rises after a short one, and its least value.
+const EASE: (f64, f64, f64) = (0.97, 0.01, 0.25);
+
 /// What was measured of one model or service.
 #[derive(Clone, Copy, Debug)]
 pub struct Rates {
@@ -24,8 +35,14 @@
     pub prefill_ms: f64,
     /// Milliseconds between two tokens.
     pub decode_ms: f64,
-    /// Milliseconds for which a request keeps its slot.
+    /// Milliseconds for which a request keeps its slot, without its wait.
     pub hold_ms: f64,
+    /// Milliseconds of wait until the first token for each request that is there already.
+    pub wait_ms: f64,
+    /// Milliseconds until the first token.
+    pub first_ms: f64,
+    /// Share of the slots that can be used without long waits.
+    pub ease: f64,
 }
 
 impl Default for Rates {
@@ -34,6 +51,9 @@
             prefill_ms: 0.25,
             decode_ms: 20.0,
             hold_ms: 1_000.0,
+            wait_ms: 2.0,
+            first_ms: 0.0,
+            ease: 1.0,
         }
     }
 }
@@ -44,12 +64,35 @@
         self.hold_ms += WEIGHT * (ms - self.hold_ms);
     }
 
-    /// Takes in the time to the first token of a request that found a free slot.
-    pub fn prefilled(&mut self, tokens: u64, ms: f64) {
-        // With few tokens the connection takes most of the time, which would be taken for slow prefill.
-        if tokens >= 64 {
-            self.prefill_ms += WEIGHT * (ms / tokens as f64 - self.prefill_ms);
+    /// Takes in the pace of an answer.
+    pub fn decoded(&mut self, tokens: u64, ms: f64) {
+        if tokens > 0 {
+            self.decode_ms += WEIGHT * (ms / tokens as f64 - self.decode_ms);
+        }
+    }
+
+    /// Takes in the time to the first token of a request with so many tokens to prefill, behind so many others.
+    ///
+    /// Slots alone don't tell what an engine can take: when prefill is what there is too little of, first tokens are
+    /// late long before the slots are full, and every request that is let in makes all of them later. One would notice
+    /// many answers, nearly all of them late. So the share of the slots that is used falls while waits are longer than
+    /// the prefill itself, and rises while they are short.
+    pub fn first_token(&mut self, fresh: u64, load: f64, ms: f64) {
+        self.first_ms += WEIGHT * (ms - self.first_ms);
+        if fresh >= PREFILL_TOKENS {
+            let sample = ms / fresh as f64;
+            let faster = sample < self.prefill_ms;
+            let weight = if faster { PREFILL_WEIGHT.0 } else { PREFILL_WEIGHT.1 };
+            self.prefill_ms += weight * (sample - self.prefill_ms);
         }
+        let own = fresh as f64 * self.prefill_ms;
+        let wait = (ms - own).max(0.0);
+        self.wait_ms += WEIGHT * (wait / load.max(1.0) - self.wait_ms);
+        self.ease = if wait > own.max(EASY_MS) {
+            (self.ease * EASE.0).max(EASE.2)
+        } else {
+            (self.ease + EASE.1).min(1.0)
+        };
     }
 }
 
@@ -97,7 +140,7 @@
         let rent = candidate.price as f64 * hold / MS_PER_HOUR / slots;
         Self {
             load,
-            wait: queued / slots * rates.hold_ms + (load / slots).min(1.0) * CROWD_MS,
+            wait: queued / slots * rates.hold_ms + load * rates.wait_ms + (load / slots).min(1.0) * CROWD_MS,
             prefill,
             price: count(Without::Price, rent * MS_PER_MICRODOLLAR),
             risk: count(Without::Risk, chance * redo),
--- a/crates/policy/src/route/group.rs
+++ b/crates/policy/src/route/group.rs
@@ -7,8 +7,8 @@
 
 /// Most candidates for one request.
 pub const CANDIDATES: usize = 12;
-/// Candidates by rendezvous hashing in the own data centre.
-const NEAR: usize = 2;
+/// Largest group in which a conversation has one home over all data centres; in larger ones it has one in each.
+const SMALL: usize = 64;
 /// Candidates that are drawn at random.
 const SAMPLED: usize = 3;
 /// Fewest and most points of the leading prefix that rendezvous hashing tells apart.
@@ -74,6 +74,13 @@
     pub reason: Reason,
 }
 
+/// The best at one point of rendezvous hashing.
+#[derive(Clone, Copy, Debug, Default)]
+struct Homes {
+    near: u32,
+    all: u32,
+}
+
 /// Everything that serves one model or service.
 ///
 /// Rendezvous hashing is done once for each of a fixed number of points when the group is made, so that a choice
@@ -83,7 +90,7 @@
     places: Vec<Place>,
     by_number: Vec<(u32, u32)>,
     near: Vec<u32>,
-    points: Vec<[u32; NEAR + 1]>,
+    points: Vec<Homes>,
 }
 
 impl Group {
@@ -101,7 +108,7 @@
             near,
             points: Vec::new(),
         };
-        if group.places.len() > CANDIDATES {
+        if !group.places.is_empty() {
             group.points = group.rendezvous();
         }
         group
@@ -122,9 +129,9 @@
 
     /// Proposes at most [`CANDIDATES`] members for a request.
     ///
-    /// The lead is the hash of the prompt's beginning, absent where prefixes play no part; the turn feeds the draw.
+    /// The leads are hashes of the prompt's beginnings, none where prefixes play no part; the turn feeds the draw.
     #[must_use]
-    pub fn propose(&self, lead: Option<u64>, holders: &[u32], turn: u64) -> Vec<Proposed> {
+    pub fn propose(&self, leads: &[u64], holders: &[u32], turn: u64) -> Vec<Proposed> {
         let reason = Reason::All;
         if self.places.len() <= CANDIDATES {
             return (0..self.places.len()).map(|at| Proposed { at, reason }).collect();
@@ -138,11 +145,10 @@
         for at in holders.iter().filter_map(|number| self.position(*number)) {
             add(at, Reason::Holder);
         }
-        if let Some(lead) = lead {
-            let point = &self.points[lead as usize & (self.points.len() - 1)];
-            for at in point {
-                add(*at as usize, Reason::Rendezvous);
-            }
+        for lead in leads {
+            let homes = self.homes(*lead);
+            add(homes.near as usize, Reason::Rendezvous);
+            add(homes.all as usize, Reason::Rendezvous);
         }
         for draw in 0..SAMPLED as u64 {
             let random = xxh3_64_with_seed(&turn.to_le_bytes(), draw);
@@ -172,8 +178,24 @@
         positions.map(|at| Proposed { at, reason }).collect()
     }
 
+    /// Gives the position where every entry host expects the conversations with a beginning to be.
+    #[must_use]
+    pub fn home(&self, lead: u64) -> Option<usize> {
+        let homes = (!self.points.is_empty()).then(|| self.homes(lead))?;
+        let at = if self.places.len() <= SMALL {
+            homes.all
+        } else {
+            homes.near
+        };
+        Some(at as usize)
+    }
+
+    fn homes(&self, lead: u64) -> Homes {
+        self.points[lead as usize & (self.points.len() - 1)]
+    }
+
     /// Gives, for each point, the best of the own data centre and the best of all.
-    fn rendezvous(&self) -> Vec<[u32; NEAR + 1]> {
+    fn rendezvous(&self) -> Vec<Homes> {
         let seeds: Vec<u64> = self
             .places
             .iter()
@@ -183,21 +205,13 @@
         (0..points as u64).map(|point| self.best(point, &seeds)).collect()
     }
 
-    fn best(&self, point: u64, seeds: &[u64]) -> [u32; NEAR + 1] {
+    fn best(&self, point: u64, seeds: &[u64]) -> Homes {
         let salt = xxh3_64(&point.to_le_bytes());
-        let mut best = [(0, 0); NEAR];
-        for at in &self.near {
-            let weight = weight(seeds[*at as usize], salt);
-            if weight > best[0].0 {
-                best = [(weight, *at), best[0]];
-            } else if weight > best[1].0 {
-                best[1] = (weight, *at);
-            }
+        let weight = |at: &u32| weight(seeds[*at as usize], salt);
+        Homes {
+            near: self.near.iter().copied().max_by_key(weight).unwrap_or_default(),
+            all: (0..seeds.len() as u32).max_by_key(weight).unwrap_or_default(),
         }
-        let of_all = (0..seeds.len())
-            .max_by_key(|at| weight(seeds[*at], salt))
-            .unwrap_or_default();
-        [best[0].1, best[1].1, of_all as u32]
     }
 }
 
--- a/crates/policy/tests/routing_cost.rs
+++ b/crates/policy/tests/routing_cost.rs
@@ -139,11 +139,11 @@
     fn holds(count: u16, lead: u64, turn: u64, holders: Vec<u32>) -> bool {
         let count = u32::from(count % 700) + 1;
         let group = group(count);
-        let found = group.propose(Some(lead), &holders, turn);
+        let found = group.propose(&[lead], &holders, turn);
         let mut positions: Vec<usize> = found.iter().map(|proposed| proposed.at).collect();
         positions.sort_unstable();
         positions.dedup();
-        let again = group.propose(Some(lead), &holders, turn);
+        let again = group.propose(&[lead], &holders, turn);
         positions.len() == found.len()
             && found.len() <= CANDIDATES
             && (count as usize > CANDIDATES || found.len() == count as usize)
@@ -165,7 +165,7 @@
         Group::new(places.cloned().collect())
     };
     let first = |group: &Group, lead: u64| {
-        let found = group.propose(Some(lead), &[], 0);
+        let found = group.propose(&[lead], &[], 0);
         let proposed = found.iter().find(|proposed| proposed.reason == Reason::Rendezvous);
         proposed.map(|proposed| group.places()[proposed.at].number)
     };
