--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod index;
 mod member;
 pub mod poll;
+pub mod prompt;
 mod waves;
 
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use contract::{DataCenter, UpstreamId};
+use contract::{DataCenter, Revision, UpstreamId};
 use metrics::counter;
 use parking_lot::{Mutex, RwLock};
 use policy::Tick;
@@ -80,8 +81,6 @@
     fleet: &'a Fleet,
     row: Option<Row>,
     started: Tick,
-    /// Predicted load there before it.
-    load: f64,
     seen: Mutex<Seen>,
 }
 
@@ -91,8 +90,7 @@
     first_at: Option<Tick>,
     /// Words that own dispatches and events said were cached.
     held: u64,
-    /// Words that were guessed to be cached because it is the prompt's home.
-    guess: u64,
+    /// Words that had to be prefilled, as far as known.
     fresh: u64,
 }
 
@@ -119,8 +117,15 @@
         if self.index.load().revision >= view.config.revision {
             return;
         }
-        // Requests go on with the index before while another thread makes the next one.
-        let Some(mut numbers) = self.numbers.try_lock() else {
+        // Requests go on with the index before while another thread makes the next one. Before the first one there is
+        // nothing to go on with: requests that came together would be refused but for the one that makes it.
+        let first = self.index.load().revision == Revision::default();
+        let numbers = if first {
+            Some(self.numbers.lock())
+        } else {
+            self.numbers.try_lock()
+        };
+        let Some(mut numbers) = numbers else {
             return;
         };
         let before = self.index.load_full();
@@ -147,9 +152,18 @@
 
     fn weigh(&self, pool: &Pool, ask: &Ask<'_>, turn: u64, now: Tick) -> Option<Choice> {
         let need = Need { turn, ..ask.need };
-        let proposed = self.propose(&pool.group, ask.prefix, turn);
+        let homes = self.homes(&pool.group, ask.prefix);
+        let proposed = self.propose(&pool.group, &homes, ask.prefix, turn);
+        if let Some(session) = ask.prefix.session() {
+            pool.rates.lock().followed(session.begun > 0);
+        }
         let rates = *pool.rates.lock();
-        let found = choose(&self.rules, &self.candidates(pool, &proposed, ask, now), &need, &rates);
+        let found = choose(
+            &self.rules,
+            &self.candidates(pool, &proposed, &homes, ask, now),
+            &need,
+            &rates,
+        );
         if found.is_some() || proposed.len() == pool.rows.len() {
             return found;
         }
@@ -157,12 +171,12 @@
         counter!("gentian_choices_widened_total").increment(1);
         let reason = Reason::All;
         let all: Vec<Proposed> = (0..pool.rows.len()).map(|at| Proposed { at, reason }).collect();
-        let mut open = self.candidates(pool, &all, ask, now);
+        let mut open = self.candidates(pool, &all, &homes, ask, now);
         open.retain(|candidate| candidate.barred.is_none());
         choose(&self.rules, &open, &need, &rates)
     }
 
-    fn propose(&self, group: &Group, prefix: &Prefix, turn: u64) -> Vec<Proposed> {
+    fn propose(&self, group: &Group, homes: &[usize], prefix: &Prefix, turn: u64) -> Vec<Proposed> {
         if self.rules.routing != Routing::Cost {
             return group.window(turn);
         }
@@ -173,34 +187,47 @@
         } else {
             Vec::new()
         };
-        group.propose(&self.leads(prefix), &holders, turn)
+        let lead = (with_prefix && self.rules.with(Without::Rendezvous)).then(|| prefix.lead());
+        group.propose(homes, lead, &holders, turn)
     }
 
-    /// Gives the hashes of the beginnings by which a prompt is placed.
-    fn leads(&self, prefix: &Prefix) -> Vec<u64> {
-        let leads = prefix.leads();
-        let used = leads.iter().filter(|_| self.rules.with(Without::Rendezvous));
-        used.map(|lead| lead.hash).collect()
+    /// Gives the homes of the prompt's conversation, if it has one.
+    fn homes(&self, group: &Group, prefix: &Prefix) -> Vec<usize> {
+        let home = self.rules.routing == Routing::Cost && self.rules.with(Without::Home);
+        let session = prefix.session().filter(|_| home);
+        session.map_or_else(Vec::new, |session| group.homes(session.key).to_vec())
     }
 
-    /// Gives where a prompt is at home with the words that are likely to be cached there, longest beginning first.
-    ///
-    /// Entry hosts don't tell each other what they sent where. But all of them prefer the same home, so that a
-    /// conversation whose earlier turns came through another entry host is most likely there.
-    fn homes(&self, pool: &Pool, prefix: &Prefix) -> Vec<(usize, u64)> {
-        if !self.rules.with(Without::Rendezvous) || !self.rules.with(Without::Affinity) {
-            return Vec::new();
-        }
-        let share = pool.rows.first().map_or(0.0, |row| row.home.lock().share());
-        let leads = prefix.leads();
-        let homes = leads.iter().filter_map(|lead| {
-            let at = pool.group.home(lead.hash)?;
-            Some((at, (lead.words as f64 * share) as u64))
-        });
-        homes.collect()
+    /// Gives the home that counts now: the first whose host takes work, on which all entry hosts soon agree.
+    fn home(&self, pool: &Pool, homes: &[usize]) -> Option<usize> {
+        let takes_work = |at: &&usize| {
+            pool.rows
+                .get(**at)
+                .is_some_and(|row| self.hosts.takes_work(&row.spec.host))
+        };
+        homes.iter().find(takes_work).copied()
     }
 
-    fn candidates<'a>(&self, pool: &'a Pool, proposed: &[Proposed], ask: &Ask<'_>, now: Tick) -> Vec<Candidate<'a>> {
+    /// Gives the words that an upstream would hold as the home of the prompt's conversation.
+    fn home_words(&self, row: &Row, prefix: &Prefix) -> Option<u64> {
+        let begun = prefix
+            .session()
+            .map(|session| session.begun)
+            .filter(|begun| *begun > 0)?;
+        let index = self.index.load();
+        let pool = index.pools.get(&Target::of(&row.spec))?;
+        let at = self.home(pool, &self.homes(&pool.group, prefix))?;
+        (pool.rows[at].spec.id == row.spec.id).then_some(begun)
+    }
+
+    fn candidates<'a>(
+        &self,
+        pool: &'a Pool,
+        proposed: &[Proposed],
+        homes: &[usize],
+        ask: &Ask<'_>,
+        now: Tick,
+    ) -> Vec<Candidate<'a>> {
         let numbers: Vec<u32> = proposed.iter().map(|p| pool.rows[p.at].member.number).collect();
         let held = if self.rules.with(Without::Affinity) {
             self.history.lock().held(ask.prefix, &numbers)
@@ -208,8 +235,10 @@
             vec![0; numbers.len()]
         };
         let expiry = self.expiry();
-        let homes = self.homes(pool, ask.prefix);
         let waves = self.waves.read();
+        let begun = ask.prefix.session().map_or(0, |session| session.begun) as f64;
+        let kept = begun * pool.rates.lock().kept;
+        let home = self.home(pool, homes);
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
             let spec = row.spec.as_ref();
@@ -219,8 +248,6 @@
             } else {
                 1.0
             };
-            let home = homes.iter().find(|(at, _)| *at == proposed.at);
-            let guess = home.map_or(0, |(_, words)| *words);
             Candidate {
                 id: &spec.id,
                 reason: proposed.reason,
@@ -230,7 +257,8 @@
                 near: spec.host.data_center == self.place,
                 reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
-                cached: ((held as f64 * trust) as u64).max(guess),
+                cached: (held as f64 * trust).max(if home == Some(proposed.at) { kept } else { 0.0 }) as u64,
+                home: home.is_none_or(|at| at == proposed.at),
                 barred: state.barred(!self.hosts.takes_work(&spec.host), ask.tried.contains(&spec.id), now),
             }
         };
@@ -240,18 +268,15 @@
     /// Notes that a request goes to an upstream.
     pub fn visit(&self, upstream: &UpstreamId, now: Tick) -> Visit<'_> {
         let row = self.index.load().rows.get(upstream).cloned();
-        let load = row.as_ref().map_or(0.0, |row| {
+        if let Some(row) = &row {
             let mut state = row.member.state.lock();
-            let before = state.load.predict(now, self.expiry(), true);
             state.load.sent(now);
             state.sent = Some(now);
-            before.reported.unwrap_or(f64::from(before.own))
-        });
+        }
         Visit {
             fleet: self,
             row,
             started: now,
-            load,
             seen: Mutex::default(),
         }
     }
@@ -315,16 +340,16 @@
         rows.collect()
     }
 
-    /// Gives what this host may run at once at upstreams that are up, by what they serve.
+    /// Gives the requests that this host may run at once, by what they need, of those that all entry hosts may run.
     ///
-    /// Each entry host keeps what it runs and takes half of what is free, but at least the part that would be its own if
-    /// all had the same. Reports lag: if each took all that looks free, all of them would fill the same slots at once,
-    /// and the wait would be in the engines, where it can't be ordered by contract or refused any more.
+    /// Each host keeps what it runs and takes a part of the room that the last reports show, in proportion to what it
+    /// runs already. The parts of all hosts add up to the room, so that they can't all rush into the same free slots
+    /// before the next report; a host always has its even part of the slots, so that none is kept out by those that
+    /// came first. Without this, engines queue what entry hosts should refuse in time.
     #[must_use]
     pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<Size> {
         let index = self.index.load();
         let expiry = self.expiry();
-        let hosts = hosts.max(1) as f64;
         let size = |row: &Row, ease: f64| {
             let state = row.member.state.lock();
             let load = state.load.predict(now, expiry, true);
@@ -338,16 +363,17 @@
                 return own.max(1.0);
             }
             let slots = f64::from(row.spec.slots) * ease;
-            let free = load.reported.map_or(slots - own, |reported| slots - reported);
-            let taken = if free > 0.0 && hosts > 1.0 { free / 2.0 } else { free };
-            (own + taken).max(slots / hosts).min(slots)
+            let hosts = hosts.max(1) as f64;
+            let total = load.reported.unwrap_or(slots).max(own);
+            let part = (own + 1.0) / (total + hosts);
+            (own + (slots - total) * part).max(slots / hosts)
         };
         let sizes = index.pools.iter().map(|(target, pool)| {
             let rates = *pool.rates.lock();
             let slots: f64 = pool.rows.iter().map(|row| size(row, rates.ease)).sum();
             Size {
                 target: target.clone(),
-                slots: slots.round() as usize,
+                slots: slots.floor() as usize,
                 first: Duration::from_secs_f64(rates.first_ms / 1_000.0),
             }
         });
@@ -377,46 +403,37 @@
         let held = history.held(prefix, &[row.member.number]);
         history.store(prefix, row.member.number, now);
         drop(history);
-        let mut seen = self.seen.lock();
-        seen.first_at = Some(now);
-        seen.held = held.first().copied().unwrap_or_default();
-        seen.guess = self.guess(row, prefix);
-        seen.fresh = prefix.words().saturating_sub(cached);
-        let ms = millis(now.since(self.started));
-        row.rates.lock().first_token(seen.fresh, self.load, ms);
+        let seen = Seen {
+            first_at: Some(now),
+            held: held.first().copied().unwrap_or_default(),
+            fresh: prefix.words().saturating_sub(cached),
+        };
+        *self.seen.lock() = seen;
+        row.rates
+            .lock()
+            .first_token(seen.fresh, millis(now.since(self.started)));
     }
 
     /// Notes an answer that is whole: the engine holds the prompt with the answer.
     pub fn whole(&self, prefix: &Prefix, now: Tick) {
-        let Some(row) = &self.row else { return };
-        self.fleet.history.lock().store(prefix, row.member.number, now);
+        if let Some(row) = &self.row {
+            self.fleet.history.lock().store(prefix, row.member.number, now);
+        }
     }
 
     /// Takes in the engine's own count of the words of a prompt that were cached before.
-    pub fn counted(&self, believed: u64, cached: u64) {
+    pub fn counted(&self, prefix: &Prefix, believed: u64, cached: u64) {
         counter!("gentian_cached_tokens_total", "who" => "believed").increment(believed);
         counter!("gentian_cached_tokens_total", "who" => "counted").increment(cached);
-        let seen = *self.seen.lock();
-        if let Some(row) = &self.row
-            && self.fleet.rules.with(Without::CacheEvents)
-        {
-            row.member.state.lock().trust.counted(seen.held, cached);
-            // Only where nothing was known does the count tell how good the guess is.
-            if seen.held < seen.guess {
-                row.home.lock().counted(seen.guess, cached);
-            }
+        let Some(row) = &self.row else { return };
+        let held = self.seen.lock().held;
+        if let Some(words) = self.fleet.home_words(row, prefix) {
+            row.rates.lock().found(cached as f64 / words as f64);
+        }
+        // Judged is what was remembered, not what was left of it after the last judgement.
+        if self.fleet.rules.with(Without::CacheEvents) {
+            row.member.state.lock().trust.counted(held, cached);
         }
-    }
-
-    /// Gives the longest beginning of a prompt that has its home here.
-    fn guess(&self, row: &Row, prefix: &Prefix) -> u64 {
-        let index = self.fleet.index.load();
-        let pool = index.pools.get(&Target::of(&row.spec));
-        let at = pool.and_then(|pool| pool.group.position(row.member.number));
-        let Some((pool, at)) = pool.zip(at) else { return 0 };
-        let leads = prefix.leads();
-        let home = leads.iter().find(|lead| pool.group.home(lead.hash) == Some(at));
-        home.map_or(0, |lead| lead.words)
     }
 }
 
@@ -427,6 +444,7 @@
         row.member.state.lock().load.ended(now);
         let seen = *self.seen.lock();
         let mut rates = row.rates.lock();
+        // The wait in the engine is no part of what a request keeps a slot for.
         let held = match seen.first_at {
             Some(first) => seen.fresh as f64 * rates.prefill_ms + millis(now.since(first)),
             None => millis(now.since(self.started)),
--- /dev/null
+++ b/crates/entry/tests/common/ask.rs
@@ -0,0 +1,177 @@
+//! Requests as a caller sends them, and answers as it sees them.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use serde_json::{Value, json};
+
+use super::{KEY, MODEL, PATIENCE};
+
+/// An answer that was read to its end.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A streamed answer that is read event by event.
+pub struct Events {
+    pub head: String,
+    reader: BufReader<TcpStream>,
+}
+
+impl Events {
+    /// Gives the next event's data, or nothing at the end.
+    pub fn next(&mut self) -> Option<String> {
+        loop {
+            let mut line = String::new();
+            if self.reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if let Some(data) = line.strip_prefix("data: ") {
+                return Some(data.trim().to_owned());
+            }
+        }
+    }
+
+    /// Gives the next token; panics when the answer ends.
+    pub fn token(&mut self) -> String {
+        loop {
+            let data = self.next().expect("a token");
+            if let Some(token) = token_of(&data) {
+                return token;
+            }
+        }
+    }
+
+    /// Gives all tokens that are left, and whether the end of the whole answer came.
+    pub fn rest(&mut self) -> (String, bool) {
+        let mut text = String::new();
+        while let Some(data) = self.next() {
+            if data == "[DONE]" {
+                return (text, true);
+            }
+            text.extend(token_of(&data));
+        }
+        (text, false)
+    }
+
+    pub fn request_id(&self) -> String {
+        header(&self.head, "X-Request-Id").unwrap().to_owned()
+    }
+}
+
+pub fn token_of(data: &str) -> Option<String> {
+    let event: Value = serde_json::from_str(data).ok()?;
+    event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
+}
+
+pub fn chat(prompt: &str, tokens: u64, stream: bool) -> Value {
+    json!({"model": MODEL, "stream": stream, "max_tokens": tokens, "messages": [{"role": "user", "content": prompt}]})
+}
+
+/// Gives the whole answer that the stand-in makes to a prompt.
+pub fn expected(prompt: &str, tokens: u64) -> String {
+    let messages = [("user".to_owned(), prompt.to_owned())];
+    let (prompt, begun) = standin::engine::continuation(&messages, false);
+    (begun..tokens).map(|at| standin::engine::token(prompt, at)).collect()
+}
+
+/// Starts a streamed chat completion and reads its head.
+pub fn stream(entry: SocketAddr, prompt: &str, tokens: u64) -> Events {
+    let body = chat(prompt, tokens, true).to_string();
+    let connection = send(entry, "POST", "/v1/chat/completions", &[], body.as_bytes());
+    let mut reader = BufReader::new(connection);
+    let head = read_head(&mut reader);
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    Events { head, reader }
+}
+
+pub fn post_chat(entry: SocketAddr, body: &str) -> Answer {
+    call(entry, "POST", "/v1/chat/completions", &[], body.as_bytes())
+}
+
+pub fn call(entry: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Answer {
+    read(send(entry, method, path, headers, body))
+}
+
+/// Sends a request; an `Authorization` header replaces the usual key.
+pub fn send(entry: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> TcpStream {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n");
+    if !headers.iter().any(|(name, _)| *name == "Authorization") {
+        write!(head, "Authorization: Bearer {KEY}\r\n").unwrap();
+    }
+    if !body.is_empty() {
+        write!(head, "Content-Length: {}\r\n", body.len()).unwrap();
+    }
+    for (name, value) in headers {
+        write!(head, "{name}: {value}\r\n").unwrap();
+    }
+    raw(entry, &[head.as_bytes(), b"\r\n", body].concat())
+}
+
+/// Sends bytes as they are.
+pub fn raw(entry: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut connection = TcpStream::connect(entry).unwrap();
+    connection.set_read_timeout(Some(PATIENCE)).unwrap();
+    connection.set_nodelay(true).unwrap();
+    // A caller that sends too much may be refused before it has sent everything.
+    let _ = connection.write_all(bytes);
+    connection
+}
+
+/// Reads an answer to the end of the connection.
+pub fn read(connection: TcpStream) -> Answer {
+    let mut reader = BufReader::new(connection);
+    let head = read_head(&mut reader);
+    let mut body = Vec::new();
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or_default();
+    match header(&head, "Content-Length").and_then(|length| length.parse().ok()) {
+        Some(length) => {
+            body.resize(length, 0);
+            reader.read_exact(&mut body).unwrap();
+        }
+        None => {
+            let _ = reader.read_to_end(&mut body);
+        }
+    }
+    Answer { status, head, body }
+}
+
+pub fn read_head(reader: &mut impl BufRead) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    head
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = head.lines().filter_map(|line| line.split_once(": "));
+    pairs
+        .filter(|(known, _)| known.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
+        .next()
+}
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -24,6 +24,16 @@
 pub struct Prefix {
     blocks: Vec<u64>,
     words: u64,
+    session: Option<Session>,
+}
+
+/// The conversation that a prompt belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Session {
+    /// Identifies it: the same for each of its turns and at every entry host.
+    pub key: u64,
+    /// Words at the start of the prompt that an earlier turn had at an engine; zero for the first turn.
+    pub begun: u64,
 }
 
 impl Prefix {
@@ -50,6 +60,19 @@
         prefix
     }
 
+    /// Tells which conversation the prompt belongs to.
+    #[must_use]
+    pub fn in_session(self, session: Session) -> Self {
+        let session = Some(session);
+        Self { session, ..self }
+    }
+
+    /// Gives the conversation, if known.
+    #[must_use]
+    pub const fn session(&self) -> Option<Session> {
+        self.session
+    }
+
     /// Gives the number of words.
     #[must_use]
     pub const fn words(&self) -> u64 {
@@ -62,31 +85,16 @@
         &self.blocks
     }
 
-    /// Gives the beginnings of the prompt by which it is placed, longest first.
+    /// Gives a number that prompts with the same beginning share; prompts shorter than a block share one.
     ///
-    /// Beginnings are cut at powers of two of blocks. A conversation that grows keeps one of its two longest ones from
-    /// turn to turn, while the instructions that many conversations share are too short to place them all together.
+    /// Two blocks are taken where there are as many, so that conversations that only share their first words are
+    /// still spread.
     #[must_use]
-    pub fn leads(&self) -> Vec<Lead> {
-        let lead = |blocks: usize| Lead {
-            hash: self.blocks[blocks - 1],
-            words: (blocks * BLOCK) as u64,
-        };
-        let longest = self.blocks.len().checked_ilog2().map(|power| 1 << power);
-        let leads = longest.into_iter().flat_map(|blocks: usize| [blocks, blocks / 2]);
-        leads.filter(|blocks| *blocks > 0).map(lead).collect()
+    pub fn lead(&self) -> u64 {
+        self.blocks.get(1).or(self.blocks.first()).copied().unwrap_or_default()
     }
 }
 
-/// A beginning of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lead {
-    /// Hash of everything in it.
-    pub hash: u64,
-    /// Its length in words.
-    pub words: u64,
-}
-
 /// How many words at the start of a prompt an upstream is believed to hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -7,6 +7,18 @@
 
 /// Weight of a measurement against all earlier ones.
 const WEIGHT: f64 = 0.1;
+/// Weight of one request in the share of those that continue a conversation.
+const FOLLOW_WEIGHT: f64 = 0.03;
+/// Factors by which the measured prefill follows a faster and a slower one; it settles where one in five is faster.
+///
+/// What is slower is mostly a wait in the engine and no prefill.
+const PREFILL_STEPS: (f64, f64) = (0.92, 1.02);
+/// Fewest tokens from which the time of prefill can be read; with fewer, the connection takes most of the time.
+const PREFILL_TOKENS: u64 = 64;
+/// Wait that is no sign of too many requests at once, in milliseconds.
+const EASY_MS: f64 = 150.0;
+/// By how much the allowed use of slots falls after a long wait and rises after a short one, and its least value.
+const EASE: (f64, f64, f64) = (0.97, 0.01, 0.25);
 /// Milliseconds that a fully used upstream answers later than an idle one; it spreads requests between equals.
 const CROWD_MS: f64 = 20.0;
 /// Share of its slots that an upstream without a valid report is taken to use, beside own requests.
@@ -17,17 +29,6 @@
 const DISTANCE_MS: f64 = 5.0;
 const MS_PER_HOUR: f64 = 3_600_000.0;
 
-/// How fast the measured prefill follows a faster and a slower one.
-///
-/// What is slower is mostly a wait in the engine and no prefill, so that the measure keeps near the fastest.
-const PREFILL_WEIGHT: (f64, f64) = (0.2, 0.01);
-/// Fewest tokens from which the time of prefill can be read; with fewer, the connection takes most of the time.
-const PREFILL_TOKENS: u64 = 64;
-/// Wait that is no sign of too many requests at once, in milliseconds.
-const EASY_MS: f64 = 150.0;
-/// By how much the allowed use of slots falls after a long wait and rises after a short one, and its least value.
-const EASE: (f64, f64, f64) = (0.97, 0.01, 0.25);
-
 /// What was measured of one model or service.
 #[derive(Clone, Copy, Debug)]
 pub struct Rates {
@@ -35,11 +36,15 @@
     pub prefill_ms: f64,
     /// Milliseconds between two tokens.
     pub decode_ms: f64,
-    /// Milliseconds for which a request keeps its slot, without its wait.
+    /// Milliseconds for which a request keeps its slot.
     pub hold_ms: f64,
-    /// Milliseconds of wait until the first token for each request that is there already.
-    pub wait_ms: f64,
-    /// Milliseconds until the first token.
+    /// Milliseconds that a request's own prefill takes.
+    pub fresh_ms: f64,
+    /// Share of requests that continue a conversation, which is the chance that another turn will follow.
+    pub follow: f64,
+    /// Share of a conversation's earlier words that its home is found to hold.
+    pub kept: f64,
+    /// Milliseconds until the first token; zero until one was measured.
     pub first_ms: f64,
     /// Share of the slots that can be used without long waits.
     pub ease: f64,
@@ -51,7 +56,9 @@
             prefill_ms: 0.25,
             decode_ms: 20.0,
             hold_ms: 1_000.0,
-            wait_ms: 2.0,
+            fresh_ms: 50.0,
+            follow: 0.5,
+            kept: 0.9,
             first_ms: 0.0,
             ease: 1.0,
         }
@@ -64,36 +71,43 @@
         self.hold_ms += WEIGHT * (ms - self.hold_ms);
     }
 
-    /// Takes in the pace of an answer.
-    pub fn decoded(&mut self, tokens: u64, ms: f64) {
-        if tokens > 0 {
-            self.decode_ms += WEIGHT * (ms / tokens as f64 - self.decode_ms);
-        }
-    }
-
-    /// Takes in the time to the first token of a request with so many tokens to prefill, behind so many others.
+    /// Takes in the time to the first token of a request with so many tokens to prefill.
     ///
-    /// Slots alone don't tell what an engine can take: when prefill is what there is too little of, first tokens are
-    /// late long before the slots are full, and every request that is let in makes all of them later. One would notice
-    /// many answers, nearly all of them late. So the share of the slots that is used falls while waits are longer than
-    /// the prefill itself, and rises while they are short.
-    pub fn first_token(&mut self, fresh: u64, load: f64, ms: f64) {
-        self.first_ms += WEIGHT * (ms - self.first_ms);
+    /// Slots alone don't tell what an engine can take: where there is too little time for prefill, first tokens are late
+    /// long before the slots are full, and every request that is let in makes all of them later. One would notice many
+    /// answers, nearly all of them late. So the share of the slots that is used falls while waits are longer than the
+    /// prefill itself, and rises while they are short.
+    pub fn first_token(&mut self, fresh: u64, ms: f64) {
         if fresh >= PREFILL_TOKENS {
             let sample = ms / fresh as f64;
             let faster = sample < self.prefill_ms;
-            let weight = if faster { PREFILL_WEIGHT.0 } else { PREFILL_WEIGHT.1 };
-            self.prefill_ms += weight * (sample - self.prefill_ms);
+            let step = if faster { PREFILL_STEPS.0 } else { PREFILL_STEPS.1 };
+            // The first one is taken as it is: a wrong constant would take a hundred requests to forget.
+            self.prefill_ms = if self.first_ms == 0.0 {
+                sample
+            } else {
+                self.prefill_ms * step
+            };
         }
+        self.first_ms += WEIGHT * (ms - self.first_ms);
         let own = fresh as f64 * self.prefill_ms;
-        let wait = (ms - own).max(0.0);
-        self.wait_ms += WEIGHT * (wait / load.max(1.0) - self.wait_ms);
-        self.ease = if wait > own.max(EASY_MS) {
+        self.fresh_ms += WEIGHT * (own - self.fresh_ms);
+        self.ease = if ms - own > own.max(EASY_MS) {
             (self.ease * EASE.0).max(EASE.2)
         } else {
             (self.ease + EASE.1).min(1.0)
         };
     }
+
+    /// Takes in a request by whether it continues a conversation.
+    pub fn followed(&mut self, continues: bool) {
+        self.follow += FOLLOW_WEIGHT * (f64::from(u8::from(continues)) - self.follow);
+    }
+
+    /// Takes in which share of the earlier words a conversation's home held.
+    pub fn found(&mut self, share: f64) {
+        self.kept += WEIGHT * (share.clamp(0.0, 1.0) - self.kept);
+    }
 }
 
 /// What the cost of one candidate is made of, in milliseconds; the load is in requests.
@@ -105,6 +119,8 @@
     pub wait: f64,
     /// Prefill of the prompt tokens that are not cached there.
     pub prefill: f64,
+    /// Prefill of the whole prompt that a later turn will need because it looks for it at the home.
+    pub stray: f64,
     /// Price of the host's share that the request takes.
     pub price: f64,
     /// Expected loss by a reclaim while it runs.
@@ -138,10 +154,22 @@
         let redo = need.prompt_tokens as f64 * rates.prefill_ms + answer / 2.0;
         let chance = (reclaims * hold / MS_PER_HOUR).min(1.0);
         let rent = candidate.price as f64 * hold / MS_PER_HOUR / slots;
+        // Engines prefill one prompt after the other: what is there already and still in prefill goes first.
+        let before = if need.answer_tokens == 0 {
+            0.0
+        } else {
+            load.min(slots) * rates.fresh_ms / rates.hold_ms.max(1.0)
+        };
+        let crowd = (load / slots).min(1.0) * CROWD_MS;
         Self {
             load,
-            wait: queued / slots * rates.hold_ms + load * rates.wait_ms + (load / slots).min(1.0) * CROWD_MS,
+            wait: queued / slots * rates.hold_ms + crowd + before * rates.fresh_ms,
             prefill,
+            stray: if candidate.home {
+                0.0
+            } else {
+                rates.follow * need.prompt_tokens as f64 * rates.prefill_ms
+            },
             price: count(Without::Price, rent * MS_PER_MICRODOLLAR),
             risk: count(Without::Risk, chance * redo),
             distance: count(Without::Distance, if candidate.near { 0.0 } else { DISTANCE_MS }),
@@ -151,6 +179,6 @@
     /// Gives the sum in milliseconds.
     #[must_use]
     pub fn total(&self) -> f64 {
-        self.wait + self.prefill + self.price + self.risk + self.distance
+        self.wait + self.prefill + self.stray + self.price + self.risk + self.distance
     }
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod kv;
 mod limits;
 pub mod orders;
+pub mod pulse;
 pub mod service;
 mod stream;
 
