--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -259,6 +259,7 @@
                     if std::mem::take(&mut first) {
                         trip.visit.first_token(&trip.prefix, trip.believed, clock.now());
                     }
+                    trip.visit.token(self.watch.between(), clock.now());
                     if self.journal.push(&token).is_err() {
                         return Ok(Ended::Moved);
                     }
--- a/crates/entry/src/callers/watch.rs
+++ b/crates/entry/src/callers/watch.rs
@@ -45,6 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Limits {
     first: Duration,
+    between: Option<Duration>,
     gap: Duration,
     due: Tick,
     until: Tick,
@@ -79,6 +80,7 @@
             .map_or(GAP.1, |between| ms(between) * GAP_TARGETS);
         Self {
             first: first + PREFILL * u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+            between: targets.between_tokens_ms.map(ms),
             gap: gap.clamp(GAP.0, GAP.1),
             due: arrived + whole,
             until: arrived + whole * LATE,
@@ -87,6 +89,11 @@
 }
 
 impl Watch {
+    /// Gives the longest pause between tokens that the contract promises.
+    pub(super) const fn between(&self) -> Option<Duration> {
+        self.limits.between
+    }
+
     /// Watches over a request; an adopted one has no caller.
     pub(super) fn new(clock: Clock, caller: Option<Peer>, journal: Arc<Journal>, limits: Limits) -> Self {
         Self {
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -92,6 +92,10 @@
     held: u64,
     /// Words that had to be prefilled, as far as known.
     fresh: u64,
+    /// When the last token came, how many pauses there were, and how many of them were longer than promised.
+    token_at: Option<Tick>,
+    pauses: u32,
+    late: u32,
 }
 
 impl Fleet {
@@ -237,7 +241,8 @@
         let expiry = self.expiry();
         let waves = self.waves.read();
         let begun = ask.prefix.session().map_or(0, |session| session.begun) as f64;
-        let kept = begun * pool.rates.lock().kept;
+        let rates = *pool.rates.lock();
+        let kept = begun * rates.kept;
         let home = self.home(pool, homes);
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
@@ -253,7 +258,7 @@
                 reason: proposed.reason,
                 class: spec.host.class,
                 price: spec.host.price,
-                slots: spec.slots,
+                slots: (f64::from(spec.slots) * rates.ease).ceil() as u32,
                 near: spec.host.data_center == self.place,
                 reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
@@ -407,6 +412,7 @@
             first_at: Some(now),
             held: held.first().copied().unwrap_or_default(),
             fresh: prefix.words().saturating_sub(cached),
+            ..Seen::default()
         };
         *self.seen.lock() = seen;
         row.rates
@@ -414,6 +420,15 @@
             .first_token(seen.fresh, millis(now.since(self.started)));
     }
 
+    /// Notes a token, and the longest pause before it that was promised.
+    pub fn token(&self, promised: Option<Duration>, now: Tick) {
+        let mut seen = self.seen.lock();
+        if let (Some(before), Some(promised)) = (seen.token_at.replace(now), promised) {
+            seen.pauses += 1;
+            seen.late += u32::from(now.since(before) > promised);
+        }
+    }
+
     /// Notes an answer that is whole: the engine holds the prompt with the answer.
     pub fn whole(&self, prefix: &Prefix, now: Tick) {
         if let Some(row) = &self.row {
@@ -450,6 +465,7 @@
             None => millis(now.since(self.started)),
         };
         rates.held(held);
+        rates.paced(seen.pauses, seen.late);
     }
 }
 
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -17,7 +17,9 @@
 const PREFILL_TOKENS: u64 = 64;
 /// Wait that is no sign of too many requests at once, in milliseconds.
 const EASY_MS: f64 = 150.0;
-/// By how much the allowed use of slots falls after a long wait and rises after a short one, and its least value.
+/// Share of an answer's pauses that may be longer than promised.
+const LATE_PAUSES: f64 = 0.05;
+/// By how much the allowed use of slots falls after a request that fared badly and rises after a good one, and its least value.
 const EASE: (f64, f64, f64) = (0.97, 0.01, 0.25);
 /// Milliseconds that a fully used upstream answers later than an idle one; it spreads requests between equals.
 const CROWD_MS: f64 = 20.0;
@@ -92,10 +94,25 @@
         self.first_ms += WEIGHT * (ms - self.first_ms);
         let own = fresh as f64 * self.prefill_ms;
         self.fresh_ms += WEIGHT * (own - self.fresh_ms);
-        self.ease = if ms - own > own.max(EASY_MS) {
-            (self.ease * EASE.0).max(EASE.2)
-        } else {
+        self.judge(ms - own <= own.max(EASY_MS));
+    }
+
+    /// Takes in the pauses between an answer's tokens: so many, of which some were longer than promised.
+    ///
+    /// Each further request in a batch makes the pauses of all others longer. Where the slots allow more than the
+    /// promised pauses do, every answer of a full batch would be whole and late.
+    pub fn paced(&mut self, pauses: u32, late: u32) {
+        if pauses > 0 {
+            self.judge(f64::from(late) <= f64::from(pauses) * LATE_PAUSES);
+        }
+    }
+
+    /// Moves the share of the slots that is used by how one request fared.
+    fn judge(&mut self, good: bool) {
+        self.ease = if good {
             (self.ease + EASE.1).min(1.0)
+        } else {
+            (self.ease * EASE.0).max(EASE.2)
         };
     }
 
