--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -28,6 +28,8 @@
     Demo(Demo),
     /// Slopes of control cost.
     Slopes(SlopesOptions),
+    /// What the entry adds.
+    Overhead(OverheadOptions),
     /// Every policy.
     Compare(Compare),
     /// One policy.
@@ -143,3 +145,33 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Compare calls straight to a stand-in with calls through an entry host, in one run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "overhead", example = "gentian-load overhead")]
+pub struct OverheadOptions {
+    /// numbers of callers at the same time, as N,N,…
+    #[argh(option, default = "List(vec![1, 64, 256])")]
+    pub open: List<usize>,
+    /// streams of all callers together in each round; each caller has one at least
+    #[argh(option, default = "48")]
+    pub streams: usize,
+    /// lookups of all callers together in each round; each caller has one at least
+    #[argh(option, default = "512")]
+    pub calls: usize,
+    /// rounds of both ways
+    #[argh(option, default = "3")]
+    pub rounds: usize,
+    /// tokens of a stream
+    #[argh(option, default = "32")]
+    pub tokens: u64,
+    /// microseconds between two tokens of the engine
+    #[argh(option, default = "10_000")]
+    pub decode_us: u64,
+    /// milliseconds that the service takes for a call
+    #[argh(option, default = "1")]
+    pub work_ms: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod compare;
 pub mod demo;
 pub mod link;
+pub mod overhead;
 pub mod slopes;
 pub mod table;
 pub mod trial;
