--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -11,17 +11,19 @@
 mod sse;
 mod watch;
 
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use metrics::counter;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 
 use crate::Entry;
 use http::{Connection, Head, Reply};
 use problem::Problem;
+use shared::Counted;
 
 pub use run::adopt;
 pub use shared::Shared;
@@ -30,6 +32,10 @@
 const STACK: usize = 512 * 1024;
 /// Longest time until the acceptor looks at its flag again.
 const STEP: Duration = Duration::from_millis(50);
+/// Time after which a thread without a connection ends.
+const IDLE: Duration = Duration::from_secs(10);
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
 /// Silence after which the operating system asks whether a caller's host is still there.
 const PROBE: Duration = Duration::from_secs(10);
 
@@ -57,6 +63,23 @@
     }
 }
 
+/// A connection on its way to a thread, with its place in the count.
+type Passed = (TcpStream, Counted);
+
+/// Listens for callers.
+///
+/// # Errors
+/// Fails when the address can't be listened on.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    // The standard library keeps 128 connections waiting; of more that come at once the rest would try again only
+    // after a second, and those callers would have waited a second for nothing.
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// Accepts connections until told to stop.
 ///
 /// # Errors
@@ -66,9 +89,11 @@
     let socket = SockRef::from(listener);
     socket.set_read_timeout(Some(STEP))?;
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE).with_interval(PROBE))?;
+    // A ring without places: a connection goes to a thread that waits for one, or to a new thread.
+    let (ring, idle) = bounded(0);
     while !entry.stop.load(Ordering::Relaxed) {
         match listener.accept() {
-            Ok((stream, _)) => open(entry, stream),
+            Ok((stream, _)) => open(entry, stream, &ring, &idle),
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
             // One connection that broke early, or a shortage of descriptors, must not end the acceptor.
             Err(_) => {
@@ -80,15 +105,22 @@
     Ok(())
 }
 
-fn open(entry: &Arc<Entry>, stream: TcpStream) {
+fn open(entry: &Arc<Entry>, stream: TcpStream, ring: &Sender<Passed>, idle: &Receiver<Passed>) {
     let Some(place) = entry.callers.connect(entry.settings.connections) else {
         return turn_away(&stream);
     };
-    let entry = Arc::clone(entry);
+    let Err(TrySendError::Full(first) | TrySendError::Disconnected(first)) = ring.try_send((stream, place)) else {
+        return;
+    };
+    let (entry, idle) = (Arc::clone(entry), idle.clone());
     let thread = std::thread::Builder::new().name("caller".to_owned()).stack_size(STACK);
     let spawned = thread.spawn(move || {
-        converse(&entry, stream);
-        drop(place);
+        let mut next = Some(first);
+        while let Some((stream, place)) = next {
+            converse(&entry, stream);
+            drop(place);
+            next = idle.recv_timeout(IDLE).ok();
+        }
     });
     if spawned.is_err() {
         counter!("gentian_refused_total", "cause" => "threads").increment(1);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,6 +1,5 @@
 //! `gentian-entry`: serves callers on an entry host.
 
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -47,7 +46,7 @@
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
     let scrape = Scrape::install()?;
     let listen = entry.settings.listen;
-    let listener = TcpListener::bind(listen).with_context(|| format!("listen on {listen}"))?;
+    let listener = callers::listen(listen).with_context(|| format!("listen on {listen}"))?;
     let ops = start_ops(entry, scrape)?;
     let inner = calls.wait(jsonrpsee::server::Server::builder().build(entry.settings.inner))?;
     let inner_address = inner.local_addr()?;
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -77,7 +77,7 @@
         let exchanger = Arc::clone(&entry);
         std::thread::spawn(move || exchange::run(&exchanger, &socket, inner));
         rescue::start(&entry).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = callers::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let address = listener.local_addr().unwrap();
         let shared = Arc::clone(&entry);
         std::thread::spawn(move || callers::accept(&shared, &listener));
