--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -63,7 +63,9 @@
     entry.journals.end(&id, entry.clock.now());
     permit.used((ask.prompt_tokens + run.journal.len() as u64) as f64);
     drop(permit);
-    count(contract, class);
+    if run.journal.from(usize::MAX).whole {
+        count(contract, class);
+    }
     Ok(answered)
 }
 
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -101,7 +101,7 @@
             let chat = self.continued();
             let prefix = prompt::prefix(&chat.messages);
             let Some((spec, believed)) = self.choose(&prefix, search) else {
-                if search.is_first() && self.journal.is_empty() {
+                if search.may_refuse() {
                     return Ended::Failed(Problem::overloaded(Duration::from_secs(1)));
                 }
                 // Every engine was tried or is barred for now; the answer goes on with the first that comes back.
--- a/crates/entry/src/callers/run/search.rs
+++ b/crates/entry/src/callers/run/search.rs
@@ -33,6 +33,7 @@
     pauses: u32,
     cause: Option<Cause>,
     target: Option<UpstreamId>,
+    is_accepted: bool,
 }
 
 impl Cause {
@@ -53,10 +54,16 @@
     pub(super) fn adopted() -> Self {
         Self {
             cause: Some(Cause::Handover),
+            is_accepted: true,
             ..Self::default()
         }
     }
 
+    /// Tells whether the request can still be refused as not run: no engine and no peer has taken it so far.
+    pub(super) const fn may_refuse(&self) -> bool {
+        !self.is_accepted
+    }
+
     /// Tells whether no attempt has failed yet.
     pub(super) const fn is_first(&self) -> bool {
         self.attempts == 0
@@ -76,6 +83,7 @@
     /// Notes an attempt that broke off.
     pub(super) fn broke(&mut self, engine: UpstreamId, cause: Cause) {
         self.note(engine);
+        self.is_accepted = true;
         self.cause = self.cause.or(Some(cause));
     }
 
--- a/crates/entry/tests/clear_refusals.rs
+++ b/crates/entry/tests/clear_refusals.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use common::ask::{self, Answer, call, chat, post_chat, raw, read};
-use common::{Host, KEY, config, engine, fake, service};
+use common::{Host, KEY, config, engine, fake, free_address, service};
 use entry::cli::Options;
 use serde_json::{Value, json};
 
@@ -150,6 +150,31 @@
     assert_eq!(count.load(Ordering::SeqCst), 0);
 }
 
+/// The engines' hosts are gone and their addresses refuse connections. The caller must hear at once that nothing was
+/// run, and not wait until its own patience ends.
+#[test]
+fn no_engine_reachable() {
+    let engines = (0..3).map(|at| engine(&format!("gone-{at}"), free_address()));
+    let host = Host::start(config(engines));
+    for stream in [true, false] {
+        let answer = post_chat(host.address, &chat("hello", 4, stream).to_string());
+        assert_refused(&answer, 503, "overloaded");
+        assert!(answer.header("Retry-After").is_some());
+    }
+}
+
+/// An engine finds a field of the request wrong. Every other engine would too, so the caller is told and the engine's
+/// breaker stays closed.
+#[test]
+fn engine_refuses() {
+    let address = fake::serve(|_, stream| fake::reply(&stream, "400 Bad Request", "", "temperature"));
+    let host = Host::start(config([engine("a", address)]));
+    for _ in 0..5 {
+        let answer = post_chat(host.address, &chat("hello", 4, true).to_string());
+        assert_refused(&answer, 400, "bad-request");
+    }
+}
+
 #[test]
 fn chunked_body() {
     let (host, _) = counted();
