--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -24,7 +24,7 @@
 use super::watch::{Stop, Watch};
 use crate::Entry;
 use crate::current::View;
-use crate::fleet::{self, Visit};
+use crate::fleet::{self, Visit, prompt};
 use crate::journal::Journal;
 use crate::rescue::{Boarding, Move};
 use search::Cause;
@@ -99,7 +99,7 @@
                 return self.stopped(stop);
             }
             let chat = self.continued();
-            let prefix = blocks(&chat.messages);
+            let prefix = prompt::prefix(&chat.messages);
             let Some((spec, believed)) = self.choose(&prefix, search) else {
                 if search.is_first() && self.journal.is_empty() {
                     return Ended::Failed(Problem::overloaded(Duration::from_secs(1)));
@@ -268,11 +268,12 @@
                     }
                 }
                 Event::Usage(counts) => {
-                    trip.visit.counted(trip.believed, counts.cached_tokens);
+                    trip.visit.counted(&trip.prefix, trip.believed, counts.cached_tokens);
                     trip.usage = Some(counts);
                 }
                 Event::Done => {
-                    trip.visit.whole(&blocks(&self.continued().messages), clock.now());
+                    trip.visit
+                        .whole(&prompt::prefix(&self.continued().messages), clock.now());
                     return Ok(Ended::Whole(self.counted(trip.usage)));
                 }
             }
@@ -338,8 +339,3 @@
     let others = specs.filter(|spec| spec.serves_model(model) && spec.id != *target);
     others.map(|spec| spec.id.clone()).collect()
 }
-
-/// Hashes the blocks of a conversation as engines do.
-fn blocks(messages: &[Message]) -> Prefix {
-    Prefix::of(messages.iter().flat_map(|message| message.content.split_whitespace()))
-}
