--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use load::cli::{Command, Options};
-use load::{compare, demo, report, slopes};
+use load::{compare, demo, overhead, report, slopes};
 
 fn main() -> ExitCode {
     match run(argh::from_env()) {
@@ -18,6 +18,7 @@
 fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
         Command::Demo(options) => demo::run(&options),
+        Command::Overhead(options) => overhead::run(&options),
         Command::Slopes(options) => slopes::run(&options),
         Command::Compare(options) => compare::compare(&options),
         Command::Run(options) => compare::single(&options),
