--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -116,6 +116,8 @@
 
     fn turn(&mut self, batch: Vec<Ask>) -> Result<(), DiskError> {
         self.retry()?;
+        let written = self.folder.finish();
+        self.note_snapshot(written);
         self.serve(batch);
         if self.stalled.is_none() {
             let now = self.clock.now();
@@ -227,9 +229,15 @@
         }
         let data = encode(&self.applied);
         let snapshot = self.node.compact(data).clone();
-        if let Err(error) = self.folder.keep(&snapshot) {
+        let begun = self.folder.keep_later(snapshot);
+        self.note_snapshot(begun);
+    }
+
+    /// Notes a snapshot that was not written; it is tried again, and until then the log is kept.
+    fn note_snapshot(&mut self, result: Result<(), DiskError>) {
+        if let Err(error) = result {
             warn!(self.logger, "snapshot was not written"; "error" => %error);
-            self.snapshot_at = now + RETRY;
+            self.snapshot_at = self.clock.now() + RETRY;
         }
     }
 
--- a/crates/state/src/disk/folder.rs
+++ b/crates/state/src/disk/folder.rs
@@ -3,6 +3,10 @@
 use std::fs::{self, File, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread;
+
+use crossbeam_channel::{Receiver, TryRecvError, bounded};
 
 use super::segment::{self, Batch, Segment};
 use super::{DiskError, Space, Unlimited, identity, snapshot};
@@ -35,7 +39,7 @@
 pub struct Folder {
     path: PathBuf,
     limits: Limits,
-    space: Box<dyn Space>,
+    space: Arc<dyn Space>,
     hard: Hard,
     number: u64,
     segment: Segment,
@@ -46,6 +50,8 @@
     since: u64,
     /// Bytes of the last snapshot.
     size: u64,
+    /// A snapshot that is being written, and the bytes of log that it covers.
+    writing: Option<Writing>,
     /// Keeps other processes out as long as it is open.
     _lock: File,
 }
@@ -56,14 +62,14 @@
     /// # Errors
     /// Fails when the folder can't be used, is used by another process, or holds damaged files.
     pub fn open(folder: &Path, limits: Limits) -> Result<(Self, Restored), DiskError> {
-        Self::open_with(folder, limits, Box::new(Unlimited))
+        Self::open_with(folder, limits, Arc::new(Unlimited))
     }
 
     /// Opens a folder whose room is decided elsewhere.
     ///
     /// # Errors
     /// Fails as [`Folder::open`] does.
-    pub fn open_with(folder: &Path, limits: Limits, space: Box<dyn Space>) -> Result<(Self, Restored), DiskError> {
+    pub fn open_with(folder: &Path, limits: Limits, space: Arc<dyn Space>) -> Result<(Self, Restored), DiskError> {
         fs::create_dir_all(folder).map_err(DiskError::io("create", folder))?;
         let lock = lock(folder)?;
         remove_unfinished(folder)?;
@@ -110,6 +116,7 @@
             newest,
             since,
             size,
+            writing: None,
             _lock: lock,
         };
         Ok((opened, restored))
@@ -147,7 +154,7 @@
     #[must_use]
     pub fn wants_snapshot(&self) -> bool {
         // A large state is written less often, so that snapshots cost no more than the log itself.
-        self.since >= self.limits.snapshot.max(self.size)
+        self.writing.is_none() && self.since >= self.limits.snapshot.max(self.size)
     }
 
     /// Writes a snapshot and removes the segments that it covers.
@@ -156,7 +163,66 @@
     /// Fails when the snapshot can't be made durable; the log is then as before.
     pub fn keep(&mut self, snapshot: &Snapshot) -> Result<(), DiskError> {
         snapshot::write(&self.path, snapshot, self.space.as_ref())?;
-        let covered = |newest: Index| newest <= snapshot.at.index;
+        self.since = 0;
+        self.size = snapshot.data.len() as u64;
+        self.cover(snapshot.at.index)
+    }
+
+    /// Begins to write a snapshot on a thread of its own.
+    ///
+    /// A large state takes longer to sync than a leader may be silent; written by the thread that answers, each snapshot
+    /// would cost the group its leader.
+    ///
+    /// # Errors
+    /// Fails when the system refuses a thread; the log is then as before.
+    pub fn keep_later(&mut self, snapshot: Snapshot) -> Result<(), DiskError> {
+        let (done, result) = bounded(1);
+        let (index, size) = (snapshot.at.index, snapshot.data.len() as u64);
+        let (path, space) = (self.path.clone(), Arc::clone(&self.space));
+        let work = move || {
+            // The folder may be closed by now, and then nobody wants the result.
+            let _ = done.send(snapshot::write(&path, &snapshot, space.as_ref()));
+        };
+        let thread = thread::Builder::new().name("snapshot".to_owned()).spawn(work);
+        thread.map_err(DiskError::io("start a thread for", &self.path))?;
+        self.writing = Some(Writing {
+            index,
+            size,
+            since: self.since,
+            result,
+        });
+        Ok(())
+    }
+
+    /// Removes what a snapshot covers that was begun with [`Folder::keep_later`], once it is written.
+    ///
+    /// # Errors
+    /// Fails when the snapshot could not be written; the log is then as before.
+    pub fn finish(&mut self) -> Result<(), DiskError> {
+        let Some(writing) = &self.writing else {
+            return Ok(());
+        };
+        let result = match writing.result.try_recv() {
+            Err(TryRecvError::Empty) => return Ok(()),
+            Ok(result) => result,
+            // The thread is gone without a word, so nothing is known to be written.
+            Err(TryRecvError::Disconnected) => {
+                self.writing = None;
+                return Ok(());
+            }
+        };
+        let Some(writing) = self.writing.take() else {
+            return Ok(());
+        };
+        result?;
+        self.since = self.since.saturating_sub(writing.since);
+        self.size = writing.size;
+        self.cover(writing.index)
+    }
+
+    /// Removes the segments that a written snapshot covers.
+    fn cover(&mut self, index: Index) -> Result<(), DiskError> {
+        let covered = |newest: Index| newest <= index;
         if covered(self.newest) && self.segment.length() >= self.limits.segment {
             self.roll()?;
         }
@@ -165,8 +231,6 @@
         for (_, path, _) in self.older.drain(..count) {
             fs::remove_file(&path).map_err(DiskError::io("remove", &path))?;
         }
-        self.since = 0;
-        self.size = snapshot.data.len() as u64;
         sync_folder(&self.path)
     }
 
@@ -182,6 +246,16 @@
     }
 }
 
+/// A snapshot on its way to the disk.
+#[derive(Debug)]
+struct Writing {
+    index: Index,
+    size: u64,
+    /// Bytes of log when it was begun.
+    since: u64,
+    result: Receiver<Result<(), DiskError>>,
+}
+
 /// The log as its batches build it up.
 #[derive(Debug, Default)]
 pub(super) struct Replay {
--- a/crates/state/src/disk/space.rs
+++ b/crates/state/src/disk/space.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 /// Decides whether bytes may be written; tests let a disk run full with it.
-pub trait Space: Debug + Send {
+pub trait Space: Debug + Send + Sync {
     /// Asks for room.
     ///
     /// # Errors
--- a/crates/state/tests/log_recovery.rs
+++ b/crates/state/tests/log_recovery.rs
@@ -216,7 +216,7 @@
 fn full_disk() {
     let folder = tempfile::tempdir().unwrap();
     let room = Arc::new(AtomicUsize::new(100));
-    let (mut open, _) = Folder::open_with(folder.path(), SMALL, Box::new(Room(Arc::clone(&room)))).unwrap();
+    let (mut open, _) = Folder::open_with(folder.path(), SMALL, Arc::new(Room(Arc::clone(&room)))).unwrap();
     open.write(&records(1, 1..=2)).unwrap();
     let more = records(1, 3..=9);
     assert!(open.write(&more).unwrap_err().is_full());
@@ -227,3 +227,25 @@
     let (_, restored) = Folder::open(folder.path(), SMALL).unwrap();
     assert_eq!(restored.records.len(), 9);
 }
+
+/// A snapshot is written while the log goes on, and the process dies right after it is there. What came in meanwhile must
+/// be found behind it.
+#[test]
+fn snapshot_meanwhile() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut open, _) = Folder::open(folder.path(), SMALL).unwrap();
+    (1..=30).for_each(|index| open.write(&records(1, index..=index)).unwrap());
+    open.keep_later(snapshot(1, 20)).unwrap();
+    for index in 31..=60 {
+        open.write(&records(1, index..=index)).unwrap();
+        open.finish().unwrap();
+    }
+    while !folder.path().join("snapshot-0000000000000020").exists() {
+        std::thread::yield_now();
+    }
+    open.finish().unwrap();
+    drop(open);
+    let (_, restored) = Folder::open(folder.path(), SMALL).unwrap();
+    assert_eq!(restored.snapshot.at, record(1, 20).at);
+    assert_eq!(restored.records.len(), 40);
+}
