--- a/crates/load/tests/reference_pages.rs
+++ b/crates/load/tests/reference_pages.rs
@@ -73,13 +73,13 @@
             } else if path.extension().is_some_and(|kind| kind == "rs") {
                 let text = std::fs::read_to_string(&path).expect("a readable file");
                 for part in text.split("\"gentian_").skip(1) {
-                    let name = part.split('"').next().unwrap_or_default();
+                    let end = part.find(|c: char| c != '_' && !c.is_ascii_alphanumeric());
+                    let name = &part[..end.unwrap_or(part.len())];
                     names.insert(format!("gentian_{name}"));
                 }
             }
         }
     }
-    names.retain(|name| !name.contains(char::is_whitespace));
     names
 }
 
@@ -119,6 +119,8 @@
         "index",
         "term",
         "members",
+        "connections",
+        "count",
     ];
     for name in metrics_named() {
         assert!(
