--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -8,12 +8,13 @@
 use policy::Tick;
 use policy::route::Target;
 use serde_json::json;
+use telemetry::burn::End;
 use telemetry::clock::wall_ms;
 use upstream::engine::{REQUEST_HEADER, Usage};
 
 use super::ask::Ask;
 use super::http::{Peer, Reply};
-use super::problem::Problem;
+use super::problem::{self, Problem};
 use super::run::{Ended, Nowhere, Run, Search};
 use super::sse::Events;
 use super::watch::{Limits, Watch};
@@ -40,7 +41,10 @@
     }
     let class =
         class(contract, &ask).ok_or_else(|| Problem::not_found("the contract has no class for this request"))?;
-    let mut permit = entry.admission.enter(contract, &work(&ask, class, arrived))?;
+    let meter = entry.burn.begin(&contract.customer, class, arrived);
+    let admitted = entry.admission.enter(contract, &work(&ask, class, arrived));
+    let mut permit = admitted.map_err(|refusal| problem::counted(refusal.into(), &meter, entry.clock.now()))?;
+    meter.admitted(entry.clock.now());
     let peer = Peer::of(caller.connection).map_err(|_gone| Problem::bad_request("the connection broke"))?;
     let id = entry.request_id();
     let owner = format!("{}/{account}", contract.customer);
@@ -54,6 +58,7 @@
         ask: &ask,
         journal,
         watch: Arc::new(watch),
+        meter,
     };
     let answered = if ask.chat.stream {
         stream(&run, caller)
@@ -127,6 +132,16 @@
 
 /// Closes the journal; an answer that a peer took over at the last moment ends there.
 fn close(run: &Run<'_>, ended: Ended) -> Ended {
+    let end = match &ended {
+        Ended::Whole(_) => Some(End::Whole),
+        Ended::CallerGone => Some(End::CallerGone),
+        Ended::Failed(problem) => problem.burns(),
+        // The peer that goes on with the answer has no arrival to measure from.
+        Ended::Moved => None,
+    };
+    if let Some(end) = end {
+        run.meter.end(end, run.entry.clock.now());
+    }
     match run.journal.end(matches!(ended, Ended::Whole(_))) {
         Ok(()) => ended,
         Err(_) => Ended::Moved,
--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -16,6 +16,7 @@
 use policy::rescue::How;
 use policy::route::{Need, Target};
 use slog::warn;
+use telemetry::burn::Meter;
 use upstream::engine::{Chat, EngineClient, Event, Message, Usage};
 use upstream::{Fate, UpstreamError};
 
@@ -86,6 +87,7 @@
     pub(super) ask: &'a Ask,
     pub(super) journal: Arc<Journal>,
     pub(super) watch: Arc<Watch>,
+    pub(super) meter: Meter<'a>,
 }
 
 impl Run<'_> {
@@ -115,6 +117,7 @@
                 believed,
                 usage: None,
             };
+            self.meter.tries(&spec.host);
             let tried = self.attempt(&spec, &mut trip, search, sink);
             drop(trip);
             match tried {
@@ -200,6 +203,8 @@
         }
         if let Some(to) = ride.destination() {
             counter!("gentian_rescued_total", "how" => to.how.to_string()).increment(1);
+            // A late answer that was moved off a leaving host is put down to the reclaim.
+            self.meter.failed(true);
             return Tried::Moved(to);
         }
         drop(ride);
@@ -211,6 +216,7 @@
             ))));
         }
         let now = entry.clock.now();
+        self.meter.failed(!entry.fleet.hosts.takes_work(&spec.host));
         entry.fleet.hosts.failed(&spec.host, &error, now);
         entry.fleet.ended(&spec.id, false, now);
         match self.failed(&error) {
@@ -256,6 +262,7 @@
             match stream.next_event()? {
                 Event::Token(token) => {
                     self.watch.progress();
+                    self.meter.token(clock.now());
                     if std::mem::take(&mut first) {
                         trip.visit.first_token(&trip.prefix, trip.believed, clock.now());
                     }
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -260,7 +260,7 @@
             info!(self.logger, "role changed"; "role" => role, "term" => self.node.term().0);
             self.role = role;
         }
-        gauge!("gentian_state_is_leader").set(if leads { 1.0 } else { 0.0 });
+        gauge!("gentian_state_leader_count").set(if leads { 1.0 } else { 0.0 });
         gauge!("gentian_state_committed_index").set(self.node.committed().0 as f64);
     }
 }
