--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -15,8 +15,8 @@
 const GROUP: u32 = 0;
 /// Pause between two questions for a call that is under way.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Tries to learn whether a claim was written before it is given back; they last longer than an election.
-const CLAIM_TRIES: u32 = 100;
+/// Tries to learn whether a claim was written before it is given back; they last about as long as an election.
+const CLAIM_TRIES: u32 = 50;
 /// Longest wait for a service that is asked for an outcome.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use contract::{NodeId, Revision};
 use derive_more::{Display, Error};
@@ -23,6 +23,11 @@
 /// Longest that a node may hold a watch.
 pub const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// How long a node is passed over after it let a call wait in vain.
+const SILENT: Duration = Duration::from_secs(5);
+/// Wait from which a failed call counts as in vain; a node that refuses the connection costs nothing to ask.
+const IN_VAIN: Duration = Duration::from_millis(500);
+
 /// A call that got no answer.
 #[derive(Debug, Display, Error)]
 #[display("{step} at {peer}: {source}")]
@@ -116,6 +121,8 @@
     /// Clients whose calls may be held by the node for a while; kept, so that a watch costs no new connection.
     watchers: Vec<HttpClient>,
     leader: Mutex<usize>,
+    /// When each node last let a call wait in vain.
+    silent: Mutex<Vec<Option<Instant>>>,
 }
 
 macro_rules! group_call {
@@ -159,6 +166,7 @@
             clients: open(Duration::ZERO)?,
             watchers: open(MAX_WAIT)?,
             leader: Mutex::new(0),
+            silent: Mutex::new(vec![None; peers.len()]),
         };
         Ok(Self {
             group: Arc::new(group),
@@ -276,23 +284,38 @@
     where
         F: Future<Output = Result<T, jsonrpsee::core::ClientError>>,
     {
-        let mut at = *self.leader.lock();
+        let mut at = self.first();
         let mut worst = None;
+        let mut hinted = false;
         for _ in 0..=self.peers.len() {
             let next = (at + 1) % self.peers.len();
+            // On the small side of a cut the other nodes don't refuse, they are silent. If every call waited for them, a
+            // caller would learn only at its deadline that nothing was run.
+            if worst.is_some() && !hinted && self.is_silent(at) {
+                at = next;
+                continue;
+            }
+            hinted = false;
+            let begin = Instant::now();
             match self.calls.wait(call(at)) {
                 Ok(answer) => {
+                    self.silent.lock()[at] = None;
                     let Some(why) = refused(&answer) else {
                         *self.leader.lock() = at;
                         return Ok(answer);
                     };
-                    at = self.hinted(&why).unwrap_or(next);
+                    let hint = self.hinted(&why);
+                    hinted = hint.is_some();
+                    at = hint.unwrap_or(next);
                     let written = matches!(why, Unavailable::Undecided { .. });
                     if worst.is_none() || (written && !matches!(worst, Some(Err(_)))) {
                         worst = Some(Ok(answer));
                     }
                 }
                 Err(source) => {
+                    if begin.elapsed() > IN_VAIN {
+                        self.silent.lock()[at] = Some(Instant::now());
+                    }
                     let peer = self.peers[at];
                     worst = Some(Err(CallError { step, peer, source }));
                     at = next;
@@ -303,6 +326,23 @@
         worst.expect("the group has at least one node")
     }
 
+    /// Gives the node to ask first: the last known leader unless it was silent, else the next one that wasn't.
+    fn first(&self) -> usize {
+        let leader = *self.leader.lock();
+        let order = (0..self.peers.len()).map(|step| (leader + step) % self.peers.len());
+        order.into_iter().find(|at| !self.is_silent(*at)).unwrap_or(leader)
+    }
+
+    /// Tells whether a node is to be passed over; one caller at a time finds out whether it answers again.
+    fn is_silent(&self, at: usize) -> bool {
+        let since = &mut self.silent.lock()[at];
+        let silent = since.is_some_and(|since| since.elapsed() < SILENT);
+        if !silent && since.is_some() {
+            *since = Some(Instant::now());
+        }
+        silent
+    }
+
     fn hinted(&self, why: &Unavailable) -> Option<usize> {
         let Unavailable::NotLeader { leader: Some(leader) } = why else {
             return None;
