Tell a failed start in one line

A wrong setting was printed with the parts and the stack of the error, in which the setting's name was lost. Each program now prints its name and the error, and ends with 1.

--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -1,5 +1,6 @@
 //! `gentian-capacity`: watches the cloud API and keeps capacity.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -10,16 +11,19 @@
 use contract::settings::Sheet;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::info;
-use telemetry::log;
+use telemetry::{ended, log};
 use wire::client::Calls;
 
 /// Longest wait for an inner call.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    ended("gentian-capacity", run(&argh::from_env()))
+}
+
+fn run(options: &Options) -> anyhow::Result<()> {
     let mut sheet = Sheet::default();
-    let settings = Settings::read(&options, &mut sheet);
+    let settings = Settings::read(options, &mut sheet);
     if options.print_settings {
         print!("{}", sheet.render());
     }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,5 +1,6 @@
 //! `gentian-entry`: serves callers on an entry host.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -13,8 +14,8 @@
 use entry::{Entry, burn, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
-use telemetry::log;
 use telemetry::scrape::Scrape;
+use telemetry::{ended, log};
 use wire::client::Calls;
 use wire::entry::EntryRpcServer;
 
@@ -25,10 +26,13 @@
 /// Longest wait for outcomes that the state group could not record at once.
 const FLUSH: Duration = Duration::from_secs(10);
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    ended("gentian-entry", run(&argh::from_env()))
+}
+
+fn run(options: &Options) -> anyhow::Result<()> {
     let mut sheet = Sheet::default();
-    let settings = Settings::read(&options, &mut sheet);
+    let settings = Settings::read(options, &mut sheet);
     if options.print_settings {
         print!("{}", sheet.render());
     }
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -1,5 +1,6 @@
 //! `gentian-state`: the replicated state of gentianspring.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -18,7 +19,7 @@
 use state::rpc::Rpc;
 use state::settings::Settings;
 use telemetry::scrape::Scrape;
-use telemetry::{Clock, log};
+use telemetry::{Clock, ended, log};
 use wire::client::{Calls, MAX_MESSAGE};
 use wire::raft::RaftRpcServer;
 use wire::state::StateRpcServer;
@@ -32,10 +33,13 @@
 /// Threads of the administration API.
 const ADMIN_THREADS: usize = 8;
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    ended("gentian-state", run(&argh::from_env()))
+}
+
+fn run(options: &Options) -> anyhow::Result<()> {
     let mut sheet = Sheet::default();
-    let settings = Settings::read(&options, &mut sheet);
+    let settings = Settings::read(options, &mut sheet);
     if options.print_settings {
         print!("{}", sheet.render());
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod burn;
 pub mod clock;
+mod ended;
 pub mod log;
 pub mod scrape;
 
 pub use clock::Clock;
+pub use ended::ended;
