--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,6 +12,7 @@
 use policy::route::Rules;
 use slog::Logger;
 use telemetry::Clock;
+use telemetry::burn::Ledger;
 use telemetry::clock::wall_ms;
 use upstream::engine::EngineClient;
 use upstream::service::ServiceClient;
@@ -51,6 +52,8 @@
     pub live: ArcSwap<Live>,
     /// Streamed answers.
     pub journals: Journals,
+    /// What the burn report counts.
+    pub burn: Ledger,
     /// The state group.
     pub state: StateClient,
     /// Engines.
@@ -110,6 +113,7 @@
             current: Arc::default(),
             fleet,
             journals: Journals::default(),
+            burn: Ledger::default(),
             state,
             engines: EngineClient::new(CONNECT),
             peers: Peers::new(calls, &settings.node, &settings.peers)?,
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -9,7 +9,7 @@
 use wire::Envelope;
 use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk};
 
-use crate::{Entry, callers, drain};
+use crate::{Entry, burn, callers, drain};
 
 /// Answers other processes of the system.
 #[derive(Clone, Debug)]
@@ -66,6 +66,10 @@
         Ok(self.wrap(found.map(|journal| json!(journal.choices()))))
     }
 
+    async fn burn(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
+        Ok(self.wrap(json!(burn::parts(&self.entry))))
+    }
+
     async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
         let entry = &self.entry;
         let status = json!({
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod link;
 pub mod overhead;
+pub mod report;
 pub mod slopes;
 pub mod table;
 pub mod trial;
