--- /dev/null
+++ b/crates/entry/tests/admission_waits.rs
@@ -0,0 +1,128 @@
+//! Threads that wait for admission: each gets one verdict, no more run than may, and a full model blocks no lookup.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{scope, sleep, spawn};
+use std::time::Duration;
+
+use contract::{Account, Class, Contract, KeyHash, Limits, Matcher, Repeat, Targets};
+use entry::admission::{Admission, Work};
+use entry::fleet::Size;
+use policy::Tick;
+use policy::route::Target;
+use telemetry::Clock;
+
+const LONG: Duration = Duration::from_mins(1);
+
+fn contract(customer: &str) -> Contract {
+    let targets = Targets {
+        first_token_ms: None,
+        between_tokens_ms: None,
+        whole_answer_ms: 60_000,
+    };
+    let class = Class {
+        name: "all".into(),
+        matches: Matcher::default(),
+        targets,
+        repeat: Repeat::Idempotent,
+        shed: 0,
+    };
+    let account = Account {
+        name: "counter".into(),
+        key_hash: KeyHash::of(customer),
+    };
+    Contract {
+        customer: customer.into(),
+        accounts: vec![account],
+        limits: Limits {
+            requests_per_s: 100_000.0,
+            tokens_per_s: 100_000_000.0,
+            concurrency: 10_000,
+        },
+        share: 1,
+        classes: vec![class],
+    }
+}
+
+fn model() -> Target {
+    Target::Model("counter-1".to_owned())
+}
+
+fn work(target: Target, latest: Tick) -> Work {
+    Work {
+        target,
+        tokens: 10.0,
+        latest,
+        shed: 0,
+    }
+}
+
+fn size(target: Target, slots: usize) -> Size {
+    Size {
+        target,
+        slots,
+        first: Duration::ZERO,
+    }
+}
+
+/// Hundreds of callers wait for four slots, and some give up in the very moment in which their turn comes. A slot that
+/// was granted to one who had gone would be lost, and the host would stop serving after a while with idle engines.
+#[test]
+fn no_slot_lost() {
+    let clock = Clock::start();
+    let admission = Admission::new(clock.clone(), 100, 1_000);
+    admission.resize(&[size(model(), 4)]);
+    let running = AtomicUsize::new(0);
+    let (ran, refused) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    scope(|scope| {
+        for number in 0..300_u64 {
+            let (admission, clock) = (&admission, &clock);
+            let (running, ran, refused) = (&running, &ran, &refused);
+            scope.spawn(move || {
+                let patience = if number % 3 == 0 {
+                    Duration::from_millis(number / 4)
+                } else {
+                    LONG
+                };
+                let work = work(model(), clock.now() + patience);
+                let customer = contract(if number % 2 == 0 { "a" } else { "b" });
+                let Ok(permit) = admission.enter(&customer, &work) else {
+                    refused.fetch_add(1, Ordering::SeqCst);
+                    return;
+                };
+                assert!(running.fetch_add(1, Ordering::SeqCst) < 4);
+                sleep(Duration::from_millis(1));
+                running.fetch_sub(1, Ordering::SeqCst);
+                ran.fetch_add(1, Ordering::SeqCst);
+                drop(permit);
+            });
+        }
+    });
+    assert_eq!(ran.load(Ordering::SeqCst) + refused.load(Ordering::SeqCst), 300);
+    assert!(ran.load(Ordering::SeqCst) >= 200);
+    assert!(!admission.is_busy());
+    let permits: Vec<_> = (0..4).map(|_| enter(&admission, &clock, model())).collect();
+    assert!(permits.iter().all(Option::is_some));
+}
+
+fn enter<'a>(admission: &'a Admission, clock: &Clock, target: Target) -> Option<entry::admission::Permit<'a>> {
+    admission.enter(&contract("a"), &work(target, clock.now() + LONG)).ok()
+}
+
+/// All engines of a model are full and a hundred callers wait for them. A gate volunteer's seat lookup goes to a service
+/// that is idle and must be let in at once.
+#[test]
+fn lookup_passes() {
+    let clock = Clock::start();
+    let admission: &'static Admission = Box::leak(Box::new(Admission::new(clock.clone(), 8, 20)));
+    let service = Target::Service("registration".to_owned());
+    admission.resize(&[size(model(), 2), size(service.clone(), 50)]);
+    let holders: Vec<_> = (0..2).map(|_| enter(admission, &clock, model())).collect();
+    for _ in 0..100 {
+        let clock = clock.clone();
+        spawn(move || drop(enter(admission, &clock, model())));
+    }
+    sleep(Duration::from_millis(100));
+    let lookup = enter(admission, &clock, service);
+    assert!(lookup.is_some());
+    assert!(holders.iter().all(Option::is_some));
+}
--- /dev/null
+++ b/crates/policy/benches/admission.rs
@@ -0,0 +1,85 @@
+//! Admission with 10 and 1,000 waiting requests, and the split of a limit at 8 and 390 entry hosts.
+#![expect(
+    missing_docs,
+    reason = "the macro of the library makes a public function without documentation"
+)]
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use contract::Limits;
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use policy::Tick;
+use policy::fair::Ticket;
+use policy::lane::Lane;
+use policy::limits::{Amounts, Peer, Share, part_of};
+
+fn ticket(id: u64, customers: u64) -> Ticket {
+    Ticket {
+        id,
+        customer: format!("customer-{}", id % customers).into(),
+        share: (id % customers) as u32 + 1,
+        tokens: 100.0 + (id % 7) as f64,
+        latest: Tick::from_millis(1_000_000 + id % 1_000),
+        shed: (id % 4) as u8,
+    }
+}
+
+/// One request comes into a full queue and another one is let run.
+fn admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit");
+    for waiting in [10, 1_000] {
+        let mut lane = Lane::new(16, waiting, false);
+        for id in 0..waiting as u64 + 16 {
+            // Some are refused; the queue is full in the end.
+            let _ = lane.offer(ticket(id, 10), Tick::default());
+            lane.grant();
+        }
+        let mut id = 1_000_000;
+        group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
+            b.iter(|| {
+                id += 1;
+                lane.finished(100.0, Duration::from_millis(1));
+                black_box(lane.grant());
+                black_box(lane.offer(ticket(id, 10), Tick::default()).is_ok());
+            });
+        });
+    }
+    group.finish();
+}
+
+/// One customer's row for one peer is worked out.
+fn split(c: &mut Criterion) {
+    const LIMITS: Limits = Limits {
+        requests_per_s: 3_600.0,
+        tokens_per_s: 1_700_000.0,
+        concurrency: 30_000,
+    };
+    let mut group = c.benchmark_group("split");
+    for hosts in [8, 390] {
+        let now = Tick::from_millis(10_000);
+        let mut share = Share::new(false, Tick::default());
+        for peer in 1..hosts {
+            let wanted = Amounts::from([f64::from(peer % 30), f64::from(peer % 30) * 400.0, f64::from(peer % 90)]);
+            let told = Peer {
+                wanted,
+                running: wanted.running,
+            };
+            share.hear(peer, told, now);
+        }
+        let part = part_of(&LIMITS, hosts, 0);
+        let mut peer = 0;
+        group.bench_function(BenchmarkId::from_parameter(hosts), |b| {
+            b.iter(|| {
+                peer = peer % (hosts - 1) + 1;
+                let own = Amounts::from([1.0, 400.0, 3.0]);
+                black_box(share.grant(peer, part, own, now));
+                black_box(share.usable(part, now))
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, admission, split);
+criterion_main!(benches);
