--- a/crates/capacity/src/watch.rs
+++ b/crates/capacity/src/watch.rs
@@ -1,22 +1,35 @@
 //! Watches reclaim notices and the list of hosts, and passes on what they say.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use contract::{NodeId, Revision};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use metrics::counter;
 use slog::{Logger, info, warn};
 use upstream::cloud::{CloudClient, CloudHost, Notice};
 use wire::Envelope;
-use wire::client::{CallError, Calls};
+use wire::client::Calls;
 use wire::entry::{EntryRpcClient, HostSign, Sign};
 
+/// Longest time from a notice at the cloud API until entry hosts that can be reached have heard of it.
+pub const BOUND: Duration = Duration::from_secs(2);
 /// Pause between two looks at the cloud API.
 const STEP: Duration = Duration::from_millis(250);
-const TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for each of the two parts of a look.
+const TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for an entry host.
+const TELL: Duration = Duration::from_millis(500);
+const _: () = assert!(STEP.as_millis() + 2 * TIMEOUT.as_millis() + TELL.as_millis() < BOUND.as_millis());
+
+type Signs = Arc<Vec<HostSign>>;
 
 /// Watches until told to stop.
+///
+/// # Errors
+/// Fails when the operating system refuses a thread.
 pub fn run(
     node: &NodeId,
     cloud: SocketAddr,
@@ -24,21 +37,28 @@
     calls: &Calls,
     logger: &Logger,
     stop: &AtomicBool,
-) {
+) -> std::io::Result<()> {
     let cloud = CloudClient::new(cloud, TIMEOUT);
-    let mut before = Vec::new();
+    // Each entry host has a thread of its own: one that is cut off would otherwise hold up the news for all others
+    // beyond the time in which they must have heard.
+    let rings = entries.iter().map(|peer| tell(node, *peer, calls, logger));
+    let rings: Vec<Sender<Signs>> = rings.collect::<std::io::Result<_>>()?;
+    let mut before = Signs::default();
     while !stop.load(Ordering::Relaxed) {
-        let signs = read(&cloud);
+        let signs = Arc::new(read(&cloud));
         for sign in signs.iter().filter(|sign| !before.iter().any(|old| same(old, sign))) {
             info!(logger, "host leaves"; "host" => %sign.host, "incarnation" => sign.incarnation, "sign" => %sign.sign);
         }
         // Signs are told again at every look, so that an entry host that was restarted or cut off hears them as well.
-        if !signs.is_empty() {
-            tell(node, entries, calls, &signs, logger);
+        for ring in rings.iter().filter(|_| !signs.is_empty()) {
+            if let Err(TrySendError::Full(_)) = ring.try_send(Arc::clone(&signs)) {
+                counter!("gentian_signs_untold_total").increment(1);
+            }
         }
         before = signs;
         std::thread::sleep(STEP);
     }
+    Ok(())
 }
 
 fn same(old: &HostSign, new: &HostSign) -> bool {
@@ -73,19 +93,35 @@
     }
 }
 
-fn tell(node: &NodeId, entries: &[SocketAddr], calls: &Calls, signs: &[HostSign], logger: &Logger) {
-    for peer in entries {
-        let sent = calls.client(*peer, Duration::ZERO).and_then(|client| {
-            let message = Envelope::new(node, Revision::default(), signs.to_vec());
-            calls.wait(client.hosts(message)).map_err(|source| CallError {
-                step: "tell hosts",
-                peer: *peer,
-                source,
-            })
-        });
-        if let Err(error) = sent {
-            counter!("gentian_signs_untold_total").increment(1);
-            warn!(logger, "entry host was not told"; "error" => %error);
+/// Starts the thread that tells one entry host; it ends with its ring.
+fn tell(node: &NodeId, peer: SocketAddr, calls: &Calls, logger: &Logger) -> std::io::Result<Sender<Signs>> {
+    let (ring, signs) = bounded(1);
+    let (node, calls, logger) = (node.clone(), calls.with_timeout(TELL), logger.clone());
+    std::thread::Builder::new()
+        .name("tell".to_owned())
+        .spawn(move || tell_all(&node, peer, &calls, &logger, &signs))?;
+    Ok(ring)
+}
+
+fn tell_all(node: &NodeId, peer: SocketAddr, calls: &Calls, logger: &Logger, signs: &Receiver<Signs>) {
+    let mut heard = true;
+    let client = match calls.client(peer, Duration::ZERO) {
+        Ok(client) => client,
+        Err(error) => {
+            warn!(logger, "entry host can't be told"; "error" => %error);
+            return;
+        }
+    };
+    for signs in signs {
+        let message = Envelope::new(node, Revision::default(), signs.to_vec());
+        match calls.wait(client.hosts(message)) {
+            Ok(_) => heard = true,
+            Err(error) => {
+                counter!("gentian_signs_untold_total").increment(1);
+                if std::mem::take(&mut heard) {
+                    warn!(logger, "entry host was not told"; "peer" => %peer, "error" => %error);
+                }
+            }
         }
     }
 }
--- a/crates/standin/src/cloud.rs
+++ b/crates/standin/src/cloud.rs
@@ -38,6 +38,9 @@
     #[serde(default)]
     price: u64,
     address: Option<SocketAddr>,
+    /// Whatever the one who started it wants to find again.
+    #[serde(default)]
+    tag: String,
     /// The same token again gives the same host, so that a start whose answer was lost can be asked for again.
     #[serde(default, skip_serializing)]
     token: Option<String>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod record;
 pub mod service;
 pub mod weights;
+
+pub use http::Running;
--- a/crates/upstream/src/cloud.rs
+++ b/crates/upstream/src/cloud.rs
@@ -29,6 +29,9 @@
     /// Where the engine on it answers, once it does.
     #[serde(default)]
     pub address: Option<SocketAddr>,
+    /// What it was started for, as told at its start.
+    #[serde(default)]
+    pub tag: String,
 }
 
 /// A reclaim notice.
@@ -62,6 +65,8 @@
     pub class: MachineClass,
     /// Tells this start from others, so that one whose answer was lost can be asked for again.
     pub token: String,
+    /// What it's started for.
+    pub tag: String,
 }
 
 /// A client for the cloud API.
