--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 
 use arc_swap::ArcSwap;
 use contract::{DataCenter, Revision, UpstreamId};
-use metrics::{counter, gauge};
+use metrics::counter;
 use parking_lot::{Mutex, RwLock};
 use policy::Tick;
 use policy::load::Report;
@@ -64,12 +64,38 @@
     pub tried: &'a [UpstreamId],
 }
 
+/// What one host may run at once at everything that serves one thing.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// The model or service.
+    pub target: Target,
+    /// Requests at once.
+    pub slots: usize,
+    /// Time from the sending of a request to its first token; zero for services.
+    pub first: Duration,
+}
+
 /// One request under way at an upstream; it ends when dropped.
 #[derive(Debug)]
 pub struct Visit<'a> {
     fleet: &'a Fleet,
     row: Option<Row>,
     started: Tick,
+    seen: Mutex<Seen>,
+}
+
+/// What was seen of a visit so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    first_at: Option<Tick>,
+    /// Words that own dispatches and events said were cached.
+    held: u64,
+    /// Words that had to be prefilled, as far as known.
+    fresh: u64,
+    /// When the last token came, how many pauses there were, and how many of them were longer than promised.
+    token_at: Option<Tick>,
+    pauses: u32,
+    late: u32,
 }
 
 impl Fleet {
@@ -215,7 +241,8 @@
         let expiry = self.expiry();
         let waves = self.waves.read();
         let begun = ask.prefix.session().map_or(0, |session| session.begun) as f64;
-        let kept = begun * pool.rates.lock().kept;
+        let rates = *pool.rates.lock();
+        let kept = begun * rates.kept;
         let home = self.home(pool, homes);
         let candidate = |(proposed, held): (&Proposed, u64)| {
             let row = &pool.rows[proposed.at];
@@ -231,7 +258,7 @@
                 reason: proposed.reason,
                 class: spec.host.class,
                 price: spec.host.price,
-                slots: spec.slots,
+                slots: (f64::from(spec.slots) * rates.ease).ceil() as u32,
                 near: spec.host.data_center == self.place,
                 reclaims: waves.reclaims(&spec.host.zone, now),
                 load: state.load.predict(now, expiry, self.rules.with(Without::Corrections)),
@@ -255,6 +282,7 @@
             fleet: self,
             row,
             started: now,
+            seen: Mutex::default(),
         }
     }
 
@@ -324,10 +352,10 @@
     /// before the next report; a host always has its even part of the slots, so that none is kept out by those that
     /// came first. Without this, engines queue what entry hosts should refuse in time.
     #[must_use]
-    pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<(Target, usize)> {
+    pub fn sizes(&self, hosts: usize, now: Tick) -> Vec<Size> {
         let index = self.index.load();
         let expiry = self.expiry();
-        let size = |row: &Row| {
+        let size = |row: &Row, ease: f64| {
             let state = row.member.state.lock();
             let load = state.load.predict(now, expiry, true);
             let own = f64::from(load.own);
@@ -339,18 +367,22 @@
                 // A probe needs a slot, or the breaker would never close.
                 return own.max(1.0);
             }
-            let slots = f64::from(row.spec.slots);
+            let slots = f64::from(row.spec.slots) * ease;
             let hosts = hosts.max(1) as f64;
             let total = load.reported.unwrap_or(slots).max(own);
             let part = (own + 1.0) / (total + hosts);
             (own + (slots - total) * part).max(slots / hosts)
         };
-        let total = |pool: &Pool| pool.rows.iter().map(size).sum::<f64>().floor() as usize;
-        index
-            .pools
-            .iter()
-            .map(|(target, pool)| (target.clone(), total(pool)))
-            .collect()
+        let sizes = index.pools.iter().map(|(target, pool)| {
+            let rates = *pool.rates.lock();
+            let slots: f64 = pool.rows.iter().map(|row| size(row, rates.ease)).sum();
+            Size {
+                target: target.clone(),
+                slots: slots.floor() as usize,
+                first: Duration::from_secs_f64(rates.first_ms / 1_000.0),
+            }
+        });
+        sizes.collect()
     }
 
     /// Gives the memory that the history of prefixes takes, in bytes.
@@ -372,14 +404,29 @@
     /// Notes the first token of an answer: by now the engine holds the prompt.
     pub fn first_token(&self, prefix: &Prefix, cached: u64, now: Tick) {
         let Some(row) = &self.row else { return };
-        let fresh = prefix.words().saturating_sub(cached);
-        let free = row.member.state.lock().load.predict(now, self.fleet.expiry(), true);
-        if free.reported.is_some_and(|load| load <= f64::from(row.spec.slots)) {
-            row.rates
-                .lock()
-                .prefilled(fresh, now.since(self.started).as_secs_f64() * 1_000.0);
+        let mut history = self.fleet.history.lock();
+        let held = history.held(prefix, &[row.member.number]);
+        history.store(prefix, row.member.number, now);
+        drop(history);
+        let seen = Seen {
+            first_at: Some(now),
+            held: held.first().copied().unwrap_or_default(),
+            fresh: prefix.words().saturating_sub(cached),
+            ..Seen::default()
+        };
+        *self.seen.lock() = seen;
+        row.rates
+            .lock()
+            .first_token(seen.fresh, millis(now.since(self.started)));
+    }
+
+    /// Notes a token, and the longest pause before it that was promised.
+    pub fn token(&self, promised: Option<Duration>, now: Tick) {
+        let mut seen = self.seen.lock();
+        if let (Some(before), Some(promised)) = (seen.token_at.replace(now), promised) {
+            seen.pauses += 1;
+            seen.late += u32::from(now.since(before) > promised);
         }
-        self.fleet.history.lock().store(prefix, row.member.number, now);
     }
 
     /// Notes an answer that is whole: the engine holds the prompt with the answer.
@@ -391,13 +438,16 @@
 
     /// Takes in the engine's own count of the words of a prompt that were cached before.
     pub fn counted(&self, prefix: &Prefix, believed: u64, cached: u64) {
-        gauge!("gentian_cached_tokens_believed").increment(believed as f64);
-        gauge!("gentian_cached_tokens_counted").increment(cached as f64);
+        counter!("gentian_cached_tokens_total", "who" => "believed").increment(believed);
+        counter!("gentian_cached_tokens_total", "who" => "counted").increment(cached);
         let Some(row) = &self.row else { return };
+        let held = self.seen.lock().held;
         if let Some(words) = self.fleet.home_words(row, prefix) {
             row.rates.lock().found(cached as f64 / words as f64);
-        } else if self.fleet.rules.with(Without::CacheEvents) {
-            row.member.state.lock().trust.counted(believed, cached);
+        }
+        // Judged is what was remembered, not what was left of it after the last judgement.
+        if self.fleet.rules.with(Without::CacheEvents) {
+            row.member.state.lock().trust.counted(held, cached);
         }
     }
 }
@@ -405,9 +455,20 @@
 impl Drop for Visit<'_> {
     fn drop(&mut self) {
         let now = self.fleet.clock.now();
-        if let Some(row) = &self.row {
-            row.member.state.lock().load.ended(now);
-            row.rates.lock().held(now.since(self.started).as_secs_f64() * 1_000.0);
-        }
+        let Some(row) = &self.row else { return };
+        row.member.state.lock().load.ended(now);
+        let seen = *self.seen.lock();
+        let mut rates = row.rates.lock();
+        // The wait in the engine is no part of what a request keeps a slot for.
+        let held = match seen.first_at {
+            Some(first) => seen.fresh as f64 * rates.prefill_ms + millis(now.since(first)),
+            None => millis(now.since(self.started)),
+        };
+        rates.held(held);
+        rates.paced(seen.pauses, seen.late);
     }
 }
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,6 +1,5 @@
 //! `gentian-entry`: serves callers on an entry host.
 
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -11,9 +10,9 @@
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
-use entry::{Entry, callers, current, drain, exchange, fleet, hosts, ops, rescue};
+use entry::{Entry, burn, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
-use slog::info;
+use slog::{info, warn};
 use telemetry::log;
 use telemetry::scrape::Scrape;
 use wire::client::Calls;
@@ -23,6 +22,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(50);
 const OPS_THREADS: usize = 4;
+/// Longest wait for outcomes that the state group could not record at once.
+const FLUSH: Duration = Duration::from_secs(10);
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
@@ -47,13 +48,16 @@
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
     let scrape = Scrape::install()?;
     let listen = entry.settings.listen;
-    let listener = TcpListener::bind(listen).with_context(|| format!("listen on {listen}"))?;
+    let listener = callers::listen(listen).with_context(|| format!("listen on {listen}"))?;
     let ops = start_ops(entry, scrape)?;
     let inner = calls.wait(jsonrpsee::server::Server::builder().build(entry.settings.inner))?;
     let inner_address = inner.local_addr()?;
     let rpc = Rpc::new(Arc::clone(entry));
     let handle = calls.wait(async { inner.start(rpc.into_rpc()) });
     start_duties(entry)?;
+    let (rememberer, remembering) = (Arc::clone(entry), calls.clone());
+    let remember = move || burn::remember(&rememberer, &remembering, inner_address);
+    thread::Builder::new().name("burn".to_owned()).spawn(remember)?;
     start_exchange(entry, inner_address)?;
     info!(entry.logger, "serving"; "callers" => %listener.local_addr()?, "ops" => %ops,
         "inner" => %inner_address);
@@ -68,6 +72,12 @@
     });
     // A second request to stop changes nothing.
     let _ = handle.stop();
+    if !entry.state.flush(FLUSH) {
+        warn!(
+            entry.logger,
+            "outcomes are left unrecorded, as the state group has no leader"
+        );
+    }
     info!(entry.logger, "stopped");
     Ok(())
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,14 +1,27 @@
 //! `gentian-load`: loads gentianspring and measures what comes out.
 
+use std::process::ExitCode;
+
 use load::cli::{Command, Options};
-use load::{compare, demo, slopes};
+use load::{compare, demo, overhead, report, slopes};
+
+fn main() -> ExitCode {
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gentian-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
         Command::Demo(options) => demo::run(&options),
+        Command::Overhead(options) => overhead::run(&options),
         Command::Slopes(options) => slopes::run(&options),
         Command::Compare(options) => compare::compare(&options),
         Command::Run(options) => compare::single(&options),
+        Command::Report(options) => report::write(&options),
     }
 }
