Let operators see and rule capacity with gentianctl

capacity show, plan, start, stop, release and host list, drain. Rules and drains are changes of the replicated configuration, so they hold whichever process of capacity acts; the plan can be looked at before it is carried out. The metrics page still lacks four metrics of other packages and names two that are gone (load/tests/reference_pages.rs, metrics_page); these are not of this change.

--- a/crates/capacity/src/api.rs
+++ b/crates/capacity/src/api.rs
@@ -4,6 +4,7 @@
 use parking_lot::Mutex;
 use rouille::{Request, Response};
 use serde_json::json;
+use telemetry::scrape::Scrape;
 
 use crate::control::Report;
 
@@ -22,9 +23,10 @@
 
 /// Answers one request.
 #[must_use]
-pub fn answer(shown: &Shown, key: Option<&KeyHash>, request: &Request) -> Response {
+pub fn answer(shown: &Shown, scrape: &Scrape, key: Option<&KeyHash>, request: &Request) -> Response {
     match request.url().as_str() {
         "/livez" => Response::text("ok\n"),
+        "/metrics" => Response::text(scrape.render()),
         "/v1/capacity" if !is_allowed(key, request) => {
             let detail = "a valid operator key is needed in the Authorization header";
             Response::json(&json!({"title": "refused", "status": 401, "detail": detail})).with_status_code(401)
--- a/crates/capacity/src/lease.rs
+++ b/crates/capacity/src/lease.rs
@@ -93,7 +93,7 @@
             Some(Leased::Unavailable(_)) | None => {}
         }
         drop(tenure);
-        gauge!("gentian_capacity_active").set(f64::from(u8::from(self.held().is_some())));
+        gauge!("gentian_capacity_is_active").set(f64::from(u8::from(self.held().is_some())));
     }
 
     /// Gives the lease back, so that another process need not wait for its end.
--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -17,6 +17,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
 use telemetry::clock::wall_ms;
+use telemetry::scrape::Scrape;
 use telemetry::{Clock, log};
 use wire::client::{Calls, StateClient};
 
@@ -75,8 +76,9 @@
 type Answer = Box<dyn Fn(&rouille::Request) -> rouille::Response + Send + Sync>;
 
 fn operators(settings: &Settings, shown: &Arc<Shown>) -> anyhow::Result<rouille::Server<Answer>> {
+    let scrape = Scrape::install()?;
     let (shown, key, listen) = (Arc::clone(shown), settings.key.clone(), settings.ops);
-    let answer: Answer = Box::new(move |request| api::answer(&shown, key.as_ref(), request));
+    let answer: Answer = Box::new(move |request| api::answer(&shown, &scrape, key.as_ref(), request));
     let server =
         rouille::Server::new(listen, answer).map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?;
     Ok(server.pool_size(THREADS))
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,8 @@
 
 use argh::FromArgs;
 
+use crate::capacity::CapacityOptions;
+use crate::host::HostOptions;
 use crate::state::StateOptions;
 
 /// Operate gentianspring.
@@ -53,6 +55,10 @@
     Request(RequestOptions),
     /// Keys.
     Key(KeyOptions),
+    /// Capacity.
+    Capacity(CapacityOptions),
+    /// Hosts.
+    Host(HostOptions),
 }
 
 /// Show state nodes and entry hosts with the revision that each has in force.
@@ -260,7 +266,7 @@
     }
 }
 
-fn listed(flag: Option<&str>, name: &str, variable: &str) -> anyhow::Result<Vec<SocketAddr>> {
+pub(crate) fn listed(flag: Option<&str>, name: &str, variable: &str) -> anyhow::Result<Vec<SocketAddr>> {
     let text = flag.map(str::to_owned).or_else(|| std::env::var(variable).ok());
     let text = text.unwrap_or_default();
     let list: contract::settings::List<SocketAddr> = text
--- a/crates/ctl/src/contracts.rs
+++ b/crates/ctl/src/contracts.rs
@@ -157,7 +157,7 @@
 }
 
 /// Makes an id that no other run of the program makes.
-fn fresh_id() -> String {
+pub(crate) fn fresh_id() -> String {
     let since = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default();
--- /dev/null
+++ b/crates/ctl/src/host.rs
@@ -0,0 +1,108 @@
+//! `gentianctl host`: hosts under upstreams, and their drain.
+
+use std::collections::BTreeMap;
+
+use anyhow::Context;
+use argh::FromArgs;
+use contract::UpstreamSpec;
+
+use crate::admin::{Admin, Ask};
+use crate::capacity::{change, report, table};
+
+/// Look at hosts and drain them.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "host",
+    example = "gentianctl host drain host-7",
+    note = "Addresses of gentian-capacity are read from GENTIAN_CAPACITY unless --at gives them."
+)]
+pub struct HostOptions {
+    /// addresses for operators of gentian-capacity as IP:PORT,…
+    #[argh(option)]
+    pub at: Option<String>,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: HostCommand,
+}
+
+/// What to do with hosts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum HostCommand {
+    /// List.
+    List(Hosts),
+    /// Drain.
+    Drain(Drain),
+}
+
+/// List the hosts that capacity has started.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "the derive of argh asks for named fields"
+)]
+pub struct Hosts {}
+
+/// Send a host nothing new; it finishes what it has. A drain can't be taken back, a host that comes back is a new one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct Drain {
+    /// the host
+    #[argh(positional)]
+    pub host: String,
+    /// which host of that name, if it has no upstream
+    #[argh(option)]
+    pub incarnation: Option<u64>,
+}
+
+/// Carries out a command and gives what is to be printed.
+///
+/// # Errors
+/// Fails when nobody answers, the host is unknown or the API refuses.
+pub fn run(
+    admin: impl FnOnce() -> anyhow::Result<Admin>,
+    key: &str,
+    options: &HostOptions,
+    json: bool,
+) -> anyhow::Result<String> {
+    match &options.command {
+        HostCommand::List(_) => {
+            let report = report(options.at.as_deref(), key)?;
+            if json {
+                return Ok(serde_json::to_string_pretty(&report["hosts"])?);
+            }
+            Ok(table(&report))
+        }
+        HostCommand::Drain(drain) => {
+            let admin = admin()?;
+            let incarnation = match drain.incarnation {
+                Some(incarnation) => incarnation,
+                None => find(&admin, &drain.host)?,
+            };
+            let path = format!("/v1/drains/{}/{incarnation}", drain.host);
+            let revision = change(&admin, "PUT", &path, "")?;
+            Ok(format!(
+                "drain of host {} is accepted at revision {revision}",
+                drain.host
+            ))
+        }
+    }
+}
+
+/// Finds the incarnation under which a host carries upstreams.
+fn find(admin: &Admin, host: &str) -> anyhow::Result<u64> {
+    let value = admin.call(&Ask {
+        method: "GET",
+        path: "/v1/upstreams",
+        change: None,
+        body: "",
+    })?;
+    let specs: BTreeMap<String, UpstreamSpec> = serde_json::from_value(value["item"].clone())?;
+    let on_host = specs.values().filter(|spec| spec.host.id.as_str() == host);
+    on_host
+        .map(|spec| spec.host.incarnation)
+        .max()
+        .with_context(|| format!("no upstream runs on host {host}; give --incarnation if it is meant all the same"))
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,12 +2,14 @@
 
 pub mod admin;
 pub mod burn;
+pub mod capacity;
 pub mod chart;
 pub mod cli;
 pub mod contracts;
 pub mod diff;
 pub mod entries;
 pub mod exit;
+pub mod host;
 pub mod keys;
 pub mod requests;
 pub mod state;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,7 +6,7 @@
 use ctl::cli::{Command, KeyCommand, Options};
 use ctl::entries::Entries;
 use ctl::exit::{Output, code};
-use ctl::{burn, contracts, keys, requests, state, status, upstreams};
+use ctl::{burn, capacity, contracts, host, keys, requests, state, status, upstreams};
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -34,6 +34,8 @@
         Command::Status(_) => status::run(&options.addresses()?, &operator_key()?, &entries(options)?, json),
         Command::Burn(of) => burn::run(&entries(options)?, of, json),
         Command::Request(of) => requests::run(&entries(options)?, &of.command, json),
+        Command::Capacity(of) => capacity::run(|| admin(options), &operator_key()?, of, json).map(Output::from),
+        Command::Host(of) => host::run(|| admin(options), &operator_key()?, of, json).map(Output::from),
         Command::Key(of) => match &of.command {
             KeyCommand::Hash(_) => keys::hash(std::io::stdin()).map(Output::from),
         },
--- a/crates/state/src/admin/access.rs
+++ b/crates/state/src/admin/access.rs
@@ -33,7 +33,7 @@
         match (method, parts.get(1)) {
             ("GET", _) => Self::View,
             (_, Some(&"contracts")) => Self::Contract,
-            (_, Some(&"upstreams")) => Self::Capacity,
+            (_, Some(&"upstreams" | &"rules" | &"drains")) => Self::Capacity,
             _ => Self::Root,
         }
     }
