--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,8 @@
 
 use argh::FromArgs;
 
+use crate::state::StateOptions;
+
 /// Operate gentianspring.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -41,6 +43,8 @@
     Contract(ContractOptions),
     /// Upstreams.
     Upstream(UpstreamOptions),
+    /// The state group.
+    State(StateOptions),
     /// Processes.
     Status(Status),
     /// Error budgets.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod exit;
 pub mod keys;
 pub mod requests;
+pub mod state;
 pub mod status;
 pub mod upstreams;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,7 +6,7 @@
 use ctl::cli::{Command, KeyCommand, Options};
 use ctl::entries::Entries;
 use ctl::exit::{Output, code};
-use ctl::{burn, contracts, keys, requests, status, upstreams};
+use ctl::{burn, contracts, keys, requests, state, status, upstreams};
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -30,6 +30,7 @@
     match &options.command {
         Command::Contract(of) => contracts::run(&admin(options)?, &of.command, json),
         Command::Upstream(of) => upstreams::run(&admin(options)?, &of.command, json).map(Output::from),
+        Command::State(of) => state::run(|| admin(options), &of.command, json).map(Output::from),
         Command::Status(_) => status::run(&options.addresses()?, &operator_key()?, &entries(options)?, json),
         Command::Burn(of) => burn::run(&entries(options)?, of, json),
         Command::Request(of) => requests::run(&entries(options)?, &of.command, json),
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -196,7 +196,8 @@
         };
         let digest = claims::digest(self.call.method, self.call.path, self.call.body);
         let revision = self.entry.current.revision();
-        match claims::claim(&self.entry.state, revision, &keyed, &digest, self.until) {
+        let verdict = claims::claim(&self.entry.state, revision, &keyed, &digest, self.until);
+        match claims::ask_if_unknown(self.entry, self.service, &keyed, verdict) {
             Verdict::Granted => self.send_claimed(&keyed),
             Verdict::Done(Outcome::Answered { status, media, body }) => Ok(Answer {
                 status,
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,6 +1,5 @@
 //! `gentian-entry`: serves callers on an entry host.
 
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -13,7 +12,7 @@
 use entry::settings::Settings;
 use entry::{Entry, burn, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
-use slog::info;
+use slog::{info, warn};
 use telemetry::log;
 use telemetry::scrape::Scrape;
 use wire::client::Calls;
@@ -23,6 +22,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(50);
 const OPS_THREADS: usize = 4;
+/// Longest wait for outcomes that the state group could not record at once.
+const FLUSH: Duration = Duration::from_secs(10);
 
 fn main() -> anyhow::Result<()> {
     let options: Options = argh::from_env();
@@ -47,7 +48,7 @@
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
     let scrape = Scrape::install()?;
     let listen = entry.settings.listen;
-    let listener = TcpListener::bind(listen).with_context(|| format!("listen on {listen}"))?;
+    let listener = callers::listen(listen).with_context(|| format!("listen on {listen}"))?;
     let ops = start_ops(entry, scrape)?;
     let inner = calls.wait(jsonrpsee::server::Server::builder().build(entry.settings.inner))?;
     let inner_address = inner.local_addr()?;
@@ -71,6 +72,12 @@
     });
     // A second request to stop changes nothing.
     let _ = handle.stop();
+    if !entry.state.flush(FLUSH) {
+        warn!(
+            entry.logger,
+            "outcomes are left unrecorded, as the state group has no leader"
+        );
+    }
     info!(entry.logger, "stopped");
     Ok(())
 }
--- a/crates/entry/tests/scrape_parses.rs
+++ b/crates/entry/tests/scrape_parses.rs
@@ -45,7 +45,9 @@
     let text = loop {
         assert!(Instant::now() < until, "no scrape came");
         let answer = ureq::get(format!("http://{ops}/metrics")).call();
-        let text = answer.ok().and_then(|mut answer| answer.body_mut().read_to_string().ok());
+        let text = answer
+            .ok()
+            .and_then(|mut answer| answer.body_mut().read_to_string().ok());
         if let Some(text) = text.filter(|text| text.contains("gentian_config_age_seconds")) {
             break text;
         }
--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -7,9 +7,20 @@
 
 /// Weight of a measurement against all earlier ones.
 const WEIGHT: f64 = 0.1;
-/// Weight of a measurement that shows a shorter time than known, and of one that shows a longer time.
-const FASTER: f64 = 0.3;
-const SLOWER: f64 = 0.03;
+/// Weight of one request in the share of those that continue a conversation.
+const FOLLOW_WEIGHT: f64 = 0.03;
+/// Factors by which the measured prefill follows a faster and a slower one; it settles where one in five is faster.
+///
+/// What is slower is mostly a wait in the engine and no prefill.
+const PREFILL_STEPS: (f64, f64) = (0.92, 1.02);
+/// Fewest tokens from which the time of prefill can be read; with fewer, the connection takes most of the time.
+const PREFILL_TOKENS: u64 = 64;
+/// Wait that is no sign of too many requests at once, in milliseconds.
+const EASY_MS: f64 = 150.0;
+/// Share of an answer's pauses that may be longer than promised.
+const LATE_PAUSES: f64 = 0.05;
+/// By how much the allowed use of slots falls after a request that fared badly and rises after a good one, and its least value.
+const EASE: (f64, f64, f64) = (0.97, 0.01, 0.25);
 /// Milliseconds that a fully used upstream answers later than an idle one; it spreads requests between equals.
 const CROWD_MS: f64 = 20.0;
 /// Share of its slots that an upstream without a valid report is taken to use, beside own requests.
@@ -35,6 +46,10 @@
     pub follow: f64,
     /// Share of a conversation's earlier words that its home is found to hold.
     pub kept: f64,
+    /// Milliseconds until the first token; zero until one was measured.
+    pub first_ms: f64,
+    /// Share of the slots that can be used without long waits.
+    pub ease: f64,
 }
 
 impl Default for Rates {
@@ -46,6 +61,8 @@
             fresh_ms: 50.0,
             follow: 0.5,
             kept: 0.9,
+            first_ms: 0.0,
+            ease: 1.0,
         }
     }
 }
@@ -56,22 +73,52 @@
         self.hold_ms += WEIGHT * (ms - self.hold_ms);
     }
 
-    /// Takes in the time to the first token of a request that found a free slot.
+    /// Takes in the time to the first token of a request with so many tokens to prefill.
     ///
-    /// Other prompts in the batch make the time longer and never shorter, so that short times count for more.
-    pub fn prefilled(&mut self, tokens: u64, ms: f64) {
-        self.fresh_ms += WEIGHT * (tokens as f64 * self.prefill_ms - self.fresh_ms);
-        // With few tokens the connection takes most of the time, which would be taken for slow prefill.
-        if tokens >= 64 {
-            let found = ms / tokens as f64;
-            let weight = if found < self.prefill_ms { FASTER } else { SLOWER };
-            self.prefill_ms += weight * (found - self.prefill_ms);
+    /// Slots alone don't tell what an engine can take: where there is too little time for prefill, first tokens are late
+    /// long before the slots are full, and every request that is let in makes all of them later. One would notice many
+    /// answers, nearly all of them late. So the share of the slots that is used falls while waits are longer than the
+    /// prefill itself, and rises while they are short.
+    pub fn first_token(&mut self, fresh: u64, ms: f64) {
+        if fresh >= PREFILL_TOKENS {
+            let sample = ms / fresh as f64;
+            let faster = sample < self.prefill_ms;
+            let step = if faster { PREFILL_STEPS.0 } else { PREFILL_STEPS.1 };
+            // The first one is taken as it is: a wrong constant would take a hundred requests to forget.
+            self.prefill_ms = if self.first_ms == 0.0 {
+                sample
+            } else {
+                self.prefill_ms * step
+            };
+        }
+        self.first_ms += WEIGHT * (ms - self.first_ms);
+        let own = fresh as f64 * self.prefill_ms;
+        self.fresh_ms += WEIGHT * (own - self.fresh_ms);
+        self.judge(ms - own <= own.max(EASY_MS));
+    }
+
+    /// Takes in the pauses between an answer's tokens: so many, of which some were longer than promised.
+    ///
+    /// Each further request in a batch makes the pauses of all others longer. Where the slots allow more than the
+    /// promised pauses do, every answer of a full batch would be whole and late.
+    pub fn paced(&mut self, pauses: u32, late: u32) {
+        if pauses > 0 {
+            self.judge(f64::from(late) <= f64::from(pauses) * LATE_PAUSES);
         }
     }
 
+    /// Moves the share of the slots that is used by how one request fared.
+    fn judge(&mut self, good: bool) {
+        self.ease = if good {
+            (self.ease + EASE.1).min(1.0)
+        } else {
+            (self.ease * EASE.0).max(EASE.2)
+        };
+    }
+
     /// Takes in a request by whether it continues a conversation.
     pub fn followed(&mut self, continues: bool) {
-        self.follow += SLOWER * (f64::from(u8::from(continues)) - self.follow);
+        self.follow += FOLLOW_WEIGHT * (f64::from(u8::from(continues)) - self.follow);
     }
 
     /// Takes in which share of the earlier words a conversation's home held.
