--- a/crates/state/examples/measure/main.rs
+++ b/crates/state/examples/measure/main.rs
@@ -1,4 +1,4 @@
-//! Measures the replicated state with real processes on one machine: `measure claims|outage|restart|learners|force`.
+//! Measures the replicated state with real processes on one machine: `measure claims|outage|restart|learners|force|size`.
 
 #[path = "../../tests/nodes/mod.rs"]
 #[expect(dead_code, reason = "the tests use more of it")]
@@ -11,6 +11,7 @@
 mod process;
 mod relay;
 mod restart;
+mod size;
 
 use std::path::PathBuf;
 
@@ -25,7 +26,7 @@
     /// the entry program, for learners
     #[argh(option, default = "PathBuf::from(\"target/release/gentian-entry\")")]
     entry: PathBuf,
-    /// claims, outage, restart, learners or force
+    /// claims, outage, restart, learners, force or size
     #[argh(positional)]
     what: String,
 }
@@ -38,7 +39,8 @@
         "restart" => restart::run(&options.state),
         "learners" => learners::run(&options.state, &options.entry),
         "force" => force::run(&options.state, &options.entry),
-        other => anyhow::bail!("{other}: expected claims, outage, restart, learners or force"),
+        "size" => size::run(),
+        other => anyhow::bail!("{other}: expected claims, outage, restart, learners, force or size"),
     }
     Ok(())
 }
