--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -182,6 +182,8 @@
         name: name.into(),
         key_hash: KeyHash::of(key),
     };
+    let mut deposits = class("deposit", Some("POST"), Some("/deposits"), Repeat::AtMostOnce);
+    deposits.matches.service = Some("till".into());
     Contract {
         customer: "tan-seng-huat".into(),
         accounts: vec![account("counter", KEY), account("till", OTHER_KEY)],
@@ -192,7 +194,7 @@
         },
         share: 3,
         classes: vec![
-            class("deposit", Some("POST"), Some("/deposits"), Repeat::AtMostOnce),
+            deposits,
             class("search", Some("POST"), Some("/search"), Repeat::Idempotent),
             class("lookup", Some("GET"), None, Repeat::Idempotent),
             class("all", None, None, Repeat::Idempotent),
