--- a/crates/capacity/src/control.rs
+++ b/crates/capacity/src/control.rs
@@ -10,11 +10,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use contract::{Change, ChangeId, Config, HostId, Revision};
+use contract::{Change, ChangeId, Config, HostId, Revision, Zone};
 use metrics::{counter, gauge};
 use parking_lot::Mutex;
 use policy::Tick;
-use policy::plan::{Backoff, Rules, Step, plan};
+use policy::plan::{Backoff, Pool, Rules, Step, plan};
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
@@ -35,6 +35,8 @@
 pub const LIST_LAG: Duration = Duration::from_secs(3);
 /// Time after the last step before hosts are drained for lack of work.
 const CALM: Duration = Duration::from_mins(2);
+/// Time after a host was taken in which no other is started in its zone.
+const LOST: Duration = Duration::from_secs(30);
 /// Factors on the busy slots up to which hosts are started and above which they are drained.
 const GROW: f64 = 1.3;
 const SHRINK: f64 = 1.8;
@@ -80,6 +82,7 @@
     pub(crate) idle: HashMap<HostId, Tick>,
     pub(crate) missing: HashMap<HostId, Tick>,
     pub(crate) moved: Tick,
+    lost: BTreeMap<Zone, Tick>,
     pub(crate) rounds: usize,
     starts: u64,
     report: Mutex<Report>,
@@ -101,6 +104,7 @@
             missing: HashMap::new(),
             moved: clock.now(),
             clock,
+            lost: BTreeMap::new(),
             rounds: 0,
             starts: 0,
             report: Mutex::default(),
@@ -171,15 +175,30 @@
             grow: GROW,
             shrink: SHRINK,
         };
+        let pools = self.pools(cloud, now);
         let calm = now.since(self.moved) >= CALM;
-        plan(
-            &needs,
-            &held,
-            &cloud.pools(&self.backoff, now),
-            &config.rules,
-            &rules,
-            calm,
-        )
+        plan(&needs, &held, &pools, &config.rules, &rules, calm)
+    }
+
+    /// Gives where hosts can be started; not where some were taken lately, as long as there is another zone.
+    ///
+    /// A reclaim takes a whole zone. What is started there again while it goes on is refused or taken as well, after its
+    /// weights were loaded for nothing.
+    fn pools(&mut self, cloud: &Cloud, now: Tick) -> Vec<Pool> {
+        for host in cloud.hosts.iter().filter(|host| cloud.leaves(host)) {
+            self.lost.insert(host.zone.clone(), now);
+        }
+        self.lost.retain(|_, at| now.since(*at) < LOST);
+        let pools = cloud.pools(&self.backoff, now);
+        let stays = |pool: &Pool| pool.open && !self.lost.contains_key(&pool.zone);
+        if !pools.iter().any(stays) {
+            return pools;
+        }
+        let closed = pools.into_iter().map(|pool| Pool {
+            open: stays(&pool),
+            ..pool
+        });
+        closed.collect()
     }
 
     fn carry_out(&mut self, step: &Step, tenure: &Tenure, cloud: &Cloud, keeper: &Keeper, changes: &dyn Changes) {
--- a/crates/capacity/tests/capacity_loop.rs
+++ b/crates/capacity/tests/capacity_loop.rs
@@ -68,6 +68,11 @@
         r#"{"zone":"zone-a","notice_ms":20}"#,
     );
     process.until(&state, |config| {
+        let anew = |spec: &&UpstreamSpec| spec.host.zone.as_str() == "zone-a" && !before.contains(&spec.id);
+        assert!(
+            !serving(config).iter().any(anew),
+            "a host was started where others were just taken"
+        );
         let gone = before.iter().filter(|id| !config.upstreams.contains_key(*id)).count();
         gone > 0 && after_loss(config) >= 2
     });
