--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -1,5 +1,6 @@
 //! `gentian-capacity`: watches the cloud API and keeps capacity.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -18,7 +19,7 @@
 use slog::{Logger, info};
 use telemetry::clock::wall_ms;
 use telemetry::scrape::Scrape;
-use telemetry::{Clock, log};
+use telemetry::{Clock, ended, log};
 use wire::client::{Calls, StateClient};
 
 /// Longest wait for an inner call.
@@ -27,10 +28,13 @@
 const THREADS: usize = 2;
 const STEP: Duration = Duration::from_millis(50);
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    ended("gentian-capacity", run(&argh::from_env()))
+}
+
+fn run(options: &Options) -> anyhow::Result<()> {
     let mut sheet = Sheet::default();
-    let settings = Settings::read(&options, &mut sheet);
+    let settings = Settings::read(options, &mut sheet);
     if options.print_settings {
         print!("{}", sheet.render());
     }
--- a/crates/entry/src/callers/shared.rs
+++ b/crates/entry/src/callers/shared.rs
@@ -21,7 +21,7 @@
     /// Counts a connection, unless there are as many as allowed.
     pub(super) fn connect(&self, most: usize) -> Option<Counted> {
         let place = count(&self.connections, most);
-        gauge!("gentian_open_connections").set(self.connections.load(Ordering::Relaxed) as f64);
+        gauge!("gentian_connections").set(self.connections.load(Ordering::Relaxed) as f64);
         place
     }
 
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -31,6 +31,8 @@
 const BATCH: usize = 1_024;
 /// How often time moves on when nothing is asked.
 const STEP: Duration = Duration::from_millis(10);
+/// Age of what a node has that heard nothing since its start: it may be of any age.
+const UNHEARD: Duration = Duration::from_hours(24);
 /// Pause before a write is tried again on a full disk.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -48,8 +50,8 @@
     time: LogTime,
     clock: Clock,
     logger: Logger,
-    /// When this node last knew that it had everything that is agreed.
-    heard: Tick,
+    /// When this node last knew that it had everything that is agreed; nothing after a start.
+    heard: Option<Tick>,
     /// Writes that found no room, and when they are tried again.
     stalled: Option<(Ready, Tick)>,
     /// When a snapshot may be tried again.
@@ -87,7 +89,7 @@
             watchers: Watchers::default(),
             clock,
             logger,
-            heard: now,
+            heard: None,
             stalled: None,
             snapshot_at: now,
             role: "",
@@ -114,6 +116,8 @@
 
     fn turn(&mut self, batch: Vec<Ask>) -> Result<(), DiskError> {
         self.retry()?;
+        let written = self.folder.finish();
+        self.note_snapshot(written);
         self.serve(batch);
         if self.stalled.is_none() {
             let now = self.clock.now();
@@ -225,18 +229,24 @@
         }
         let data = encode(&self.applied);
         let snapshot = self.node.compact(data).clone();
-        if let Err(error) = self.folder.keep(&snapshot) {
+        let begun = self.folder.keep_later(snapshot);
+        self.note_snapshot(begun);
+    }
+
+    /// Notes a snapshot that was not written; it is tried again, and until then the log is kept.
+    fn note_snapshot(&mut self, result: Result<(), DiskError>) {
+        if let Err(error) = result {
             warn!(self.logger, "snapshot was not written"; "error" => %error);
-            self.snapshot_at = now + RETRY;
+            self.snapshot_at = self.clock.now() + RETRY;
         }
     }
 
     /// Gives for how long news may have passed this node by.
     fn age(&mut self, now: Tick) -> Duration {
         if self.node.leads(now) {
-            self.heard = now;
+            self.heard = Some(now);
         }
-        now.since(self.heard)
+        self.heard.map_or(UNHEARD, |heard| now.since(heard))
     }
 
     fn note_role(&mut self, now: Tick) {
@@ -250,7 +260,7 @@
             info!(self.logger, "role changed"; "role" => role, "term" => self.node.term().0);
             self.role = role;
         }
-        gauge!("gentian_state_is_leader").set(if leads { 1.0 } else { 0.0 });
+        gauge!("gentian_state_leader_count").set(if leads { 1.0 } else { 0.0 });
         gauge!("gentian_state_committed_index").set(self.node.committed().0 as f64);
     }
 }
--- a/crates/telemetry/src/burn/mod.rs
+++ b/crates/telemetry/src/burn/mod.rs
@@ -5,11 +5,13 @@
 
 mod cause;
 mod ledger;
+mod meter;
 mod report;
 mod ring;
 
 pub use cause::{Cause, End, Served, blame};
 pub use ledger::{Ledger, MAX_ROWS, Part, RowPart};
+pub use meter::Meter;
 pub use report::{Alert, CauseCount, NodeSeen, Quantiles, Report, ReportRow, WindowBurn};
 pub use ring::{Bad, Bucket, MAX_BLAMED, Window};
 
