Trust a host again when the peer that reads it says that it answers

A service restarted in place was refused for ever by every entry host that does not read its load: a refused connection made its host doubted, and only the host's reader ever saw it answer.

--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -322,6 +322,9 @@
             kv_used: f32::from(load.kv_used) / 1_000.0,
         };
         row.member.state.lock().load.report(report);
+        // An upstream that refused a connection is read by one entry host only. Unless the others take that one's word,
+        // they would doubt its host for ever, and their callers would be refused although it has long been back.
+        self.hosts.answered(&row.spec.host, now);
     }
 
     /// Gives the load reports that this host read itself after a time.
--- /dev/null
+++ b/crates/entry/tests/doubt_ends.rs
@@ -0,0 +1,47 @@
+//! Hosts that refused a connection once come back.
+
+mod common;
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use common::ask::call;
+use common::{Host, PATIENCE, Standin, config, free_address, service};
+use entry::cli::Options;
+
+/// A service is restarted on its host. Both entry hosts got a refused connection meanwhile, and only one of them reads
+/// the service's load; the other one must hear from it that the service is back, or its callers are refused for ever.
+#[test]
+fn restart_forgiven() {
+    let till = free_address();
+    let inner = [free_address(), free_address()];
+    let peers = format!("{},{}", inner[0], inner[1]);
+    let hosts: Vec<Host> = ["entry-1", "entry-2"]
+        .iter()
+        .zip(inner)
+        .map(|(node, own)| {
+            let options = Options {
+                node: Some((*node).to_owned()),
+                inner: Some(own.to_string()),
+                peers: Some(peers.clone()),
+                ..Options::default()
+            };
+            Host::with(config([service("t", "till", till)]), options)
+        })
+        .collect();
+    let until = Instant::now() + PATIENCE;
+    while hosts.iter().any(|host| host.entry.live.load().count() < 2) {
+        assert!(Instant::now() < until, "the entry hosts did not hear each other");
+        sleep(Duration::from_millis(20));
+    }
+    for host in &hosts {
+        assert_eq!(call(host.address, "GET", "/services/till/stock", &[], b"").status, 503);
+    }
+    let _back = Standin::start("service", &["--listen", &till.to_string()]);
+    for host in &hosts {
+        while call(host.address, "GET", "/services/till/stock", &[], b"").status != 200 {
+            assert!(Instant::now() < until, "{} still refuses", host.entry.settings.node);
+            sleep(Duration::from_millis(50));
+        }
+    }
+}
