Hand counts over at a planned stop, end logs whole, and ask a silent state node once

An operator's change waited three minutes when two of three state nodes were frozen: each cost its timeout in every round. The last log line of a stopped process was cut in half; lines are now written as a whole and flushed at the end. A refusal after a failed attempt is put down to the upstream.

--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -42,5 +42,6 @@
         &stop,
     );
     info!(logger, "stopped");
+    log::finish();
     Ok(())
 }
--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -98,11 +98,17 @@
     pub fn call(&self, ask: &Ask<'_>) -> Result<Value, AdminError> {
         let step = format!("{} {}", ask.method, ask.path);
         let mut reason = String::new();
+        let mut silent: Vec<SocketAddr> = Vec::new();
         for round in 0..ROUNDS {
             if round > 0 {
                 std::thread::sleep(PAUSE);
             }
-            for peer in &self.peers {
+            for peer in self
+                .peers
+                .iter()
+                .filter(|peer| !silent.contains(peer))
+                .collect::<Vec<_>>()
+            {
                 match self.one(*peer, ask) {
                     Ok((status, value)) if status < 300 => return Ok(value),
                     Ok((UNAVAILABLE, value)) => reason = format!("{peer}: {}", detail(&value)),
@@ -121,7 +127,14 @@
                             detail: detail(&value),
                         });
                     }
-                    Err(error) => reason = format!("{peer}: {error}"),
+                    Err(error) => {
+                        // A node that was cut off silently would cost its whole timeout in every round, and the operator
+                        // minutes of waiting for the same answer.
+                        if matches!(error, ureq::Error::Timeout(_)) {
+                            silent.push(*peer);
+                        }
+                        reason = format!("{peer}: {error}");
+                    }
                 }
             }
         }
--- a/crates/ctl/src/burn.rs
+++ b/crates/ctl/src/burn.rs
@@ -1,5 +1,6 @@
 //! `gentianctl burn`.
 
+use serde_json::Value;
 use telemetry::burn::{Part, Report, ReportRow};
 use telemetry::clock::wall_ms;
 use wire::entry::EntryRpcClient;
@@ -17,7 +18,11 @@
 /// # Errors
 /// Fails when no entry host answers or the page can't be written.
 pub fn run(entries: &Entries, options: &Burn, json: bool) -> anyhow::Result<Output> {
-    let answers = entries.ask("burn", &(), |client, ask| async move { client.burn(ask).await });
+    let answers = entries.ask(
+        "burn",
+        &Value::Null,
+        |client, ask| async move { client.burn(ask).await },
+    );
     anyhow::ensure!(
         !answers.good.is_empty(),
         "no entry host answered: {}",
--- a/crates/ctl/src/requests.rs
+++ b/crates/ctl/src/requests.rs
@@ -95,6 +95,10 @@
             || number.to_string(),
             |number| format!("{number:.1}").trim_end_matches(".0").to_owned(),
         ),
+        Value::Object(parts) => {
+            let named = parts.iter().map(|(name, value)| format!("{name} {}", plain(value)));
+            format!("({})", named.collect::<Vec<_>>().join(", "))
+        }
         other => other.to_string(),
     }
 }
--- a/crates/entry/src/burn.rs
+++ b/crates/entry/src/burn.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use serde_json::{Value, json};
 use telemetry::burn::Part;
 use telemetry::clock::wall_ms;
 use wire::Envelope;
@@ -51,8 +52,36 @@
     after.or_else(first).copied()
 }
 
+/// Hands what this process counted to the next entry host, so that a planned stop loses nothing.
+pub fn hand_over(entry: &Entry, calls: &Calls, own: SocketAddr) {
+    let Some(peer) = next(&entry.settings.peers, own) else {
+        return;
+    };
+    let part = entry.burn.part(&entry.settings.node, wall_ms() / 1_000);
+    let message = Envelope::new(&entry.settings.node, entry.current.revision(), json!([part]));
+    let client = calls.client(peer, Duration::ZERO);
+    if client
+        .ok()
+        .and_then(|client| calls.wait(client.burn(message)).ok())
+        .is_none()
+    {
+        counter!("gentian_burn_unread_total").increment(1);
+    }
+}
+
+/// Takes over what a stopping process counted; anything else is left out and counted.
+pub fn take(entry: &Entry, handed: Value) {
+    if handed.is_null() {
+        return;
+    }
+    match serde_json::from_value(handed) {
+        Ok(parts) => entry.burn.remember(parts, wall_ms() / 1_000),
+        Err(_) => counter!("gentian_burn_unread_total").increment(1),
+    }
+}
+
 fn ask(entry: &Entry, calls: &Calls, peer: SocketAddr) {
-    let message = Envelope::new(&entry.settings.node, entry.current.revision(), ());
+    let message = Envelope::new(&entry.settings.node, entry.current.revision(), Value::Null);
     let client = calls.client(peer, Duration::ZERO);
     let answer = client.ok().and_then(|client| calls.wait(client.burn(message)).ok());
     let parts = answer.and_then(|answer| {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -68,6 +68,7 @@
             thread::sleep(STEP);
         }
         drain::leave(entry);
+        burn::hand_over(entry, calls, inner_address);
         entry.stop.store(true, Ordering::Relaxed);
     });
     // A second request to stop changes nothing.
@@ -79,6 +80,7 @@
         );
     }
     info!(entry.logger, "stopped");
+    log::finish();
     Ok(())
 }
 
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -80,7 +80,8 @@
         Ok(self.wrap(found.map(|journal| json!(journal.choices()))))
     }
 
-    async fn burn(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
+    async fn burn(&self, handed: Envelope<serde_json::Value>) -> RpcResult<Envelope<serde_json::Value>> {
+        burn::take(&self.entry, handed.body);
         Ok(self.wrap(json!(burn::parts(&self.entry))))
     }
 
--- /dev/null
+++ b/crates/entry/tests/burn_handed.rs
@@ -0,0 +1,39 @@
+//! Counts for the burn report outlive a planned stop.
+
+mod common;
+
+use common::ask::call;
+use common::{Host, config, fake, free_address, service};
+use entry::cli::Options;
+use telemetry::burn::Report;
+use telemetry::clock::wall_ms;
+use wire::client::Calls;
+
+/// An operator restarts an entry host for an upgrade a few seconds after a bad spell. The misses must still be in the
+/// report, or the customer's budget would look untouched.
+#[test]
+fn stop_keeps() {
+    let inner = [free_address(), free_address()];
+    let peers = format!("{},{}", inner[0], inner[1]);
+    let start = |node: &str, own: std::net::SocketAddr, till| {
+        let options = Options {
+            node: Some(node.to_owned()),
+            inner: Some(own.to_string()),
+            peers: Some(peers.clone()),
+            ..Options::default()
+        };
+        Host::with(config([service("t", "till", till)]), options)
+    };
+    let till = fake::serve(|_, stream| drop(stream));
+    let (leaving, staying) = (start("entry-1", inner[0], till), start("entry-2", inner[1], till));
+    assert_eq!(
+        call(leaving.address, "GET", "/services/till/stock", &[], b"").status,
+        502
+    );
+    let calls = Calls::start(1, std::time::Duration::from_secs(5)).unwrap();
+    entry::burn::hand_over(&leaving.entry, &calls, inner[0]);
+    drop(leaving);
+    let report = Report::new(entry::burn::parts(&staying.entry), Vec::new(), wall_ms() / 1_000);
+    assert_eq!(report.rows[0].windows[0].missed, 1);
+    assert_eq!(report.nodes.len(), 2);
+}
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -73,6 +73,7 @@
     info!(logger, "stopping");
     // A second request to stop changes nothing.
     let _ = handle.stop();
+    log::finish();
     if owner.is_finished() {
         anyhow::bail!(
             "the data folder {} cannot be written; the log names the file",
--- a/crates/telemetry/src/burn/cause.rs
+++ b/crates/telemetry/src/burn/cause.rs
@@ -25,7 +25,7 @@
     /// An upstream failed without notice.
     #[display("upstream fault")]
     UpstreamFault,
-    /// It was refused for want of capacity.
+    /// It was refused for want of capacity, while no upstream had failed it.
     #[display("refusal")]
     Refusal,
 }
@@ -77,7 +77,7 @@
 pub fn blame(served: &Served<'_>) -> Option<Cause> {
     match served.end {
         End::Limited | End::CallerGone => None,
-        End::Refused => Some(Cause::Refusal),
+        End::Refused => Some(fault(served).unwrap_or(Cause::Refusal)),
         End::Failed => Some(fault(served).unwrap_or(Cause::UpstreamFault)),
         End::Whole => late(served),
     }
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,13 +1,18 @@
 //! Structured logs on standard error: counters first, lines only for changes of state.
 
+use std::io::LineWriter;
 use std::sync::Mutex;
 
 use derive_more::{Display, FromStr};
 use slog::{Drain, Logger, o};
+use slog_async::AsyncGuard;
 
 /// Lines that may wait for the writer; more are dropped and counted by the library.
 const RING: usize = 1_024;
 
+/// Ends the writer when it is dropped.
+static GUARD: parking_lot::Mutex<Option<AsyncGuard>> = parking_lot::Mutex::new(None);
+
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
 pub enum Format {
@@ -22,15 +27,28 @@
 
 /// Starts the thread that writes logs and gives the root logger of a program.
 pub fn start(format: Format, program: &'static str, node: &str) -> Logger {
-    let drain = match format {
+    let (drain, guard) = match format {
         Format::Json => {
-            let json = slog_json::Json::default(std::io::stderr());
-            slog_async::Async::new(Mutex::new(json).fuse()).chan_size(RING).build()
+            // A line is written as a whole; in pieces, a process that ends would leave half a line, which no reader of JSON
+            // takes, and lines of several processes in one file would be mixed up.
+            let json = slog_json::Json::default(LineWriter::new(std::io::stderr()));
+            slog_async::Async::new(Mutex::new(json).fuse())
+                .chan_size(RING)
+                .build_with_guard()
         }
         Format::Terminal => {
             let terminal = slog_term::FullFormat::new(slog_term::TermDecorator::new().stderr().build()).build();
-            slog_async::Async::new(terminal.fuse()).chan_size(RING).build()
+            slog_async::Async::new(terminal.fuse())
+                .chan_size(RING)
+                .build_with_guard()
         }
     };
-    Logger::root(drain.fuse(), o!("program" => program, "node" => node.to_owned()))
+    *GUARD.lock() = Some(guard);
+    // Lines of threads that outlive the writer are dropped.
+    Logger::root(drain.ignore_res(), o!("program" => program, "node" => node.to_owned()))
+}
+
+/// Writes what still waits; a program calls it as the last thing it does.
+pub fn finish() {
+    drop(GUARD.lock().take());
 }
--- a/crates/telemetry/tests/burn_report.rs
+++ b/crates/telemetry/tests/burn_report.rs
@@ -77,6 +77,13 @@
     let cases = [
         (good, None),
         (names.refused(), Some(Cause::Refusal)),
+        (
+            Served {
+                failures: 1,
+                ..names.refused()
+            },
+            Some(Cause::UpstreamFault),
+        ),
         (
             Served {
                 queued: ms(900),
--- a/crates/wire/src/entry.rs
+++ b/crates/wire/src/entry.rs
@@ -27,9 +27,10 @@
     #[method(name = "explain")]
     async fn explain(&self, request: Envelope<RequestId>) -> RpcResult<Envelope<Option<serde_json::Value>>>;
 
-    /// Gives what this process counted for the burn report, and what it remembers of others.
+    /// Remembers what a stopping process counted for the burn report, if it hands anything over, and gives what this one
+    /// counted and remembers.
     #[method(name = "burn")]
-    async fn burn(&self, request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>>;
+    async fn burn(&self, handed: Envelope<serde_json::Value>) -> RpcResult<Envelope<serde_json::Value>>;
 
     /// Tells what the process knows of itself.
     #[method(name = "status")]
