--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -48,6 +48,7 @@
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
     serve(&settings, &logger, &stop)?;
     info!(logger, "stopped");
+    log::finish();
     Ok(())
 }
 
