Let a blank state node send operators to another node

lost_disk waited in vain once in two runs: a node that had just lost its disk and stood first in the list answered with an empty group and no contracts, and gentianctl believed it. It answers 503 now, and the test always loses the first disk.

--- a/crates/ctl/tests/state_group.rs
+++ b/crates/ctl/tests/state_group.rs
@@ -40,7 +40,8 @@
 #[test]
 fn lost_disk() {
     let mut nodes = start(3);
-    let lost = (nodes.leader() + 1) % 3;
+    // The first one in the list is asked first, also after it lost its disk.
+    let lost = 0;
     let name = format!("state-{lost}");
     let refused = run(&nodes, &["replace", &name]);
     assert!(
--- a/crates/state/src/admin/access.rs
+++ b/crates/state/src/admin/access.rs
@@ -67,7 +67,8 @@
             let found = operators.find(|(_, operator)| operator.key_hash.matches(&hash));
             found.map(|(name, operator)| (name.clone(), operator.role))
         });
-        let (name, role) = found.flatten().ok_or_else(refusal)?;
+        let found = found.ok_or_else(|| problem(503, "the node is blank, stopping or overloaded"))?;
+        let (name, role) = found.ok_or_else(refusal)?;
         Ok(Caller { name, role: Some(role) })
     }
 }
--- a/crates/state/src/admin/members.rs
+++ b/crates/state/src/admin/members.rs
@@ -25,6 +25,8 @@
         let (reply, answer) = oneshot::channel();
         let sent = self.ring.try_send(Ask::Members(reply));
         match sent.ok().and_then(|()| answer.blocking_recv().ok()) {
+            // A blank disk knows nobody; the operator would take the empty list for the group.
+            Some(list) if list.members.is_empty() => problem(503, "this node's disk is blank, ask another node"),
             Some(list) => Response::json(&render(&list)),
             None => problem(503, "the node is stopping or overloaded"),
         }
--- a/crates/state/src/admin/mod.rs
+++ b/crates/state/src/admin/mod.rs
@@ -127,7 +127,7 @@
                 Response::json(&json!({"revision": revision, "age_ms": age_ms, "item": item}))
             }
             Some((_, None, _)) => problem(404, "no such item"),
-            None => problem(503, "the node is stopping or overloaded"),
+            None => problem(503, "the node is blank, stopping or overloaded"),
         }
     }
 
--- a/crates/state/src/core/serve.rs
+++ b/crates/state/src/core/serve.rs
@@ -22,9 +22,9 @@
                     commands.push(*command);
                     replies.push(reply);
                 }
-                // A blank disk knows nothing; a learner that took that for the configuration would refuse every caller.
-                // Without an answer it asks another node.
-                Ask::Watch(..) if self.node.members().is_empty() => {}
+                // A blank disk knows nothing. A learner that took that for the configuration would refuse every caller,
+                // and operators would see no contracts. Without an answer they ask another node.
+                Ask::Watch(..) | Ask::Read(_) if self.node.members().is_empty() => {}
                 Ask::Watch(watch, reply) => self.watchers.add(watch, reply, now),
                 // Askers that have gone away need no answer.
                 Ask::Status(reply) => drop(reply.send(self.status(now))),
