--- a/crates/policy/src/route/cost.rs
+++ b/crates/policy/src/route/cost.rs
@@ -147,7 +147,11 @@
 }
 
 impl Cost {
-    pub(super) fn of(candidate: &Candidate<'_>, need: &Need, rates: &Rates, rules: &Rules) -> Self {
+    /// Predicts the cost of a candidate.
+    ///
+    /// Prefill holds up every request of the batch. What a later turn prefills again is therefore paid by all that run
+    /// beside it, of whom there are as many as run beside a request on average now.
+    pub(super) fn of(candidate: &Candidate<'_>, need: &Need, rates: &Rates, rules: &Rules, beside: f64) -> Self {
         let slots = f64::from(candidate.slots.max(1));
         // An expired report tells nothing; a cautious constant stands in, so that neither an upstream that fell silent
         // while idle draws all requests nor one that fell silent while busy is never asked again.
@@ -185,7 +189,7 @@
             stray: if candidate.home {
                 0.0
             } else {
-                rates.follow * need.prompt_tokens as f64 * rates.prefill_ms
+                rates.follow * need.prompt_tokens as f64 * rates.prefill_ms * (1.0 + beside)
             },
             price: count(Without::Price, rent * MS_PER_MICRODOLLAR),
             risk: count(Without::Risk, chance * redo),
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -155,7 +155,12 @@
 /// Returns `None` when every candidate is barred.
 #[must_use]
 pub fn choose(rules: &Rules, candidates: &[Candidate<'_>], need: &Need, rates: &Rates) -> Option<Choice> {
-    let costs: Vec<Cost> = candidates.iter().map(|c| Cost::of(c, need, rates, rules)).collect();
+    let loads = candidates.iter().filter_map(|candidate| candidate.load.reported);
+    let beside = loads.sum::<f64>() / candidates.len().max(1) as f64;
+    let costs: Vec<Cost> = candidates
+        .iter()
+        .map(|candidate| Cost::of(candidate, need, rates, rules, beside))
+        .collect();
     let first = need.turn as usize % candidates.len().max(1);
     let order = (first..candidates.len()).chain(0..first);
     let open = order.filter(|at| candidates[*at].barred.is_none());
