--- a/crates/load/tests/reference_pages.rs
+++ b/crates/load/tests/reference_pages.rs
@@ -121,6 +121,7 @@
         "members",
         "connections",
         "count",
+        "is",
     ];
     for name in metrics_named() {
         assert!(
