--- a/crates/entry/src/callers/run.rs
+++ b/crates/entry/src/callers/run.rs
@@ -280,8 +280,9 @@
                     trip.usage = Some(counts);
                 }
                 Event::Done => {
-                    trip.visit
-                        .whole(&prompt::prefix(&self.continued().messages), clock.now());
+                    let prefix = prompt::prefix(&self.continued().messages);
+                    trip.visit.whole(&prefix, clock.now());
+                    self.entry.rescue.keep(self.id, spec, prefix);
                     return Ok(Ended::Whole(self.counted(trip.usage)));
                 }
             }
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -270,6 +270,13 @@
         proposed.iter().zip(held).map(candidate).collect()
     }
 
+    /// Notes that an upstream holds a prefix that was moved there.
+    pub fn holds(&self, upstream: &UpstreamId, prefix: &Prefix, now: Tick) {
+        if let Some(row) = self.index.load().rows.get(upstream) {
+            self.history.lock().store(prefix, row.member.number, now);
+        }
+    }
+
     /// Notes that a request goes to an upstream.
     pub fn visit(&self, upstream: &UpstreamId, now: Tick) -> Visit<'_> {
         let row = self.index.load().rows.get(upstream).cloned();
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -65,6 +65,17 @@
         self.lives.lock().stage(&host.id, host.incarnation)
     }
 
+    /// Tells whether any host has an announced end that is still to come or has just passed.
+    #[must_use]
+    pub fn any_ends(&self, now: Tick) -> bool {
+        let lives = self.lives.lock();
+        let ends = |life: &AnyLife| match life {
+            AnyLife::Leaving(life) => life.gone_at().is_some_and(|at| now.since(at) < BOUND),
+            _ => false,
+        };
+        lives.iter().any(|(_, life)| ends(life))
+    }
+
     /// Gives every host that signs have told about, with incarnation and stage.
     #[must_use]
     pub fn list(&self) -> Vec<(HostId, u64, String)> {
--- a/crates/entry/src/rescue.rs
+++ b/crates/entry/src/rescue.rs
@@ -6,21 +6,24 @@
 //! attempt loop, so a caller's answer never depends on this module.
 
 mod copy;
+mod kept;
 mod ride;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use contract::{RequestId, UpstreamId};
+use contract::{RequestId, UpstreamId, UpstreamSpec};
 use crossbeam_channel::{Sender, bounded};
 use metrics::counter;
 use parking_lot::{Condvar, Mutex};
 use policy::Tick;
 use policy::life::AnyLife;
+use policy::prefix::Prefix;
 use policy::rescue::{How, Rates, Stream, plan};
 
 use crate::Entry;
+use kept::{Kept, KeptAnswers};
 use ride::{Aboard, Stage};
 pub use ride::{Boarding, Move, Ride};
 
@@ -35,11 +38,21 @@
 /// Weight of the newest measured export.
 const NEWEST: f64 = 0.3;
 
+/// What a copier is to do.
+#[derive(Debug)]
+enum Job {
+    /// Copies the cache of a stream that runs.
+    Stream(RequestId),
+    /// Copies the cache of an answer that ended, for the next turn of its conversation.
+    Ended(Box<Kept>),
+}
+
 /// All attempts that run, and what is measured of exports.
 #[derive(Debug, Default)]
 pub struct Rescue {
     aboard: Mutex<HashMap<RequestId, Aboard>>,
     changed: Condvar,
+    kept: Mutex<KeptAnswers>,
     /// Seconds to export one token's cache.
     export: Mutex<Option<f64>>,
 }
@@ -51,6 +64,11 @@
         self.aboard.lock().values().any(|one| one.stage == Stage::Importing)
     }
 
+    /// Notes an answer that ended, with everything that its engine has in its cache of it.
+    pub fn keep(&self, id: &RequestId, spec: &UpstreamSpec, prefix: Prefix) {
+        self.kept.lock().push(id, spec, prefix);
+    }
+
     fn rates(&self, export: bool) -> Rates {
         let measured = self.export.lock().map(Duration::from_secs_f64);
         Rates {
@@ -66,8 +84,31 @@
     }
 
     /// Decides on every stream whose host leaves and gives the copies that can begin now.
-    fn look(&self, entry: &Entry, now: Tick) -> Vec<RequestId> {
+    fn look(&self, entry: &Entry, now: Tick) -> Vec<Job> {
+        // On an ordinary day no host leaves, and nothing of what follows is worth its processor time.
+        if !entry.fleet.hosts.any_ends(now) {
+            return Vec::new();
+        }
         let mut aboard = self.aboard.lock();
+        let mut busy = exporting(&aboard);
+        busy.extend(self.kept.lock().copying());
+        let streams = self.look_streams(&mut aboard, &mut busy, entry, now);
+        let mut jobs: Vec<Job> = streams.into_iter().map(Job::Stream).collect();
+        if let Some(export) = self.rates(entry.settings.kv_export).export {
+            // What ended before is copied over links that no stream needs now.
+            let ended = self.kept.lock().take(&entry.fleet.hosts, export, now, &mut busy);
+            jobs.extend(ended.into_iter().map(|kept| Job::Ended(Box::new(kept))));
+        }
+        jobs
+    }
+
+    fn look_streams(
+        &self,
+        aboard: &mut HashMap<RequestId, Aboard>,
+        busy: &mut HashSet<UpstreamId>,
+        entry: &Entry,
+        now: Tick,
+    ) -> Vec<RequestId> {
         let hosts = &entry.fleet.hosts;
         let mut ids = Vec::new();
         let mut streams = Vec::new();
@@ -83,11 +124,6 @@
         if streams.is_empty() {
             return Vec::new();
         }
-        let mut busy: HashSet<UpstreamId> = aboard
-            .values()
-            .filter(|one| one.stage == Stage::Exporting)
-            .map(|one| one.spec.id.clone())
-            .collect();
         let mut copies = Vec::new();
         let steps = plan(&numbered(&streams), &self.rates(entry.settings.kv_export));
         for (at, how) in steps {
@@ -104,14 +140,24 @@
         copies
     }
 
-    /// Puts a stream back whose copy can't begin.
-    fn put_back(&self, id: &RequestId) {
-        if let Some(one) = self.aboard.lock().get_mut(id) {
-            one.stage = Stage::Riding;
+    /// Puts back what can't be copied yet.
+    fn put_back(&self, job: Job) {
+        match job {
+            Job::Stream(id) => {
+                if let Some(one) = self.aboard.lock().get_mut(&id) {
+                    one.stage = Stage::Riding;
+                }
+            }
+            Job::Ended(kept) => self.kept.lock().put_back(*kept),
         }
     }
 }
 
+fn exporting(aboard: &HashMap<RequestId, Aboard>) -> HashSet<UpstreamId> {
+    let busy = aboard.values().filter(|one| one.stage == Stage::Exporting);
+    busy.map(|one| one.spec.id.clone()).collect()
+}
+
 /// Gives each source a number, so that the plan needs no names.
 fn numbered(streams: &[Stream<&UpstreamId>]) -> Vec<Stream<usize>> {
     let mut numbers = HashMap::new();
@@ -135,12 +181,12 @@
 /// # Errors
 /// Fails when the operating system refuses a thread.
 pub fn start(entry: &Arc<Entry>) -> std::io::Result<()> {
-    let (ring, jobs) = bounded::<RequestId>(COPIERS);
+    let (ring, jobs) = bounded::<Job>(COPIERS);
     for _ in 0..COPIERS {
         let (entry, jobs) = (Arc::clone(entry), jobs.clone());
         std::thread::Builder::new()
             .name("copier".to_owned())
-            .spawn(move || jobs.iter().for_each(|id| copy::run(&entry, &id)))?;
+            .spawn(move || jobs.iter().for_each(|job| copy::run(&entry, job)))?;
     }
     let entry = Arc::clone(entry);
     std::thread::Builder::new()
@@ -149,12 +195,12 @@
     Ok(())
 }
 
-fn watch(entry: &Entry, ring: &Sender<RequestId>) {
+fn watch(entry: &Entry, ring: &Sender<Job>) {
     while !entry.stopping() {
-        for id in entry.rescue.look(entry, entry.clock.now()) {
-            if let Err(refused) = ring.try_send(id) {
+        for job in entry.rescue.look(entry, entry.clock.now()) {
+            if let Err(refused) = ring.try_send(job) {
                 counter!("gentian_rescue_copies_waiting_total").increment(1);
-                entry.rescue.put_back(&refused.into_inner());
+                entry.rescue.put_back(refused.into_inner());
             }
         }
         std::thread::sleep(STEP);
--- a/crates/entry/src/rescue/copy.rs
+++ b/crates/entry/src/rescue/copy.rs
@@ -10,7 +10,7 @@
 use slog::warn;
 use upstream::kv::{Export, Exported};
 
-use super::Stage;
+use super::{Job, Kept, Stage};
 use crate::Entry;
 use crate::fleet::Ask;
 
@@ -19,8 +19,36 @@
 /// Engines that are tried for one import.
 const TARGETS: usize = 3;
 
+/// Carries out a job.
+pub(super) fn run(entry: &Entry, job: Job) {
+    match job {
+        Job::Stream(id) => stream(entry, &id),
+        Job::Ended(kept) => {
+            ended(entry, &kept);
+            entry.rescue.kept.lock().done(&kept);
+        }
+    }
+}
+
+/// Copies the cache of an answer that ended; the next turn of the conversation then goes where it is.
+fn ended(entry: &Entry, kept: &Kept) {
+    let began = entry.clock.now();
+    let what = Export::Request(kept.id.clone());
+    let Ok(exported) = entry.engines.export(kept.spec.address, &what, TIMEOUT) else {
+        return counter!("gentian_copies_failed_total").increment(1);
+    };
+    entry.rescue.measured(exported.tokens, entry.clock.now().since(began));
+    match import(entry, &kept.id, &kept.spec, &exported) {
+        Some(to) => {
+            counter!("gentian_kv_moved_tokens_total").increment(exported.tokens);
+            entry.fleet.holds(&to, &kept.prefix, entry.clock.now());
+        }
+        None => counter!("gentian_copies_failed_total").increment(1),
+    }
+}
+
 /// Copies the cache of a stream and asks the stream to move there; on failure it rides on and is decided anew.
-pub(super) fn run(entry: &Entry, id: &RequestId) {
+fn stream(entry: &Entry, id: &RequestId) {
     let source = entry.rescue.aboard.lock().get(id).map(|one| one.spec.clone());
     let Some(source) = source else { return };
     let began = entry.clock.now();
--- a/crates/entry/tests/stream_rescue.rs
+++ b/crates/entry/tests/stream_rescue.rs
@@ -234,3 +234,27 @@
     configure(&host, &[spec("a", &a, "zone-a"), spec("b", &b, "zone-b")]);
     check_whole(0, stream);
 }
+
+/// A customer has read an answer and thinks about the next question when the host of the conversation gets a notice. The
+/// cache moves in the time that is left, and the next turn computes only what is new.
+#[test]
+fn idle_conversation() {
+    let (a, b) = (Standin::engine(&FAST), Standin::engine(&FAST));
+    let host = Host::start(config([spec("a", &a, "zone-a")]));
+    let (answer, _) = ask::stream(host.address, &prompt(0), 20).rest();
+    configure(&host, &[spec("a", &a, "zone-a"), spec("b", &b, "zone-b")]);
+    reclaim(&host, &[("a", &a)], NOTICE);
+    let held = || ask::call(b.address, "GET", "/kv/events", &[], &[]).text();
+    while held() == "[]" {
+        std::thread::yield_now();
+    }
+    let message = |role: &str, content: &str| serde_json::json!({"role": role, "content": content});
+    let messages = [
+        message("user", &prompt(0)),
+        message("assistant", &answer),
+        message("user", "and in silver"),
+    ];
+    let body = serde_json::json!({"model": common::MODEL, "max_tokens": 4, "messages": messages});
+    assert_eq!(ask::post_chat(host.address, &body.to_string()).status, 200);
+    assert!(recomputed(&seen(&b)[0]) < 100);
+}
