--- a/crates/entry/src/callers/http/connection.rs
+++ b/crates/entry/src/callers/http/connection.rs
@@ -68,8 +68,10 @@
     /// # Errors
     /// Fails when the caller leaves, sends too slowly or sends no head.
     pub(in crate::callers) fn head(&mut self) -> Result<Head, Broken> {
-        let opened = Instant::now();
-        let mut begun = (!self.buffer.is_empty()).then_some(opened);
+        if self.buffer.is_empty() {
+            self.first_bytes()?;
+        }
+        let begun = Instant::now();
         loop {
             if let Some((head, length)) = Head::parse(&self.buffer)? {
                 self.buffer.drain(..length);
@@ -78,21 +80,34 @@
             if self.buffer.len() >= MAX_HEAD {
                 return Err(Broken::LongHead);
             }
-            if begun.is_some_and(|begun| begun.elapsed() > HEAD_TIME) {
+            if begun.elapsed() > HEAD_TIME {
                 return Err(Broken::Slow(HEAD_TIME));
             }
-            if begun.is_none() && opened.elapsed() > IDLE_TIME {
-                return Err(Broken::Ended);
-            }
             match read_more(&self.stream, &mut self.buffer) {
                 Ok(0) => return Err(Broken::Ended),
-                Ok(_) => begun = begun.or_else(|| Some(Instant::now())),
+                Ok(_) => {}
                 Err(error) if is_pause(&error) => {}
                 Err(_) => return Err(Broken::Ended),
             }
         }
     }
 
+    /// Waits for the first bytes of a request.
+    ///
+    /// Idle connections are many, so their threads sleep through; waking each of them a few times a second would cost
+    /// more than the requests that come.
+    fn first_bytes(&mut self) -> Result<(), Broken> {
+        let read = self
+            .stream
+            .set_read_timeout(Some(IDLE_TIME))
+            .and_then(|()| read_more(&self.stream, &mut self.buffer))
+            .and_then(|count| self.stream.set_read_timeout(Some(STEP)).map(|()| count));
+        match read {
+            Ok(count) if count > 0 => Ok(()),
+            _ => Err(Broken::Ended),
+        }
+    }
+
     /// Reads the body that belongs to a head.
     ///
     /// # Errors
--- a/crates/entry/src/callers/requests.rs
+++ b/crates/entry/src/callers/requests.rs
@@ -1,5 +1,7 @@
 //! Answers by request id, for callers that lost their connection; any entry host of the data centre gives them.
 
+use std::time::Duration;
+
 use contract::RequestId;
 use serde_json::json;
 
@@ -9,6 +11,9 @@
 use crate::Entry;
 use crate::journal::{self, Part};
 
+/// Callers for whom peers are asked at the same time.
+const MAX_ASKERS: usize = 16;
+
 pub(super) fn answer(entry: &Entry, caller: &mut Caller<'_>, id: &str) -> Answered {
     match find(entry, caller, id) {
         Ok(reply) => Answered::Reply(reply),
@@ -27,9 +32,11 @@
     let from = offset(caller.head.query())?;
     let owner = journal::owner(&contract.customer, account);
     // Whether somebody else has a request of that name is nobody's business, so both look the same.
-    let part = local(entry, &id, &owner, from)
-        .or_else(|| at_peers(entry, &id, &owner, from))
-        .ok_or_else(|| Problem::not_found("there is no such request of this account"))?;
+    let part = match local(entry, &id, &owner, from) {
+        Some(part) => Some(part),
+        None => at_peers(entry, &id, &owner, from)?,
+    };
+    let part = part.ok_or_else(|| Problem::not_found("there is no such request of this account"))?;
     let next = from + part.tokens.len();
     let body = json!({"id": id, "from": from, "next": next, "text": part.tokens.concat(), "whole": part.whole,
         "failed": part.failed});
@@ -54,14 +61,20 @@
     (journal.owner == owner && !journal.is_moved()).then(|| journal.from(from))
 }
 
-fn at_peers(entry: &Entry, id: &RequestId, owner: &str, from: usize) -> Option<Part> {
+fn at_peers(entry: &Entry, id: &RequestId, owner: &str, from: usize) -> Result<Option<Part>, Problem> {
     if !id.is_valid() {
-        return None;
+        return Ok(None);
     }
-    let found = entry.peers.journal(entry.current.revision(), id, from)?;
-    (found.owner == owner).then_some(Part {
+    // Every peer may have to be asked, so a caller that guesses ids must not keep all of them busy.
+    let _asking = entry
+        .callers
+        .ask(MAX_ASKERS)
+        .ok_or_else(|| Problem::overloaded(Duration::from_secs(1)))?;
+    let found = entry.peers.journal(entry.current.revision(), id, from);
+    let own = found.filter(|found| found.owner == owner);
+    Ok(own.map(|found| Part {
         tokens: found.tokens,
         whole: found.done,
         failed: found.failed,
-    })
+    }))
 }
--- a/crates/entry/src/callers/shared.rs
+++ b/crates/entry/src/callers/shared.rs
@@ -10,6 +10,7 @@
 pub struct Shared {
     connections: Arc<AtomicUsize>,
     readers: Arc<AtomicUsize>,
+    askers: Arc<AtomicUsize>,
     work: Arc<AtomicUsize>,
 }
 
@@ -30,6 +31,11 @@
         count(&self.readers, most.max(1))
     }
 
+    /// Counts a question to all peers, unless there are as many as allowed.
+    pub(super) fn ask(&self, most: usize) -> Option<Counted> {
+        count(&self.askers, most)
+    }
+
     /// Counts a request that is being answered.
     pub(super) fn begin(&self) -> Counted {
         self.work.fetch_add(1, Ordering::SeqCst);
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -155,10 +155,10 @@
     /// numbers of callers at the same time, as N,N,…
     #[argh(option, default = "List(vec![1, 64, 256])")]
     pub open: List<usize>,
-    /// streams of all callers together in each round; each caller has one at least
+    /// streams of all callers together in each round; each caller has four at least
     #[argh(option, default = "48")]
     pub streams: usize,
-    /// lookups of all callers together in each round; each caller has one at least
+    /// lookups of all callers together in each round; each caller has 16 at least
     #[argh(option, default = "512")]
     pub calls: usize,
     /// rounds of both ways
--- a/crates/load/src/overhead/bench.rs
+++ b/crates/load/src/overhead/bench.rs
@@ -25,7 +25,8 @@
 /// Rounds whose figures don't count: connections, caches and the allocator warm up.
 const WARM_CALLS: usize = 2;
 /// Calls of each caller in a round at least, so that its start and end don't weigh too much.
-const LEAST: usize = 4;
+const LEAST_LOOKUPS: usize = 16;
+const LEAST_STREAMS: usize = 4;
 
 /// Everything that runs.
 #[derive(Debug)]
@@ -97,11 +98,11 @@
     /// Compares both ways, taking them in turn.
     pub(super) fn compare(&self, kind: Kind, open: usize, options: &OverheadOptions) -> anyhow::Result<Compared> {
         let (direct, through) = self.ways(kind);
-        let all = match kind {
-            Kind::Lookup => options.calls,
-            Kind::Stream => options.streams,
+        let (all, least) = match kind {
+            Kind::Lookup => (options.calls, LEAST_LOOKUPS),
+            Kind::Stream => (options.streams, LEAST_STREAMS),
         };
-        let calls = all.div_ceil(open.max(1)).max(LEAST);
+        let calls = all.div_ceil(open.max(1)).max(least);
         let (mut straight, mut entry) = (Counts::new()?, Counts::new()?);
         Counts::new()?.round(kind, &through, open, WARM_CALLS, options.tokens)?;
         let mut spent = 0.0;
--- a/crates/load/src/overhead/round.rs
+++ b/crates/load/src/overhead/round.rs
@@ -12,7 +12,7 @@
 use ureq::Agent;
 
 /// Time between the starts of two callers.
-const RAMP: Duration = Duration::from_micros(500);
+const RAMP: Duration = Duration::from_micros(100);
 
 /// What is called.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
