--- a/crates/entry/src/callers/problem.rs
+++ b/crates/entry/src/callers/problem.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use policy::Tick;
 use serde_json::json;
+use telemetry::burn::{End, Meter};
 
 use super::http::{Broken, Reply};
 use crate::admission::Refusal;
@@ -45,6 +47,16 @@
         }
     }
 
+    /// Tells what it is for the burn report; what is wrong with the request itself counts for nothing.
+    pub(super) const fn burns(&self) -> Option<End> {
+        match self.status {
+            429 => Some(End::Limited),
+            503 => Some(End::Refused),
+            500.. => Some(End::Failed),
+            _ => None,
+        }
+    }
+
     fn unknown(self) -> Self {
         Self {
             run: Run::Unknown,
@@ -163,6 +175,14 @@
     }
 }
 
+/// Counts a refusal for the burn report and gives it back.
+pub(super) fn counted(problem: Problem, meter: &Meter<'_>, now: Tick) -> Problem {
+    if let Some(end) = problem.burns() {
+        meter.end(end, now);
+    }
+    problem
+}
+
 /// Gives the refusal of a request that did not come whole, if anybody is left to read it.
 pub(super) fn of_broken(broken: &Broken) -> Option<Problem> {
     match broken {
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -6,13 +6,14 @@
 use metrics::counter;
 use policy::prefix::Prefix;
 use policy::route::{Need, Target};
+use telemetry::burn::{End, Meter};
 use upstream::UpstreamError;
 use upstream::engine::REQUEST_HEADER;
 use upstream::service::{Answer, Call, KEY_HEADER};
 use wire::state::Outcome;
 
 use super::http::{Head, Reply};
-use super::problem::Problem;
+use super::problem::{self, Problem};
 use super::{Answered, Caller};
 use crate::Entry;
 use crate::admission::Work;
@@ -87,7 +88,10 @@
         latest: arrived + whole,
         shed: class.shed,
     };
-    let _permit = entry.admission.enter(contract, &work)?;
+    let meter = entry.burn.begin(&contract.customer, class, arrived);
+    let admitted = entry.admission.enter(contract, &work);
+    let _permit = admitted.map_err(|refusal| problem::counted(refusal.into(), &meter, entry.clock.now()))?;
+    meter.admitted(entry.clock.now());
     let headers = passed(&caller.head);
     let id = entry.request_id();
     let run = Run {
@@ -103,11 +107,15 @@
             body: &body,
         },
         until: Instant::now() + whole.saturating_sub(entry.clock.now().since(arrived)),
+        meter,
     };
     let answer = match class.repeat {
-        Repeat::Idempotent => run.repeatable()?,
-        Repeat::AtMostOnce => run.once(caller.head.header(KEY_HEADER))?,
+        Repeat::Idempotent => run.repeatable(),
+        Repeat::AtMostOnce => run.once(caller.head.header(KEY_HEADER)),
     };
+    let answer = answer.map_err(|failure| problem::counted(failure, &run.meter, entry.clock.now()))?;
+    let end = if answer.status < 500 { End::Whole } else { End::Failed };
+    run.meter.end(end, entry.clock.now());
     let customer = contract.customer.to_string();
     counter!("gentian_answers_total", "customer" => customer, "class" => class.name.to_string()).increment(1);
     Ok((id, answer))
@@ -140,6 +148,7 @@
     id: &'a RequestId,
     call: Call<'a>,
     until: Instant,
+    meter: Meter<'a>,
 }
 
 impl Run<'_> {
@@ -241,11 +250,13 @@
     fn send(&self, spec: &UpstreamSpec, timeout: Duration) -> Attempt<Sent> {
         let entry = self.entry;
         let _visit = entry.fleet.visit(&spec.id, entry.clock.now());
+        self.meter.tries(&spec.host);
         let sent = Attempt::new(spec.address).send(&entry.services, &self.call, timeout);
         let good = sent.status().is_some_and(|status| status < 500);
         let now = entry.clock.now();
         entry.fleet.ended(&spec.id, good, now);
         if let Some(error) = sent.error() {
+            self.meter.failed(!entry.fleet.hosts.takes_work(&spec.host));
             entry.fleet.hosts.failed(&spec.host, error, now);
         }
         if !good {
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -270,6 +270,13 @@
         proposed.iter().zip(held).map(candidate).collect()
     }
 
+    /// Notes that an upstream holds a prefix that was moved there.
+    pub fn holds(&self, upstream: &UpstreamId, prefix: &Prefix, now: Tick) {
+        if let Some(row) = self.index.load().rows.get(upstream) {
+            self.history.lock().store(prefix, row.member.number, now);
+        }
+    }
+
     /// Notes that a request goes to an upstream.
     pub fn visit(&self, upstream: &UpstreamId, now: Tick) -> Visit<'_> {
         let row = self.index.load().rows.get(upstream).cloned();
@@ -322,6 +329,9 @@
             kv_used: f32::from(load.kv_used) / 1_000.0,
         };
         row.member.state.lock().load.report(report);
+        // An upstream that refused a connection is read by one entry host only. Unless the others take that one's word,
+        // they would doubt its host for ever, and their callers would be refused although it has long been back.
+        self.hosts.answered(&row.spec.host, now);
     }
 
     /// Gives the load reports that this host read itself after a time.
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -65,6 +65,17 @@
         self.lives.lock().stage(&host.id, host.incarnation)
     }
 
+    /// Tells whether any host has an announced end that is still to come or has just passed.
+    #[must_use]
+    pub fn any_ends(&self, now: Tick) -> bool {
+        let lives = self.lives.lock();
+        let ends = |life: &AnyLife| match life {
+            AnyLife::Leaving(life) => life.gone_at().is_some_and(|at| now.since(at) < BOUND),
+            _ => false,
+        };
+        lives.iter().any(|(_, life)| ends(life))
+    }
+
     /// Gives every host that signs have told about, with incarnation and stage.
     #[must_use]
     pub fn list(&self) -> Vec<(HostId, u64, String)> {
@@ -104,8 +115,12 @@
             // One address a look, so that one that doesn't answer never delays the others beyond the bound.
             look(entry, &clients[looks as usize % clients.len()]);
         }
+        let view = entry.current.view();
+        for (host, incarnation) in &view.config.drains {
+            let sign = Sign::Leaves { left: None };
+            entry.fleet.hosts.take(host, *incarnation, sign, entry.clock.now());
+        }
         if looks.is_multiple_of(FORGET) {
-            let view = entry.current.view();
             let known = view.config.upstreams.values().map(|spec| &spec.host.id).collect();
             entry.fleet.hosts.forget(&known, entry.clock.now());
         }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,5 +1,6 @@
 //! `gentian-entry`: serves callers on an entry host.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -13,8 +14,8 @@
 use entry::{Entry, burn, callers, current, drain, exchange, fleet, hosts, ops, rescue};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
-use telemetry::log;
 use telemetry::scrape::Scrape;
+use telemetry::{ended, log};
 use wire::client::Calls;
 use wire::entry::EntryRpcServer;
 
@@ -25,10 +26,13 @@
 /// Longest wait for outcomes that the state group could not record at once.
 const FLUSH: Duration = Duration::from_secs(10);
 
-fn main() -> anyhow::Result<()> {
-    let options: Options = argh::from_env();
+fn main() -> ExitCode {
+    ended("gentian-entry", run(&argh::from_env()))
+}
+
+fn run(options: &Options) -> anyhow::Result<()> {
     let mut sheet = Sheet::default();
-    let settings = Settings::read(&options, &mut sheet);
+    let settings = Settings::read(options, &mut sheet);
     if options.print_settings {
         print!("{}", sheet.render());
     }
@@ -68,6 +72,7 @@
             thread::sleep(STEP);
         }
         drain::leave(entry);
+        burn::hand_over(entry, calls, inner_address);
         entry.stop.store(true, Ordering::Relaxed);
     });
     // A second request to stop changes nothing.
@@ -79,6 +84,7 @@
         );
     }
     info!(entry.logger, "stopped");
+    log::finish();
     Ok(())
 }
 
@@ -100,15 +106,9 @@
 
 fn start_duties(entry: &Arc<Entry>) -> std::io::Result<()> {
     let learner = Arc::clone(entry);
-    thread::Builder::new().name("learner".to_owned()).spawn(move || {
-        current::follow(
-            &learner.current,
-            &learner.state,
-            &learner.clock,
-            &learner.logger,
-            &learner.stop,
-        );
-    })?;
+    thread::Builder::new()
+        .name("learner".to_owned())
+        .spawn(move || current::follow(&learner))?;
     rescue::start(entry)?;
     let watcher = Arc::clone(entry);
     thread::Builder::new()
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use contract::RequestId;
+use contract::{RequestId, Revision};
 use jsonrpsee::core::{RpcResult, async_trait};
 use serde_json::json;
 use wire::Envelope;
 use wire::entry::{EntryRpcServer, Handover, HostSign, Journal, JournalAsk};
+use wire::state::Watched;
 
 use crate::{Entry, burn, callers, drain};
 
@@ -66,10 +67,15 @@
         Ok(self.wrap(found.map(|journal| json!(journal.choices()))))
     }
 
-    async fn burn(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
+    async fn burn(&self, handed: Envelope<serde_json::Value>) -> RpcResult<Envelope<serde_json::Value>> {
+        burn::take(&self.entry, handed.body);
         Ok(self.wrap(json!(burn::parts(&self.entry))))
     }
 
+    async fn config(&self, after: Envelope<Revision>) -> RpcResult<Envelope<Watched>> {
+        Ok(self.wrap(self.entry.current.since(after.body, self.entry.clock.now())))
+    }
+
     async fn status(&self, _request: Envelope<()>) -> RpcResult<Envelope<serde_json::Value>> {
         let entry = &self.entry;
         let status = json!({
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod ask;
 pub mod fake;
+pub mod process;
 pub mod state;
 
 use std::io::{BufRead, BufReader};
@@ -191,6 +192,7 @@
         revision: Revision(1),
         contracts: [(contract.customer.clone(), contract)].into(),
         upstreams: upstreams.into_iter().map(|spec| (spec.id.clone(), spec)).collect(),
+        ..Config::default()
     }
 }
 
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -148,6 +148,22 @@
     pub json: bool,
 }
 
+/// Make one self-contained page with plots from the JSON output of comparisons.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "report",
+    example = "gentian-load report tan-1.json tan-2.json --out report.html"
+)]
+pub struct Report {
+    /// files that hold the output of compare --json
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+    /// file that the page is written into
+    #[argh(option, default = "PathBuf::from(\"report.html\")")]
+    pub out: PathBuf,
+}
+
 /// Compare calls straight to a stand-in with calls through an entry host, in one run.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "overhead", example = "gentian-load overhead")]
@@ -177,19 +193,3 @@
     #[argh(switch)]
     pub json: bool,
 }
-
-/// Make one self-contained page with plots from the JSON output of comparisons.
-#[derive(Debug, FromArgs)]
-#[argh(
-    subcommand,
-    name = "report",
-    example = "gentian-load report tan-1.json tan-2.json --out report.html"
-)]
-pub struct Report {
-    /// files that hold the output of compare --json
-    #[argh(positional)]
-    pub files: Vec<PathBuf>,
-    /// file that the page is written into
-    #[argh(option, default = "PathBuf::from(\"report.html\")")]
-    pub out: PathBuf,
-}
