--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -53,7 +53,7 @@
     /// IP:PORT of the cloud API
     #[argh(option)]
     pub cloud: Option<String>,
-    /// on or off: move KV cache of streams whose host leaves
+    /// off, streams or all: whose KV cache is moved when a host leaves
     #[argh(option)]
     pub kv_export: Option<String>,
     /// json or terminal
--- a/crates/entry/src/rescue.rs
+++ b/crates/entry/src/rescue.rs
@@ -23,6 +23,7 @@
 use policy::rescue::{How, Rates, Stream, plan};
 
 use crate::Entry;
+use crate::settings::KvExport;
 use kept::{Kept, KeptAnswers};
 use ride::{Aboard, Stage};
 pub use ride::{Boarding, Move, Ride};
@@ -94,7 +95,7 @@
         busy.extend(self.kept.lock().copying());
         let streams = self.look_streams(&mut aboard, &mut busy, entry, now);
         let mut jobs: Vec<Job> = streams.into_iter().map(Job::Stream).collect();
-        if let Some(export) = self.rates(entry.settings.kv_export).export {
+        if let Some(export) = self.rates(entry.settings.kv_export == KvExport::All).export {
             // What ended before is copied over links that no stream needs now.
             let ended = self.kept.lock().take(&entry.fleet.hosts, export, now, &mut busy);
             jobs.extend(ended.into_iter().map(|kept| Job::Ended(Box::new(kept))));
@@ -125,7 +126,10 @@
             return Vec::new();
         }
         let mut copies = Vec::new();
-        let steps = plan(&numbered(&streams), &self.rates(entry.settings.kv_export));
+        let steps = plan(
+            &numbered(&streams),
+            &self.rates(entry.settings.kv_export != KvExport::Off),
+        );
         for (at, how) in steps {
             let Some(one) = aboard.get_mut(&ids[at]) else { continue };
             match how {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -155,9 +155,9 @@
     KV_EXPORT,
     "kv-export",
     "GENTIAN_KV_EXPORT",
-    Some("on"),
-    "on or off",
-    "Whether the KV cache of streams is moved when their host leaves; otherwise they are replayed."
+    Some("streams"),
+    "off, streams or all",
+    "Whose KV cache is moved when a host leaves: nobody's, that of streams, or also that of ended answers."
 );
 setting!(
     LOG,
@@ -190,6 +190,21 @@
     &LOG,
 ];
 
+/// Whose KV cache is moved when a host leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr)]
+pub enum KvExport {
+    /// Nobody's; streams are replayed.
+    #[display("off")]
+    Off,
+    /// That of streams.
+    #[default]
+    #[display("streams")]
+    Streams,
+    /// Also that of answers that ended, for the next turn of their conversations.
+    #[display("all")]
+    All,
+}
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -225,8 +240,8 @@
     pub notice: Duration,
     /// Addresses of the cloud API.
     pub cloud: Vec<SocketAddr>,
-    /// Whether the KV cache of streams is moved when their host leaves.
-    pub kv_export: bool,
+    /// Whose KV cache is moved when a host leaves.
+    pub kv_export: KvExport,
     /// How log lines are written.
     pub log: Format,
 }
@@ -266,8 +281,7 @@
         let notice = sheet.read(&NOTICE, options.notice_ms.as_deref());
         let notice = sheet.check(&NOTICE, notice, |ms| *ms <= 2_000);
         let cloud = sheet.read::<List<SocketAddr>>(&CLOUD, options.cloud.as_deref());
-        let export = sheet.read::<String>(&KV_EXPORT, options.kv_export.as_deref());
-        let export = sheet.check(&KV_EXPORT, export, |text| text == "on" || text == "off");
+        let export = sheet.read(&KV_EXPORT, options.kv_export.as_deref());
         let log = sheet.read(&LOG, options.log.as_deref());
         sheet.finish()?;
         let settings = || {
@@ -290,7 +304,7 @@
                 incarnation: incarnation?,
                 notice: Duration::from_millis(notice?),
                 cloud: cloud?.0,
-                kv_export: export? == "on",
+                kv_export: export?,
                 log: log?,
             })
         };
