Leave out the parts of routing that no measurement supports

Ruled out: taking out report expiry and rendezvous too. Expiry guards against an engine that fell silent while idle, which the schedule does not bring about; rendezvous keeps the candidates of 3,300 replicas few.

--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -14,7 +14,7 @@
 use capacity::settings::Settings;
 use capacity::watch;
 use contract::NodeId;
-use contract::settings::Sheet;
+use contract::settings::{self, Sheet};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
 use telemetry::clock::wall_ms;
@@ -33,15 +33,10 @@
 }
 
 fn run(options: &Options) -> anyhow::Result<()> {
-    let mut sheet = Sheet::default();
-    let settings = Settings::read(options, &mut sheet);
-    if options.print_settings {
-        print!("{}", sheet.render());
-    }
-    let settings = settings?;
-    if options.check_settings || options.print_settings {
+    let read = |sheet: &mut Sheet| Settings::read(options, sheet);
+    let Some(settings) = settings::begin(options.print_settings, options.check_settings, read)? else {
         return Ok(());
-    }
+    };
     let logger = log::start(settings.log, "gentian-capacity", settings.node.as_str());
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
--- a/crates/capacity/src/settings.rs
+++ b/crates/capacity/src/settings.rs
@@ -3,25 +3,13 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use contract::setting;
 use contract::settings::{List, Setting, Sheet};
 use contract::{DataCenter, KeyHash, ModelName, NodeId, Problems};
 use telemetry::log::Format;
 
 use crate::cli::Options;
 
-macro_rules! setting {
-    ($name:ident, $flag:literal, $env:literal, $default:expr, $allowed:literal, $help:literal) => {
-        const $name: Setting = Setting {
-            flag: $flag,
-            env: $env,
-            default: $default,
-            allowed: $allowed,
-            help: $help,
-            secret: false,
-        };
-    };
-}
-
 setting!(
     NODE,
     "node",
--- a/crates/contract/src/settings.rs
+++ b/crates/contract/src/settings.rs
@@ -27,6 +27,21 @@
     pub secret: bool,
 }
 
+/// Defines a setting that is no secret, as a constant.
+#[macro_export]
+macro_rules! setting {
+    ($name:ident, $flag:literal, $env:literal, $default:expr, $allowed:literal, $help:literal) => {
+        const $name: $crate::settings::Setting = $crate::settings::Setting {
+            flag: $flag,
+            env: $env,
+            default: $default,
+            allowed: $allowed,
+            help: $help,
+            secret: false,
+        };
+    };
+}
+
 /// Where a value came from.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 pub enum Origin {
@@ -129,6 +144,26 @@
     }
 }
 
+/// Reads a program's settings, and prints them if asked to.
+///
+/// Returns `None` when the program was only to print or check them.
+///
+/// # Errors
+/// Returns every setting that is missing or not allowed.
+pub fn begin<S>(
+    print: bool,
+    check: bool,
+    read: impl FnOnce(&mut Sheet) -> Result<S, Problems>,
+) -> Result<Option<S>, Problems> {
+    let mut sheet = Sheet::default();
+    let settings = read(&mut sheet);
+    if print {
+        print!("{}", sheet.render());
+    }
+    let settings = settings?;
+    Ok((!print && !check).then_some(settings))
+}
+
 /// A list that is written with commas in a setting.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct List<T>(pub Vec<T>);
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -58,29 +58,13 @@
         .and_then(|key| view.account(key))
         .ok_or_else(Problem::unauthorized)?;
     let target = caller.head.target.clone();
-    let rest = target.strip_prefix("/services/").unwrap_or_default();
-    let end = rest.find(['/', '?']).unwrap_or(rest.len());
-    let (service, below) = rest.split_at(end);
-    let path = if below.starts_with('/') {
-        below.to_owned()
-    } else {
-        format!("/{below}")
-    };
+    let (service, path) = split(&target);
     check(&caller.head, &path)?;
     if !view.config.upstreams.values().any(|spec| spec.serves_service(service)) {
         return Err(Problem::not_found(format!("there is no service {service}")));
     }
     let body = caller.body(entry)?;
-    let asked = contract::Request {
-        service: Some(service),
-        method: &caller.head.method,
-        route: path.split('?').next().unwrap_or_default(),
-        model: None,
-        prompt_tokens: 0,
-    };
-    let class = contract
-        .class_of(&asked)
-        .ok_or_else(|| Problem::not_found("the contract has no class for this"))?;
+    let class = class(contract, &caller.head, service, &path)?;
     let whole = Duration::from_millis(class.targets.whole_answer_ms);
     let work = Work {
         target: Target::Service(service.to_owned()),
@@ -121,6 +105,29 @@
     Ok((id, answer))
 }
 
+/// Splits a target into the service's name and the path below it.
+fn split(target: &str) -> (&str, String) {
+    let rest = target.strip_prefix("/services/").unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, below) = rest.split_at(end);
+    if below.starts_with('/') {
+        return (service, below.to_owned());
+    }
+    (service, format!("/{below}"))
+}
+
+fn class<'a>(contract: &'a Contract, head: &Head, service: &str, path: &str) -> Result<&'a Class, Problem> {
+    let asked = contract::Request {
+        service: Some(service),
+        method: &head.method,
+        route: path.split('?').next().unwrap_or_default(),
+        model: None,
+        prompt_tokens: 0,
+    };
+    let found = contract.class_of(&asked);
+    found.ok_or_else(|| Problem::not_found("the contract has no class for this"))
+}
+
 /// Checks what the client library would not pass on as it is.
 fn check(head: &Head, path: &str) -> Result<(), Problem> {
     if !METHODS.contains(&head.method.as_str()) {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use contract::settings::Sheet;
+use contract::settings::{self, Sheet};
 use entry::cli::Options;
 use entry::rpc::Rpc;
 use entry::settings::Settings;
@@ -31,15 +31,10 @@
 }
 
 fn run(options: &Options) -> anyhow::Result<()> {
-    let mut sheet = Sheet::default();
-    let settings = Settings::read(options, &mut sheet);
-    if options.print_settings {
-        print!("{}", sheet.render());
-    }
-    let settings = settings?;
-    if options.check_settings || options.print_settings {
+    let read = |sheet: &mut Sheet| Settings::read(options, sheet);
+    let Some(settings) = settings::begin(options.print_settings, options.check_settings, read)? else {
         return Ok(());
-    }
+    };
     let logger = log::start(settings.log, "gentian-entry", settings.node.as_str());
     let calls = Calls::start(2, TIMEOUT)?;
     let entry = Arc::new(Entry::new(settings, logger, &calls)?);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use contract::setting;
 use contract::settings::{List, Setting, Sheet};
 use contract::{DataCenter, HostId, NodeId, Problems};
 use policy::route::{Routing, Without};
@@ -10,19 +11,6 @@
 
 use crate::cli::Options;
 
-macro_rules! setting {
-    ($name:ident, $flag:literal, $env:literal, $default:expr, $allowed:literal, $help:literal) => {
-        const $name: Setting = Setting {
-            flag: $flag,
-            env: $env,
-            default: $default,
-            allowed: $allowed,
-            help: $help,
-            secret: false,
-        };
-    };
-}
-
 setting!(
     NODE,
     "node",
@@ -91,9 +79,9 @@
     WITHOUT,
     "without",
     "GENTIAN_WITHOUT",
-    Some(""),
-    "affinity, rendezvous, risk, price, distance, report-expiry, corrections, cache-events",
-    "Parts that routing by cost leaves out; for comparisons only."
+    Some("risk,price,cache-events"),
+    "affinity, rendezvous, home, risk, price, distance, report-expiry, corrections, cache-events; empty for none",
+    "Parts that routing by cost leaves out; by default those that no measurement supports."
 );
 setting!(
     RUNNING,
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use contract::settings::Sheet;
+use contract::settings::{self, Sheet};
 use crossbeam_channel::{Receiver, Sender};
 use jsonrpsee::server::{Server, ServerConfig};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -38,15 +38,10 @@
 }
 
 fn run(options: &Options) -> anyhow::Result<()> {
-    let mut sheet = Sheet::default();
-    let settings = Settings::read(options, &mut sheet);
-    if options.print_settings {
-        print!("{}", sheet.render());
-    }
-    let settings = settings?;
-    if options.check_settings || options.print_settings {
+    let read = |sheet: &mut Sheet| Settings::read(options, sheet);
+    let Some(settings) = settings::begin(options.print_settings, options.check_settings, read)? else {
         return Ok(());
-    }
+    };
     let logger = log::start(settings.log, "gentian-state", settings.node.as_str());
     serve(&settings, &logger)
 }
