--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything that the other packages agree on without talking to each other lives here: names, contracts,
 //! the configuration that the replicated log produces, and the way settings are read and checked.
 
+mod catalog;
 mod class;
 mod config;
 mod customer;
@@ -12,6 +13,9 @@
 pub mod settings;
 mod upstream;
 
+pub use catalog::{
+    CallerLimits, Catalog, ClientAccount, EngineSpec, Quota, Repeatable, Route, Scaling, Service, Share,
+};
 pub use class::{Class, Matcher, Repeat, Request, Targets};
 pub use config::{Change, ChangeRecord, Config};
 pub use customer::{Account, Contract, KeyHash, Limits, MAX_ACCOUNTS, MAX_CLASSES};
--- /dev/null
+++ b/crates/gateway/src/dialect.rs
@@ -0,0 +1,98 @@
+//! What the headers of callers and upstreams say; the platform's adapter knows their names.
+
+use std::time::Duration;
+
+use contract::KeyHash;
+use policy::place::Part;
+
+use crate::head::{Head, RequestLine, StatusLine};
+
+/// What a request's head asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Asked {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Hash of the key that it showed.
+    pub key: Option<KeyHash>,
+    /// Id of the last event that the caller has of the stream.
+    pub after: Option<u64>,
+    /// Tokens of prompt and answer.
+    pub tokens: Option<Tokens>,
+    /// Parts of the prompt in order.
+    pub parts: Vec<Part>,
+}
+
+/// Size of a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tokens {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub answer: u64,
+}
+
+/// What the head of one attempt says besides the caller's own lines.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// Time that is left.
+    pub left: Duration,
+    /// The upstream's incarnation; any other refuses the request.
+    pub upstream: &'a str,
+    /// Name of the client account.
+    pub account: Option<&'a str>,
+    /// Id of the last event that the caller has.
+    pub after: Option<u64>,
+    /// Rank, 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// What an upstream's answer says in its head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether it states that the request was not run.
+    pub refused: bool,
+    /// Whether another incarnation answered than the one that was meant.
+    pub other: bool,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+    /// Its load.
+    pub load: Option<Load>,
+    /// How long the connection may stay idle.
+    pub idle: Option<Duration>,
+}
+
+/// The load that an upstream tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run at once.
+    pub slots: u32,
+}
+
+/// Reads and writes the headers of callers and upstreams.
+pub trait Dialect {
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    /// Returns what is wrong with it, in words.
+    fn asked(&self, head: &Head<RequestLine>) -> Result<Asked, String>;
+
+    /// Tells whether a caller's header line is passed to upstreams as it is.
+    fn passes(&self, name: &[u8]) -> bool;
+
+    /// Writes the header lines of an attempt.
+    fn write(&self, out: &mut Vec<u8>, attempt: &Attempt<'_>);
+
+    /// Reads an answer's head.
+    fn told(&self, head: &Head<StatusLine>) -> Told;
+
+    /// Gives the path that tells whether this entry host takes new connections.
+    fn ready_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! Passes requests of client accounts to upstreams by host and path, with streams event by event.
+//!
+//! One event loop serves all callers of an entry host; the threads beside it follow the state group and read the list of
+//! upstreams. Which headers say what is the business of a [`dialect::Dialect`].
+
+pub mod body;
+pub mod dialect;
+pub mod events;
+pub mod exchange;
+pub mod gate;
+pub mod head;
+pub mod input;
+pub mod link;
+pub mod pool;
+pub mod refusal;
+pub mod request;
+pub mod server;
+pub mod stream;
+pub mod table;
+pub mod upstreams;
+pub mod usage;
--- /dev/null
+++ b/crates/gateway/src/link.rs
@@ -0,0 +1,257 @@
+//! The threads that follow the state group and read the list of upstreams.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use contract::{NodeId, Revision};
+use metrics::{counter, gauge};
+use parking_lot::Mutex;
+use slog::{Logger, info, warn};
+use telemetry::Clock;
+use wire::Envelope;
+use wire::catalog::{CatalogRpcClient, Follow, Followed};
+use wire::client::Calls;
+use wire::registry::Beaten;
+use wire::state::Unavailable;
+
+use crate::gate::Shared;
+use crate::table::Table;
+use crate::upstreams::Listed;
+
+/// Longest that a state node holds a question for news. Together with [`PATIENCE`] it is how soon a silent node is noticed.
+const WAIT: Duration = Duration::from_millis(500);
+/// Longest wait for an answer beyond that.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Pause after a node that did not answer.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Age from which a state node's news are too old: it may be cut off from the leader.
+const STALE: Duration = Duration::from_millis(1_200);
+/// Pause between two beats; a few of them fit in the time for which parts hold.
+const BEAT: Duration = Duration::from_millis(300);
+/// Pause between two reads of the list; upstreams that leave must get no new work a few seconds later.
+const LIST: Duration = Duration::from_secs(1);
+/// Share of the list's rate that all entry hosts together use.
+const LIST_SHARE: f64 = 0.5;
+
+/// Reads the list of upstreams.
+pub trait Directory: Send {
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    /// Tells what failed.
+    fn read(&mut self) -> Result<Vec<Listed>, String>;
+
+    /// Gives the reads a second that all entry hosts together may make.
+    fn rate(&self) -> f64;
+}
+
+/// What the threads need.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Name of this process.
+    pub node: NodeId,
+    /// Its incarnation.
+    pub run: u64,
+    /// Inner addresses of state nodes that it was told of.
+    pub seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
+    /// What the event loop sees.
+    pub shared: Arc<Shared>,
+    /// The clock.
+    pub clock: Clock,
+    /// The log.
+    pub logger: Logger,
+}
+
+/// The state nodes that are known.
+#[derive(Debug, Default)]
+struct Known {
+    members: BTreeSet<SocketAddr>,
+    leader: Option<SocketAddr>,
+}
+
+impl Link {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    /// Fails when the operating system refuses a thread.
+    pub fn start(&self, directory: Box<dyn Directory>) -> std::io::Result<()> {
+        let calls = Calls::start(1, PATIENCE)?;
+        let known = Arc::new(Mutex::new(Known::default()));
+        let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
+            thread::Builder::new().name(name.to_owned()).spawn(work).map(drop)
+        };
+        let (link, runtime, group) = (self.clone(), calls.clone(), Arc::clone(&known));
+        spawn("follow", Box::new(move || link.follow(&runtime, &group)))?;
+        let link = self.clone();
+        spawn("beat", Box::new(move || link.beat(&calls, &known)))?;
+        let link = self.clone();
+        spawn("list", Box::new(move || link.list(directory)))
+    }
+
+    /// Waits for newer catalogs, at one state node after the other.
+    fn follow(&self, calls: &Calls, known: &Mutex<Known>) {
+        let mut at = self.run as usize;
+        let mut client = None;
+        let mut failed = 0;
+        loop {
+            let Some(peer) = self.peer(known, at) else {
+                thread::sleep(PAUSE);
+                continue;
+            };
+            if client.as_ref().is_none_or(|(open, _)| *open != peer) {
+                client = calls.client(peer, WAIT).ok().map(|opened| (peer, opened));
+            }
+            let Some((_, open)) = &client else {
+                at += 1;
+                continue;
+            };
+            let version = self.version();
+            let ask = Follow {
+                after: version,
+                wait_ms: WAIT.as_millis() as u64,
+            };
+            let answer = calls.wait(open.follow(Envelope::new(&self.node, Revision(version), ask)));
+            let error = match answer {
+                Ok(answer) if answer.body.age_ms <= STALE.as_millis() as u64 => {
+                    if failed > 0 {
+                        info!(self.logger, "state group answers again"; "peer" => %peer, "tries" => failed);
+                    }
+                    failed = 0;
+                    self.take_news(peer, answer.body, known);
+                    continue;
+                }
+                Ok(answer) => format!("its news are {} ms old", answer.body.age_ms),
+                Err(error) => error.to_string(),
+            };
+            if failed == 0 {
+                warn!(self.logger, "state node lost"; "peer" => %peer, "step" => "follow", "error" => error);
+            }
+            counter!("gentian_gateway_follow_failed_total").increment(1);
+            failed += 1;
+            client = None;
+            at += 1;
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn peer(&self, known: &Mutex<Known>, at: usize) -> Option<SocketAddr> {
+        let mut peers = known.lock().members.clone();
+        peers.extend(self.seeds.load().iter().copied());
+        let count = peers.len();
+        peers.into_iter().nth(at.checked_rem(count)?)
+    }
+
+    fn version(&self) -> u64 {
+        let table = self.shared.table.load();
+        table.as_ref().map_or(0, |table| table.catalog().version)
+    }
+
+    fn take_news(&self, peer: SocketAddr, news: Followed, known: &Mutex<Known>) {
+        {
+            let mut known = known.lock();
+            known.members = news.members.into_iter().collect();
+            known.leader = news.leader.or(known.leader);
+        }
+        let Some(catalog) = news.catalog else {
+            return;
+        };
+        // What is in force here never goes back, whichever node is asked.
+        let newer = self.shared.table.load().is_none() || catalog.version > self.version();
+        if newer {
+            info!(self.logger, "configuration in force"; "version" => catalog.version, "peer" => %peer,
+                "age_ms" => news.age_ms, "routes" => catalog.routes.len(), "accounts" => catalog.accounts.len());
+            gauge!("gentian_gateway_config_version").set(catalog.version as f64);
+            self.shared.table.store(Some(Arc::new(Table::new(catalog))));
+        }
+    }
+
+    /// Tells the leader what this entry host has seen, and learns its parts of the limits.
+    fn beat(&self, calls: &Calls, known: &Mutex<Known>) {
+        let mut at = self.run as usize;
+        let mut client = None;
+        let mut told = true;
+        loop {
+            thread::sleep(BEAT);
+            let leader = known.lock().leader;
+            let Some(peer) = leader.or_else(|| self.peer(known, at)) else {
+                continue;
+            };
+            if client.as_ref().is_none_or(|(open, _)| *open != peer) {
+                client = calls.client(peer, Duration::ZERO).ok().map(|opened| (peer, opened));
+            }
+            let Some((_, open)) = &client else {
+                continue;
+            };
+            let sent = self.clock.now();
+            let mut beat = self.shared.beat.lock().clone();
+            beat.run = self.run;
+            let error = match calls.wait(open.beat(Envelope::new(&self.node, Revision(self.version()), beat))) {
+                Ok(answer) => match answer.body {
+                    Beaten::Parts(parts) => {
+                        let until = sent + Duration::from_millis(parts.hold_ms);
+                        if !told {
+                            info!(self.logger, "parts of limits are told again"; "peer" => %peer, "entries" => parts.entries);
+                        }
+                        told = true;
+                        self.shared.parts.store(Arc::new(Some((parts, until))));
+                        continue;
+                    }
+                    Beaten::Unavailable(why) => {
+                        known.lock().leader = match &why {
+                            Unavailable::NotLeader { leader } => *leader,
+                            _ => Some(peer),
+                        };
+                        why.to_string()
+                    }
+                },
+                Err(error) => {
+                    known.lock().leader = None;
+                    error.to_string()
+                }
+            };
+            if told {
+                warn!(self.logger, "no parts of limits are told"; "peer" => %peer, "step" => "beat", "error" => error);
+            }
+            told = false;
+            at += 1;
+        }
+    }
+
+    /// Reads the list of upstreams again and again.
+    fn list(&self, mut directory: Box<dyn Directory>) {
+        let mut failed = 0;
+        loop {
+            let asked = self.clock.now();
+            match directory.read() {
+                Ok(list) => {
+                    if failed > 0 {
+                        info!(self.logger, "list of upstreams is read again"; "tries" => failed);
+                    }
+                    failed = 0;
+                    *self.shared.list.lock() = Some((list, asked));
+                }
+                Err(error) => {
+                    if failed == 0 {
+                        warn!(self.logger, "list of upstreams can't be read"; "step" => "list", "error" => error);
+                    }
+                    counter!("gentian_gateway_list_failed_total").increment(1);
+                    failed += 1;
+                }
+            }
+            thread::sleep(self.list_pause(directory.rate()));
+        }
+    }
+
+    fn list_pause(&self, rate: f64) -> Duration {
+        let parts = self.shared.parts.load();
+        let entries = (**parts).as_ref().map_or(1, |(parts, _)| parts.entries);
+        let even = f64::from(entries) / (rate * LIST_SHARE).max(0.1);
+        // Processes that start together would ask together for ever.
+        let jitter = 0.9 + 0.2 * rand::random::<f64>();
+        LIST.max(Duration::from_secs_f64(even)).mul_f64(jitter)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,392 @@
+//! The listeners of an entry host and its planned stop.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use metrics::{counter, gauge};
+use slog::{info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::gate::Gate;
+use crate::head::{self, Framing, Head, HeadError, RequestLine};
+use crate::input::{Input, NoRequest};
+use crate::refusal::Refusal;
+use crate::request::{Progress, Request};
+
+/// Pause between two looks at what other threads have brought.
+const EXCHANGE: Duration = Duration::from_millis(100);
+/// Time after the request to stop in which the balancer notices that the host is not ready; idle connections and the
+/// listener stay until then. It asks once a second and wants two misses.
+const NOTICED: Duration = Duration::from_millis(3_200);
+/// Time before the process is ended from outside at which it ends itself.
+const MARGIN: Duration = Duration::from_millis(400);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Longest wait for a question of the balancer.
+const QUESTION: Duration = Duration::from_secs(2);
+/// Longest question of the balancer.
+const MAX_QUESTION: usize = 8 * 1024;
+/// Pause after a connection could not be accepted, for instance because there are no descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where an entry host listens, and how long a stop may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether the host takes new connections.
+    pub ready: SocketAddr,
+    /// For scrapers.
+    pub metrics: Option<SocketAddr>,
+    /// Time from the request to stop until the process is ended from outside.
+    pub grace: Duration,
+}
+
+/// What the connections of a process share besides the gate.
+struct Server {
+    gate: Rc<Gate>,
+    stop: Arc<AtomicBool>,
+    /// When the request to stop came.
+    stopping: Cell<Option<Instant>>,
+    /// Requests that are being served.
+    active: Cell<usize>,
+    render: Box<dyn Fn() -> String>,
+}
+
+/// Serves callers until the process is told to stop; `render` gives the metrics.
+///
+/// # Errors
+/// Fails when an address can't be listened on.
+pub fn run(gate: Gate, listen: Listen, stop: Arc<AtomicBool>, render: Box<dyn Fn() -> String>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let server = Rc::new(Server {
+        gate: Rc::new(gate),
+        stop,
+        stopping: Cell::new(None),
+        active: Cell::new(0),
+        render,
+    });
+    LocalSet::new().block_on(&runtime, server.serve(listen))
+}
+
+impl Server {
+    async fn serve(self: Rc<Self>, listen: Listen) -> io::Result<()> {
+        let callers = bind(listen.callers)?;
+        let ready = bind(listen.ready)?;
+        spawn_local(Rc::clone(&self).accept(ready, Kind::Question));
+        if let Some(address) = listen.metrics {
+            spawn_local(Rc::clone(&self).accept(bind(address)?, Kind::Question));
+        }
+        spawn_local(Rc::clone(&self).accept(callers, Kind::Caller));
+        info!(self.gate.logger, "serving"; "callers" => %listen.callers, "ready" => %listen.ready);
+        let mut told_ready = false;
+        loop {
+            sleep(EXCHANGE).await;
+            self.gate.exchange();
+            self.gate.fill_buckets();
+            if self.stop.load(Ordering::Relaxed) && self.stopping.get().is_none() {
+                self.stopping.set(Some(Instant::now()));
+                info!(self.gate.logger, "stopping"; "active" => self.active.get());
+            }
+            let ready = self.is_ready();
+            if ready != told_ready {
+                info!(self.gate.logger, "readiness changed"; "ready" => ready);
+                told_ready = ready;
+            }
+            gauge!("gentian_gateway_active_count").set(self.active.get() as f64);
+            if self.has_ended(listen.grace) {
+                info!(self.gate.logger, "stopped"; "active" => self.active.get());
+                return Ok(());
+            }
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let known = self.gate.shared.table.load().is_some() && self.gate.upstreams.borrow().listed.is_some();
+        known && self.stopping.get().is_none()
+    }
+
+    fn has_ended(&self, grace: Duration) -> bool {
+        let Some(since) = self.stopping.get() else {
+            return false;
+        };
+        let passed = since.elapsed();
+        (passed >= NOTICED + EXCHANGE * 2 && self.active.get() == 0) || passed >= grace.saturating_sub(MARGIN)
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener, kind: Kind) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let server = Rc::clone(&self);
+                    match kind {
+                        Kind::Caller => drop(spawn_local(server.callers(stream))),
+                        Kind::Question => drop(spawn_local(server.question(stream))),
+                    }
+                }
+                Err(error) => {
+                    warn!(self.gate.logger, "accept failed"; "error" => %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Answers the balancer or a scraper.
+    async fn question(self: Rc<Self>, mut stream: TcpStream) {
+        let mut buffer = BytesMut::new();
+        loop {
+            let head = match head::take_request(&mut buffer, MAX_QUESTION) {
+                Ok(Some(head)) => head,
+                Ok(None) => match timeout(QUESTION, stream.read_buf(&mut buffer)).await {
+                    Ok(Ok(count)) if count > 0 => continue,
+                    _ => return,
+                },
+                Err(_malformed) => return,
+            };
+            let (status, body) = self.reply(&head);
+            let answer = format!(
+                "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() || !head.keeps() {
+                return;
+            }
+        }
+    }
+
+    fn reply(&self, head: &Head<RequestLine>) -> (&'static str, String) {
+        let path = &*head.start.target;
+        if path == b"/metrics" {
+            ("200 OK", (self.render)())
+        } else if path != self.gate.dialect.ready_path().as_bytes() {
+            ("404 Not Found", String::new())
+        } else if self.is_ready() {
+            ("200 OK", "ready\n".to_owned())
+        } else {
+            ("503 Service Unavailable", "not ready\n".to_owned())
+        }
+    }
+
+    /// Serves the requests of one connection.
+    async fn callers(self: Rc<Self>, stream: TcpStream) {
+        // Without it the connection only is slower.
+        let _ = stream.set_nodelay(true);
+        let (read, mut out) = stream.into_split();
+        let mut input = Input::new(read);
+        counter!("gentian_gateway_connections_total").increment(1);
+        while self.wait(&mut input).await {
+            self.active.set(self.active.get() + 1);
+            let kept = self.one(&mut input, &mut out).await;
+            self.active.set(self.active.get() - 1);
+            match kept {
+                Kept::Open => {}
+                Kept::Closing => {
+                    // What was written stays; an error means that the caller is gone.
+                    let _ = out.shutdown().await;
+                    input.drain().await;
+                    return;
+                }
+                Kept::Gone => return,
+            }
+        }
+    }
+
+    /// Waits for the next request; tells whether it came.
+    async fn wait(&self, input: &mut Input) -> bool {
+        let limits = self
+            .gate
+            .shared
+            .table
+            .load()
+            .as_ref()
+            .map(|table| table.catalog().limits);
+        let idle = Duration::from_millis(limits.unwrap_or_default().idle_ms);
+        tokio::select! {
+            begun = timeout(idle, input.begins()) => begun.unwrap_or(false),
+            () = self.closes_idle() => false,
+        }
+    }
+
+    /// Waits until idle connections are closed because the process stops.
+    async fn closes_idle(&self) {
+        loop {
+            if self.stopping.get().is_some_and(|since| since.elapsed() >= NOTICED) {
+                return;
+            }
+            sleep(EXCHANGE * 5).await;
+        }
+    }
+
+    /// Serves one request.
+    async fn one(&self, input: &mut Input, out: &mut OwnedWriteHalf) -> Kept {
+        let request = match self.read(input, out).await {
+            Ok(request) => request,
+            Err(NoService::Gone) => return Kept::Gone,
+            Err(NoService::Refused(refusal, keep)) => {
+                let close = refusal.close || !keep;
+                if out.write_all(&refusal.render(close)).await.is_err() {
+                    return Kept::Gone;
+                }
+                return if close { Kept::Closing } else { Kept::Open };
+            }
+        };
+        let keep = request.keep;
+        let end = tokio::select! {
+            end = request.serve(&self.gate, out) => end,
+            () = input.gone() => {
+                counter!("gentian_gateway_callers_left_total").increment(1);
+                info!(self.gate.logger, "caller left"; "request" => &request.asked.id,
+                    "after_ms" => request.came.elapsed().as_millis() as u64, "sends" => request.progress.get().sends);
+                return Kept::Gone;
+            }
+        };
+        match end {
+            crate::request::End::Broken { .. } => Kept::Gone,
+            _ if keep => Kept::Open,
+            _ => Kept::Closing,
+        }
+    }
+
+    /// Reads a request and finds who asks and which service it goes to.
+    async fn read(&self, input: &mut Input, out: &mut OwnedWriteHalf) -> Result<Request, NoService> {
+        let gate = &self.gate;
+        let limits = gate
+            .shared
+            .table
+            .load()
+            .as_ref()
+            .map(|table| table.catalog().limits)
+            .unwrap_or_default();
+        let came = Instant::now();
+        let head = input
+            .head(limits.head_bytes, Duration::from_millis(limits.head_ms))
+            .await;
+        let head = head.map_err(|why| self.malformed(&why))?;
+        let framing = head
+            .framing()
+            .map_err(|error| self.malformed(&NoRequest::Head(error)))?;
+        let keep = head.keeps() && self.stopping.get().is_none();
+        if head.all("host").count() != 1 {
+            return Err(self.refused(Refusal::closing(400, "one host is needed"), "", keep));
+        }
+        let asked = match gate.dialect.asked(&head) {
+            Ok(asked) => asked,
+            Err(why) => return Err(self.refused(Refusal::closing(400, why), "", keep)),
+        };
+        let id = asked.id.clone();
+        let routed = gate.route(&head, &asked);
+        let body = self
+            .body(input, out, &head, framing, limits.body_bytes, came, &asked)
+            .await?;
+        let (route, service, account) = routed.map_err(|refusal| self.refused(refusal, &id, keep))?;
+        gate.note_request(&service);
+        if let Some(account) = &account
+            && let Err(over) = gate.admit(account, &asked)
+        {
+            let wait = Duration::from_secs_f64(over.wait_s.clamp(0.05, 30.0));
+            let refusal = Refusal::new(429, "not run: over the account's quota").retry_in(wait);
+            return Err(self.refused(refusal, &id, keep));
+        }
+        let until = gate.until(came, &asked, &route);
+        Ok(Request {
+            head,
+            asked,
+            body,
+            route,
+            service,
+            account,
+            came,
+            until,
+            keep,
+            progress: Cell::new(Progress::default()),
+        })
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each says one thing about the body that is read"
+    )]
+    async fn body(
+        &self,
+        input: &mut Input,
+        out: &mut OwnedWriteHalf,
+        head: &Head<RequestLine>,
+        framing: Framing,
+        most: usize,
+        came: Instant,
+        asked: &crate::dialect::Asked,
+    ) -> Result<bytes::Bytes, NoService> {
+        if head.has_word("expect", "100-continue") && out.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            return Err(NoService::Gone);
+        }
+        let until = came + asked.patience.unwrap_or(Duration::from_secs(30));
+        input
+            .body(framing, most, until)
+            .await
+            .map_err(|why| self.malformed(&why))
+    }
+
+    fn malformed(&self, why: &NoRequest) -> NoService {
+        let refusal = match why {
+            NoRequest::Ended => return NoService::Gone,
+            NoRequest::Head(HeadError::TooLarge) => Refusal::closing(431, "the head is too large"),
+            NoRequest::Head(HeadError::Malformed) => Refusal::closing(400, "the head is malformed"),
+            NoRequest::Body => Refusal::closing(400, "the body is malformed"),
+            NoRequest::TooLarge => Refusal::closing(413, "the body is too large"),
+            NoRequest::Late => Refusal::closing(408, "not run: the request did not come in time"),
+        };
+        self.refused(refusal, "", false)
+    }
+
+    fn refused(&self, refusal: Refusal, id: &str, keep: bool) -> NoService {
+        counter!("gentian_gateway_refused_total", "status" => refusal.status.to_string()).increment(1);
+        let version = self
+            .gate
+            .shared
+            .table
+            .load()
+            .as_ref()
+            .map(|table| table.catalog().version);
+        info!(self.gate.logger, "request refused"; "request" => id, "status" => refusal.status, "why" => &refusal.why,
+            "retry_ms" => refusal.retry.map(|after| after.as_millis() as u64), "version" => version);
+        NoService::Refused(refusal, keep)
+    }
+}
+
+/// Who connects to a listener.
+#[derive(Clone, Copy)]
+enum Kind {
+    Caller,
+    Question,
+}
+
+/// What becomes of a connection after a request.
+enum Kept {
+    Open,
+    Closing,
+    Gone,
+}
+
+/// A request that is not passed on.
+enum NoService {
+    Gone,
+    Refused(Refusal, bool),
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,190 @@
+//! Streams: whole events, passed on as they come, and gone on with at another upstream where the route allows it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use metrics::counter;
+use slog::info;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::timeout;
+
+use contract::Repeatable;
+
+use crate::events::{Event, Events};
+use crate::exchange::{Fate, Opened, Piece};
+use crate::gate::Gate;
+use crate::request::{End, Request, Running, answer_head};
+
+/// Silence before the first event after which a stream that can go on elsewhere does; an engine with a long queue may
+/// take this long, and a second run would only lengthen it.
+const FIRST: Duration = Duration::from_secs(3);
+/// Silence between two events after which it does. Callers leave after two seconds or more.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Passes a stream on.
+///
+/// # Errors
+/// Tells what is certain about the request when it breaks off before its first event.
+pub(crate) async fn pass(
+    request: &Request,
+    gate: &Rc<Gate>,
+    out: &mut OwnedWriteHalf,
+    opened: Opened,
+    running: Running,
+    tried: &mut Vec<String>,
+) -> Result<End, Fate> {
+    let status = opened.head.start.status;
+    let mut events = Events::after(request.asked.after);
+    let head = answer_head(&opened.head, None, request.keep);
+    let mut source = Source { opened, running };
+    let mut sink = Sink { out, head: Some(head) };
+    loop {
+        let broken = match forward(request, gate, &mut source, &mut events, &mut sink).await {
+            Ok(()) => {
+                source.done(gate);
+                sink.end().await.map_err(|error| Fate::unknown(error.to_string()))?;
+                return Ok(End::Passed { status });
+            }
+            Err(Stop::Caller(why)) => return Ok(End::Broken { why }),
+            Err(Stop::Upstream(fate)) => fate,
+        };
+        // The upstream stops when its connection closes; it must have before another goes on.
+        drop(source);
+        if !request.progress.get().begun {
+            return Err(broken);
+        }
+        match resume(request, gate, &events, tried).await {
+            Some(next) => source = next,
+            None => {
+                return Ok(End::Broken {
+                    why: format!("stream broke off: {broken}"),
+                });
+            }
+        }
+        events.restart();
+    }
+}
+
+/// Where events come from.
+struct Source {
+    opened: Opened,
+    running: Running,
+}
+
+impl Source {
+    fn done(self, gate: &Gate) {
+        let Self { opened, running } = self;
+        drop(running);
+        let address = opened.connection.stream.peer_addr();
+        if let (Ok(address), Some((connection, idle))) = (address, opened.reusable()) {
+            gate.pool.borrow_mut().keep(address, connection, idle);
+        }
+    }
+}
+
+/// Where events go to.
+struct Sink<'a> {
+    out: &'a mut OwnedWriteHalf,
+    /// The answer's head, until the first event.
+    head: Option<Vec<u8>>,
+}
+
+impl Sink<'_> {
+    async fn write(&mut self, events: &[Event]) -> std::io::Result<()> {
+        let size: usize = events.iter().map(|event| event.bytes.len()).sum();
+        let mut bytes = self.head.take().unwrap_or_default();
+        bytes.extend_from_slice(format!("{size:x}\r\n").as_bytes());
+        for event in events {
+            bytes.extend_from_slice(&event.bytes);
+        }
+        bytes.extend_from_slice(b"\r\n");
+        self.out.write_all(&bytes).await
+    }
+
+    async fn end(&mut self) -> std::io::Result<()> {
+        let mut bytes = self.head.take().unwrap_or_default();
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        self.out.write_all(&bytes).await
+    }
+}
+
+/// Why events no longer come or go.
+enum Stop {
+    Caller(String),
+    Upstream(Fate),
+}
+
+/// Passes events on until the stream is whole.
+async fn forward(
+    request: &Request,
+    gate: &Gate,
+    source: &mut Source,
+    events: &mut Events,
+    sink: &mut Sink<'_>,
+) -> Result<(), Stop> {
+    let resumable = request.route.repeat == Repeatable::ResumableStream;
+    loop {
+        let limit = if request.progress.get().begun { PAUSE } else { FIRST };
+        let piece = if resumable && request.progress.get().sends < request.route.attempts {
+            match timeout(limit, source.opened.next()).await {
+                Ok(piece) => piece,
+                Err(_silent) => Err(Fate::unknown("silent")),
+            }
+        } else {
+            source.opened.next().await
+        };
+        match piece.map_err(Stop::Upstream)? {
+            Piece::Bytes(bytes) => events.push(&bytes),
+            Piece::End if events.is_torn() => {
+                return Err(Stop::Upstream(Fate::unknown("ended within an event")));
+            }
+            Piece::End => return Ok(()),
+        }
+        let mut whole = Vec::new();
+        while let Some(event) = events
+            .take()
+            .map_err(|error| Stop::Upstream(Fate::unknown(error.to_string())))?
+        {
+            whole.push(event);
+        }
+        if whole.is_empty() {
+            continue;
+        }
+        request.count(gate);
+        request.begin();
+        sink.write(&whole)
+            .await
+            .map_err(|error| Stop::Caller(error.to_string()))?;
+    }
+}
+
+/// Goes on at another upstream after the last event that was passed on.
+async fn resume(request: &Request, gate: &Rc<Gate>, events: &Events, tried: &mut Vec<String>) -> Option<Source> {
+    if request.route.repeat != Repeatable::ResumableStream {
+        return None;
+    }
+    loop {
+        if request.progress.get().sends >= request.route.attempts {
+            return None;
+        }
+        let chosen = request.choose(gate, tried).ok()?;
+        if !gate.may_repeat(&request.service) {
+            return None;
+        }
+        tried.push(chosen.id.clone());
+        match request.attempt(gate, &chosen, events.last()).await {
+            Ok((opened, running)) if opened.is_sound() && opened.head.start.status == 200 => {
+                counter!("gentian_gateway_streams_resumed_total").increment(1);
+                info!(gate.logger, "stream resumed"; "request" => &request.asked.id, "upstream" => &chosen.id,
+                    "after" => events.last());
+                return Some(Source { opened, running });
+            }
+            Ok((opened, _)) => {
+                let fate = Fate::unknown(format!("answered {}", opened.head.start.status));
+                request.note_fate(gate, &chosen, &fate);
+            }
+            Err(fate) => request.note_fate(gate, &chosen, &fate),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstreams.rs
@@ -0,0 +1,261 @@
+//! The upstreams of the list, with what is known of each: load, failures, cached parts of prompts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use contract::{ServiceName, Zone};
+use policy::Tick;
+use policy::breaker::Breaker;
+use policy::load::{LoadEstimate, Report};
+use policy::place::{Cached, Candidate, Part, Predicted, choose};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::Load;
+
+/// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts.
+const LOAD_FRESH: Duration = Duration::from_millis(1_500);
+/// Milliseconds by which predictions may differ and still count as equal, so that entry hosts agree on the place of a
+/// prompt's parts instead of spreading them over all.
+const CLOSE_MS: f64 = 12.0;
+/// Weight of a new time against all earlier ones.
+const SLOW_WEIGHT: f64 = 0.1;
+/// Queue places behind the slots that may be filled; an upstream refuses what comes on top.
+const QUEUE: f64 = 2.0;
+
+/// An upstream as the list names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its incarnation.
+    pub id: String,
+    /// The service.
+    pub service: ServiceName,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub zone: Zone,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// An upstream with what is known of it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// As the list names it.
+    pub listed: Listed,
+    load: LoadEstimate,
+    breaker: Breaker,
+    cached: Cached,
+    own: u32,
+    hash: u64,
+    /// Milliseconds that it is slower than its service's average.
+    slow_ms: f64,
+    /// It said that it is another incarnation.
+    gone: bool,
+}
+
+/// All upstreams.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    all: HashMap<String, Upstream>,
+    /// Number of the list that was read last, and when it was asked for.
+    pub listed: Option<Tick>,
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Parts of the prompt.
+    pub parts: &'a [Part],
+    /// Incarnations that were tried already.
+    pub tried: &'a [String],
+    /// Own data centre.
+    pub zone: &'a Zone,
+    /// Entry hosts that share the upstreams.
+    pub entries: u32,
+}
+
+/// The upstream that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    /// Its incarnation.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// What was predicted.
+    pub predicted: Predicted,
+    /// Load that the prediction rests on.
+    pub load: f64,
+    /// Prompt tokens that are believed to be cached there.
+    pub cached: u64,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum NoUpstream {
+    /// The list names none.
+    #[display("no upstream is listed")]
+    None,
+    /// All that are listed fail or were tried.
+    #[display("every upstream fails")]
+    Failing,
+    /// All are full.
+    #[display("every upstream is full")]
+    Full,
+}
+
+impl Upstreams {
+    /// Takes a list over; what is known of upstreams that stay is kept. Returns those that began to leave or are gone.
+    pub fn update(&mut self, list: Vec<Listed>, asked: Tick) -> Vec<String> {
+        let mut ended: Vec<String> = Vec::new();
+        let mut before = std::mem::take(&mut self.all);
+        for listed in list {
+            let id = listed.id.clone();
+            let upstream = match before.remove(&id) {
+                Some(mut known) => {
+                    if listed.leaving && !known.listed.leaving {
+                        ended.push(id.clone());
+                    }
+                    known.gone &= known.listed.address == listed.address;
+                    known.listed = listed;
+                    known
+                }
+                None => Upstream::new(listed),
+            };
+            self.all.insert(id, upstream);
+        }
+        ended.extend(before.into_keys());
+        self.listed = Some(asked);
+        ended
+    }
+
+    /// Chooses an upstream for a request.
+    ///
+    /// # Errors
+    /// Tells why there is none.
+    pub fn choose(&self, need: &Need<'_>, now: Tick) -> Result<Chosen, NoUpstream> {
+        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
+        let all: Vec<&Upstream> = self.all.values().filter(serves).collect();
+        if all.is_empty() {
+            return Err(NoUpstream::None);
+        }
+        let usable = |upstream: &&Upstream| {
+            !upstream.gone && upstream.breaker.allows(now) && !need.tried.contains(&upstream.listed.id)
+        };
+        let mut open: Vec<&Upstream> = all.into_iter().filter(usable).collect();
+        if open.is_empty() {
+            return Err(NoUpstream::Failing);
+        }
+        open.sort_by(|a, b| a.listed.id.cmp(&b.listed.id));
+        let lead = need.parts.first().map_or(0, |part| part.key);
+        let candidates: Vec<Candidate> = open
+            .iter()
+            .enumerate()
+            .map(|(at, upstream)| upstream.candidate(at, lead, need, now))
+            .filter(|one| one.load < one.slots * QUEUE)
+            .collect();
+        let tokens = need.parts.iter().map(|part| part.tokens).sum();
+        // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
+        let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
+        let predicted = choose(&candidates, tokens, close_ms).ok_or(NoUpstream::Full)?;
+        let chosen = open[predicted.at];
+        let candidate = candidates.iter().find(|one| one.at == predicted.at);
+        Ok(Chosen {
+            id: chosen.listed.id.clone(),
+            address: chosen.listed.address,
+            predicted,
+            load: candidate.map_or(0.0, |one| one.load),
+            cached: candidate.map_or(0, |one| one.cached),
+        })
+    }
+
+    /// Gives an upstream.
+    pub fn get(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.all.get_mut(id)
+    }
+
+    /// Gives all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.all.values()
+    }
+}
+
+impl Upstream {
+    fn new(listed: Listed) -> Self {
+        Self {
+            hash: xxh3_64(listed.id.as_bytes()),
+            listed,
+            load: LoadEstimate::default(),
+            breaker: Breaker::default(),
+            cached: Cached::default(),
+            own: 0,
+            slow_ms: 0.0,
+            gone: false,
+        }
+    }
+
+    fn candidate(&self, at: usize, lead: u64, need: &Need<'_>, now: Tick) -> Candidate {
+        // Other entry hosts send about as much as this one; without a fresh report the own requests stand for theirs.
+        let unknown = f64::from(self.own) * f64::from(need.entries.clamp(1, 4));
+        let predicted = self.load.predict(now, LOAD_FRESH, true);
+        Candidate {
+            at,
+            load: predicted.reported.unwrap_or(unknown),
+            slots: f64::from(self.listed.slots.max(1)),
+            cached: self.cached.tokens(need.parts, now),
+            weight: xxh3_64(&(self.hash ^ lead).to_le_bytes()),
+            near: self.listed.zone == *need.zone,
+            slow_ms: self.slow_ms,
+        }
+    }
+
+    /// Notes that a request is sent; with a prompt, its parts will be cached.
+    pub fn sent(&mut self, parts: &[Part], now: Tick) {
+        self.own += 1;
+        self.load.sent(now);
+        self.cached.store(parts, now);
+        // The choice has looked at the breaker; the claim keeps a second request from following a probe.
+        let _ = self.breaker.claim(now);
+    }
+
+    /// Notes that a request has ended there.
+    pub fn ended(&mut self, now: Tick) {
+        self.own = self.own.saturating_sub(1);
+        self.load.ended(now);
+    }
+
+    /// Notes an answer with the time that it took beyond what was predicted.
+    pub fn answered(&mut self, late_ms: f64) {
+        self.breaker.succeeded();
+        self.slow_ms += SLOW_WEIGHT * (late_ms.clamp(0.0, 1_000.0) - self.slow_ms);
+    }
+
+    /// Notes a failure.
+    pub fn failed(&mut self, now: Tick) {
+        self.breaker.failed(now);
+    }
+
+    /// Notes that another incarnation answers at its address.
+    pub fn replaced(&mut self) {
+        self.gone = true;
+    }
+
+    /// Notes the load that it told.
+    pub fn told(&mut self, load: Load, now: Tick) {
+        if load.slots > 0 {
+            self.listed.slots = load.slots;
+        }
+        self.load.report(Report {
+            measured: now,
+            running: load.running,
+            waiting: load.waiting,
+            kv_used: 0.0,
+        });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,128 @@
+//! Which upstream a request goes to, by predicted time: the wait there and the prompt tokens that are not cached.
+
+use std::cmp::Ordering;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::Tick;
+
+/// Prompt tokens that an engine reads in a millisecond until something better is known; the deployments' sheets give 64
+/// and 68.
+const PREFILL_PER_MS: f64 = 64.0;
+/// Milliseconds that an upstream with all slots taken answers later than an idle one. Prefill and decoding share the
+/// engine, so each running request slows the others; twice the token time of a full batch.
+const CROWD_MS: f64 = 120.0;
+/// Milliseconds that a request waits for each one that is queued before it.
+const QUEUED_MS: f64 = 30.0;
+/// Milliseconds that another data centre is taken to be farther; it breaks ties and saves traffic between them.
+const DISTANCE_MS: f64 = 2.0;
+/// How long a part of a prompt is believed to stay cached after its last use.
+const CACHED: Duration = Duration::from_mins(1);
+/// Parts of prompts that are remembered for one upstream; more than its cache holds at common sizes.
+const MAX_PARTS: usize = 4_096;
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Identifies it together with all parts before it.
+    pub key: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// The parts of prompts that an upstream is believed to hold.
+#[derive(Clone, Debug, Default)]
+pub struct Cached {
+    used: HashMap<u64, Tick>,
+    order: VecDeque<(Tick, u64)>,
+}
+
+impl Cached {
+    /// Notes that the upstream has read a prompt.
+    pub fn store(&mut self, parts: &[Part], now: Tick) {
+        for part in parts {
+            self.used.insert(part.key, now);
+            self.order.push_back((now, part.key));
+        }
+        while self.order.len() > MAX_PARTS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Gives the tokens at the beginning of a prompt that the upstream holds.
+    #[must_use]
+    pub fn tokens(&self, parts: &[Part], now: Tick) -> u64 {
+        let held = |part: &&Part| self.used.get(&part.key).is_some_and(|at| now.since(*at) < CACHED);
+        parts.iter().take_while(held).map(|part| part.tokens).sum()
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((at, key)) = self.order.pop_front()
+            && self.used.get(&key) == Some(&at)
+        {
+            self.used.remove(&key);
+        }
+    }
+}
+
+/// An upstream that may take the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its number among the upstreams.
+    pub at: usize,
+    /// Requests that run or wait there.
+    pub load: f64,
+    /// Requests that run at once.
+    pub slots: f64,
+    /// Prompt tokens that are cached there.
+    pub cached: u64,
+    /// Weight of the rendezvous hash of prompt and upstream, on which all entry hosts agree.
+    pub weight: u64,
+    /// Whether it stands in the own data centre.
+    pub near: bool,
+    /// Milliseconds that it is slower than others, as far as known.
+    pub slow_ms: f64,
+}
+
+/// What is predicted for one upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Predicted {
+    /// The upstream's number.
+    pub at: usize,
+    /// Milliseconds until the answer begins.
+    pub ms: f64,
+    /// Whether it takes the request without queueing it.
+    pub free: bool,
+}
+
+/// Predicts the time until an upstream answers a prompt of so many tokens.
+#[must_use]
+pub fn predict(option: &Candidate, tokens: u64) -> Predicted {
+    let slots = option.slots.max(1.0);
+    let queued = (option.load + 1.0 - slots).max(0.0);
+    let crowd = (option.load / slots).min(1.0);
+    let fresh = tokens.saturating_sub(option.cached) as f64;
+    let ms = fresh / PREFILL_PER_MS * (1.0 + crowd)
+        + crowd * crowd * CROWD_MS
+        + queued * QUEUED_MS
+        + if option.near { 0.0 } else { DISTANCE_MS }
+        + option.slow_ms;
+    Predicted {
+        at: option.at,
+        ms,
+        free: queued == 0.0,
+    }
+}
+
+/// Gives the upstream with the lowest predicted time; of those that differ by little, the one with the highest weight.
+#[must_use]
+pub fn choose(options: &[Candidate], tokens: u64, close_ms: f64) -> Option<Predicted> {
+    let predicted: Vec<(Predicted, u64)> = options
+        .iter()
+        .map(|option| (predict(option, tokens), option.weight))
+        .collect();
+    let least = predicted.iter().map(|(one, _)| one.ms).min_by(f64::total_cmp)?;
+    let close = predicted.iter().filter(|(one, _)| one.ms <= least + close_ms);
+    let best = close.max_by(|(_, a), (_, b)| a.cmp(b).then(Ordering::Equal));
+    best.map(|(one, _)| *one)
+}
--- /dev/null
+++ b/crates/policy/src/quota.rs
@@ -0,0 +1,72 @@
+//! An entry host's part of a client account's quota.
+
+use crate::Tick;
+
+/// Part of the burst that must be there for a request that is larger than it. A larger request than the whole burst would
+/// else never be let in; what it takes too much is paid back before the next one.
+const LARGE: f64 = 0.5;
+
+/// A bucket that fills at the account's rate times the own part.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    units: f64,
+    at: Tick,
+    /// Units a second.
+    rate: f64,
+    /// Most units that are saved up.
+    burst: f64,
+}
+
+/// A request that is over the quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Over {
+    /// Seconds until there is room for it.
+    pub wait_s: f64,
+}
+
+impl Bucket {
+    /// Makes a bucket that fills from empty: a process that was restarted must not own again what its forerunner spent.
+    #[must_use]
+    pub const fn new(now: Tick) -> Self {
+        Self {
+            units: 0.0,
+            at: now,
+            rate: 0.0,
+            burst: 0.0,
+        }
+    }
+
+    /// Changes rate and burst; what is saved up beyond the new burst is lost.
+    pub fn set(&mut self, rate: f64, burst: f64, now: Tick) {
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.units = self.units.min(burst);
+    }
+
+    /// Takes a request's units.
+    ///
+    /// # Errors
+    /// Tells how long the request would have to wait when there is no room for it.
+    pub fn take(&mut self, units: f64, now: Tick) -> Result<(), Over> {
+        self.fill(now);
+        let needed = units.min(self.burst * LARGE);
+        if self.units < needed || self.rate <= 0.0 {
+            let wait_s = (needed - self.units) / self.rate.max(f64::MIN_POSITIVE);
+            return Err(Over { wait_s });
+        }
+        self.units -= units;
+        Ok(())
+    }
+
+    /// Gives back the units of a request that no upstream ran.
+    pub fn give_back(&mut self, units: f64) {
+        self.units = (self.units + units).min(self.burst);
+    }
+
+    fn fill(&mut self, now: Tick) {
+        let passed = now.since(self.at).as_secs_f64();
+        self.units = (self.units + passed * self.rate).min(self.burst);
+        self.at = now;
+    }
+}
--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -2,15 +2,18 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use contract::{Change, ChangeId, ChangeRecord, Config, CustomerId, KeyHash, NodeId, RequestId, Revision};
+use contract::{Catalog, Change, ChangeId, ChangeRecord, Config, CustomerId, KeyHash, NodeId, RequestId, Revision};
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
+use wire::catalog::{Document, Fetched, Publish, Published};
 use wire::state::{Claim, Claimed, Lease, Leased, Outcome, Propose, Proposed, Settle, Settled, Watched};
 
 /// Changes that are kept for learners; one further behind gets the whole configuration.
 const KEPT_RECORDS: usize = 256;
 /// Changes that the audit trail keeps.
 const KEPT_AUDITS: usize = 4_096;
+/// Windows of usage that are kept: those that may still be reported, many times over.
+const KEPT_WINDOWS: usize = 64;
 /// How long a claim and its outcome are kept, in milliseconds of log time; after that the key may be used anew.
 pub const CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
 /// How long the answer to a change is kept for resends, in milliseconds of log time.
@@ -40,6 +43,21 @@
     Lease(Lease),
     /// Adds, changes or removes an operator.
     Operator(PutOperator),
+    /// Publishes a catalog.
+    Publish(Publish),
+    /// Reads the newest document; an answer shows that a majority still follows, so that no newer one exists elsewhere.
+    Fetch,
+    /// Fixes the usage of a window before it is reported.
+    Usage(Usage),
+}
+
+/// The usage of one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests that began in it, by client account.
+    pub counts: BTreeMap<String, u64>,
 }
 
 /// What an operator may do.
@@ -90,6 +108,12 @@
     Settled(Settled),
     /// To a lease.
     Leased(Leased),
+    /// To a document.
+    Published(Published),
+    /// To a read of the newest document.
+    Fetched(Fetched),
+    /// To the usage of a window: what is to be reported.
+    Usage(Usage),
 }
 
 /// Who changed what, as operators read it.
@@ -122,6 +146,10 @@
     pub operators: BTreeMap<String, Operator>,
     /// The audit trail.
     pub audits: VecDeque<Audit>,
+    /// The newest document with the catalog that it stands for.
+    pub published: Option<Publish>,
+    /// Usage of the newest windows, as it was or will be reported.
+    pub usage: BTreeMap<u64, BTreeMap<String, u64>>,
     answered: BTreeMap<ChangeId, Proposed>,
     answered_at: VecDeque<(u64, ChangeId)>,
     touched: BTreeMap<String, Revision>,
@@ -167,6 +195,9 @@
             Command::Claim(ask) => Reply::Claimed(self.claim(ask)),
             Command::Settle(ask) => Reply::Settled(self.settle(ask)),
             Command::Lease(ask) => Reply::Leased(self.lease(ask)),
+            Command::Publish(ask) => Reply::Published(self.publish(ask)),
+            Command::Usage(ask) => Reply::Usage(self.fix_usage(ask)),
+            Command::Fetch => Reply::Fetched(Fetched::Document(self.document())),
         }
     }
 
@@ -204,6 +235,49 @@
         }
     }
 
+    /// Gives the newest catalog.
+    #[must_use]
+    pub fn catalog(&self) -> Option<&Catalog> {
+        self.published.as_ref().map(|published| &published.catalog)
+    }
+
+    /// Puts a document in force unless one of the same or a higher version is; the operator who was overtaken is answered
+    /// like the one who came first, since a resend must never be refused.
+    fn publish(&mut self, ask: &Publish) -> Published {
+        let current = self.catalog().map_or(0, |catalog| catalog.version);
+        let changed = self.published.is_none() || ask.catalog.version > current;
+        if changed {
+            self.published = Some(ask.clone());
+        }
+        Published::Accepted {
+            version: if changed { ask.catalog.version } else { current },
+            changed,
+        }
+    }
+
+    /// Keeps the first counts of a window: two reports of one window must be equal, whoever sends the second.
+    fn fix_usage(&mut self, ask: &Usage) -> Usage {
+        let counts = self
+            .usage
+            .entry(ask.window)
+            .or_insert_with(|| ask.counts.clone())
+            .clone();
+        while self.usage.len() > KEPT_WINDOWS {
+            self.usage.pop_first();
+        }
+        Usage {
+            window: ask.window,
+            counts,
+        }
+    }
+
+    fn document(&self) -> Option<Document> {
+        self.published.as_ref().map(|published| Document {
+            version: published.catalog.version,
+            bytes: published.document.clone(),
+        })
+    }
+
     /// Gives the number of claims that are kept.
     #[must_use]
     pub fn claim_count(&self) -> u64 {
--- a/crates/state/src/core/ask.rs
+++ b/crates/state/src/core/ask.rs
@@ -6,8 +6,10 @@
 use contract::NodeId;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use derive_more::{Display, Error};
+use policy::Tick;
 use serde::Serialize;
 use tokio::sync::oneshot;
+use wire::catalog::{Follow, Followed};
 use wire::state::{StateStatus, Unavailable, Watch, Watched};
 
 use crate::applied::{Applied, Command, Reply};
@@ -27,6 +29,10 @@
     Command(Box<Command>, oneshot::Sender<Result<Reply, Unavailable>>),
     /// Waits for changes of the configuration.
     Watch(Watch, oneshot::Sender<Watched>),
+    /// Waits for a newer catalog.
+    Follow(Follow, oneshot::Sender<Followed>),
+    /// Asks whether the node leads.
+    Lead(oneshot::Sender<Lead>),
     /// Asks for the status.
     Status(oneshot::Sender<StateStatus>),
     /// Asks something of the applied state.
@@ -40,6 +46,17 @@
     Deliver(Delivery),
 }
 
+/// What a node knows of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lead {
+    /// The term.
+    pub term: u64,
+    /// Since when this node has led in it; nothing if it doesn't lead.
+    pub since: Option<Tick>,
+    /// Inner address of the leader, if known.
+    pub leader: Option<SocketAddr>,
+}
+
 /// Names the member that is to be replaced and the node that takes its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Replace {
--- a/crates/state/src/core/forming.rs
+++ b/crates/state/src/core/forming.rs
@@ -1,6 +1,6 @@
 //! How blank disks become a group, and how a blank disk announces itself to one that is there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +17,10 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// How long an announcement counts.
 const FRESH: Duration = Duration::from_secs(2);
+/// Silence of the leader after which a member announces itself anew: longer than an election takes.
+const ALONE: Duration = Duration::from_millis(1_500);
+/// Most addresses that are told or kept: more than the largest deployment has state nodes, old addresses included.
+const MAX_TOLD: usize = 64;
 
 /// Who this node is, from its settings.
 #[derive(Clone, Debug)]
@@ -25,8 +29,28 @@
     pub node: NodeId,
     /// Its address.
     pub address: SocketAddr,
-    /// All nodes that the group starts with, this one among them.
+    /// All nodes that the group starts with, this one among them; with automatic membership the seeds.
     pub peers: Vec<SocketAddr>,
+    /// Who decides on the members.
+    pub membership: Membership,
+}
+
+/// Who decides on the members of the group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// Operators: the group starts with the peers, and disks are replaced on request.
+    Operators,
+    /// The leader: whoever announces itself joins, and who is lost makes room.
+    Automatic {
+        /// Whether the whole system starts for the first time, so that blank seeds may form the group.
+        first: bool,
+    },
+}
+
+impl Membership {
+    const fn is_automatic(self) -> bool {
+        matches!(self, Self::Automatic { .. })
+    }
 }
 
 /// What a node says of itself.
@@ -36,6 +60,8 @@
     pub node: NodeId,
     /// Whether its disk belongs to a group.
     pub member: bool,
+    /// Other nodes that it knows; a newcomer may have been told only of nodes that don't lead.
+    pub known: Vec<SocketAddr>,
 }
 
 /// Another node as last heard of.
@@ -44,6 +70,8 @@
     id: MemberId,
     hello: Hello,
     at: Tick,
+    /// Whether it said so itself; else it is only known as the sender of other messages.
+    announced: bool,
 }
 
 /// What is known of nodes outside the members.
@@ -51,6 +79,8 @@
 pub(super) struct Forming {
     me: MemberId,
     heard: BTreeMap<SocketAddr, Heard>,
+    /// Nodes that others have told of.
+    told: BTreeSet<SocketAddr>,
     next: Tick,
 }
 
@@ -59,6 +89,7 @@
         Self {
             me,
             heard: BTreeMap::new(),
+            told: BTreeSet::new(),
             next: Tick(Duration::ZERO),
         }
     }
@@ -79,8 +110,30 @@
             .map(|(address, heard)| (heard.id, &heard.hello.node, *address))
     }
 
+    /// Gives the nodes that announce themselves as newcomers or because nobody leads them.
+    pub(super) fn announced(&self, now: Tick) -> impl Iterator<Item = (MemberId, &NodeId, SocketAddr)> {
+        self.heard
+            .iter()
+            .filter(move |(_, heard)| heard.announced && now.since(heard.at) < FRESH)
+            .map(|(address, heard)| (heard.id, &heard.hello.node, *address))
+    }
+
+    fn tell(&mut self, known: &[SocketAddr]) {
+        let room = MAX_TOLD.saturating_sub(self.told.len());
+        self.told.extend(known.iter().copied().take(room));
+    }
+
     fn note(&mut self, address: SocketAddr, id: MemberId, hello: Hello, at: Tick) {
-        self.heard.insert(address, Heard { id, hello, at });
+        let announced = !hello.node.as_str().is_empty();
+        self.heard.insert(
+            address,
+            Heard {
+                id,
+                hello,
+                at,
+                announced,
+            },
+        );
     }
 
     /// Gives the first members once every other node has said that it is blank.
@@ -114,13 +167,16 @@
 impl Core {
     /// Announces a blank disk, and forms the group when it is this node's turn.
     pub(super) fn form(&mut self, now: Tick) {
-        if !self.node.members().is_empty() || now < self.forming.next {
+        if now < self.forming.next || !self.is_outside(now) {
             return;
         }
         self.forming.next = now + PAUSE;
         let hello = self.hello();
-        for peer in self.me.peers.iter().filter(|peer| **peer != self.me.address) {
-            self.peers.send(*peer, Parcel::Hello(hello.clone()));
+        for peer in self.known() {
+            self.peers.send(peer, Parcel::Hello(hello.clone()));
+        }
+        if !self.node.members().is_empty() || matches!(self.me.membership, Membership::Automatic { first: false }) {
+            return;
         }
         // Only one node may decide on the first members: two that decide differently would be two groups.
         if self.me.peers.iter().min() == Some(&self.me.address)
@@ -150,6 +206,7 @@
                         let hello = Hello {
                             node: NodeId::default(),
                             member: true,
+                            known: Vec::new(),
                         };
                         self.forming.note(address, from, hello, now);
                     }
@@ -170,22 +227,48 @@
 
     fn on_hello(&mut self, from: MemberId, address: SocketAddr, hello: Hello, now: Tick) {
         let blank = !hello.member;
+        self.forming.tell(&hello.known);
         self.forming.note(address, from, hello, now);
-        if self.node.members().is_empty() || !blank {
+        let answers = blank || self.me.membership.is_automatic();
+        if self.node.members().is_empty() || !answers {
             return;
         }
         let first = self.node.snapshot();
         if first.members.votes(from) && first.at.index == Index(1) {
             self.peers.send(address, Parcel::Form(first.clone()));
-        } else {
+        } else if blank || !self.is_outside(now) {
+            // Two members that both look for a leader would else answer each other for ever.
             self.peers.send(address, Parcel::Hello(self.hello()));
         }
     }
 
+    /// Tells whether this node has to announce itself: its disk is blank, or it is a member whom no leader speaks to,
+    /// perhaps because it was taken for lost and removed.
+    fn is_outside(&self, now: Tick) -> bool {
+        let blank = self.node.members().is_empty();
+        let forgotten = || {
+            let silence = self.heard.map_or(ALONE, |heard| now.since(heard));
+            self.me.membership.is_automatic() && !self.node.leads(now) && silence >= ALONE
+        };
+        blank || forgotten()
+    }
+
+    /// Gives every other node that this one has been told of or has heard.
+    fn known(&self) -> BTreeSet<SocketAddr> {
+        let mut known: BTreeSet<SocketAddr> = self.me.peers.iter().copied().collect();
+        if self.me.membership.is_automatic() {
+            known.extend(self.node.members().0.values().map(|member| member.address));
+            known.extend(self.forming.told.iter().copied());
+        }
+        known.remove(&self.me.address);
+        known
+    }
+
     fn hello(&self) -> Hello {
         Hello {
             node: self.me.node.clone(),
             member: !self.node.members().is_empty(),
+            known: self.known().into_iter().take(MAX_TOLD).collect(),
         }
     }
 }
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod forming;
 mod log_time;
+mod membership;
 mod pending;
 mod serve;
 mod watchers;
@@ -14,10 +15,11 @@
 use policy::Tick;
 use slog::{Logger, error, info, warn};
 use telemetry::Clock;
+use wire::catalog::Followed;
 
-pub use ask::{Ask, MemberList, Replace, ReplaceError, Replaced, ring};
+pub use ask::{Ask, Lead, MemberList, Replace, ReplaceError, Replaced, ring};
 use forming::Forming;
-pub use forming::{Hello, Me};
+pub use forming::{Hello, Me, Membership};
 use log_time::LogTime;
 use pending::Pending;
 use watchers::Watchers;
@@ -52,6 +54,10 @@
     logger: Logger,
     /// When this node last knew that it had everything that is agreed; nothing after a start.
     heard: Option<Tick>,
+    /// Since when it has led without a break; nothing while it doesn't lead.
+    led_since: Option<Tick>,
+    /// When the members are looked at again.
+    members_at: Tick,
     /// Writes that found no room, and when they are tried again.
     stalled: Option<(Ready, Tick)>,
     /// When a snapshot may be tried again.
@@ -90,6 +96,8 @@
             clock,
             logger,
             heard: None,
+            led_since: None,
+            members_at: now,
             stalled: None,
             snapshot_at: now,
             role: "",
@@ -123,6 +131,7 @@
             let now = self.clock.now();
             self.node.tick(now);
             self.form(now);
+            self.keep_members(now);
             self.drive()?;
         }
         let now = self.clock.now();
@@ -132,9 +141,22 @@
         self.note_role(now);
         let age = self.age(now);
         self.watchers.answer(&self.applied, age, now);
+        self.tell_followers(age, now);
         Ok(())
     }
 
+    fn tell_followers(&mut self, age: Duration, now: Tick) {
+        let leader = self.leader_address(now);
+        let members = self.node.members();
+        let told = || Followed {
+            catalog: None,
+            age_ms: age.as_millis() as u64,
+            members: members.0.values().map(|member| member.address).collect(),
+            leader,
+        };
+        self.watchers.answer_followers(&self.applied, told, now);
+    }
+
     /// Carries out what the agreement wants until it wants nothing more.
     fn drive(&mut self) -> Result<(), DiskError> {
         loop {
@@ -251,6 +273,7 @@
 
     fn note_role(&mut self, now: Tick) {
         let leads = self.node.leads(now);
+        self.led_since = leads.then(|| self.led_since.unwrap_or(now));
         let role = if self.node.role() == "leader" && !leads {
             "follower"
         } else {
--- a/crates/state/src/core/serve.rs
+++ b/crates/state/src/core/serve.rs
@@ -1,11 +1,13 @@
 //! Answers to what is asked of the thread.
 
+use std::net::SocketAddr;
+
 use contract::NodeId;
 use policy::Tick;
 use telemetry::clock::wall_ms;
 use wire::state::{StateStatus, Unavailable};
 
-use super::ask::{MemberList, ReplaceError};
+use super::ask::{Lead, MemberList, ReplaceError};
 use super::{Ask, Core, Replace, Replaced};
 use crate::applied::{Command, Entry};
 use crate::raft::{ChangeError, Member, MemberId};
@@ -24,9 +26,11 @@
                 }
                 // A blank disk knows nothing. A learner that took that for the configuration would refuse every caller,
                 // and operators would see no contracts. Without an answer they ask another node.
-                Ask::Watch(..) | Ask::Read(_) if self.node.members().is_empty() => {}
+                Ask::Watch(..) | Ask::Follow(..) | Ask::Read(_) if self.node.members().is_empty() => {}
                 Ask::Watch(watch, reply) => self.watchers.add(watch, reply, now),
+                Ask::Follow(follow, reply) => self.watchers.follow(follow, reply, now),
                 // Askers that have gone away need no answer.
+                Ask::Lead(reply) => drop(reply.send(self.lead(now))),
                 Ask::Status(reply) => drop(reply.send(self.status(now))),
                 Ask::Read(read) => {
                     let age = self.age(now);
@@ -101,6 +105,19 @@
         }
     }
 
+    fn lead(&self, now: Tick) -> Lead {
+        Lead {
+            term: self.node.term().0,
+            since: self.led_since.filter(|_| self.node.leads(now)),
+            leader: self.leader_address(now),
+        }
+    }
+
+    pub(super) fn leader_address(&self, now: Tick) -> Option<SocketAddr> {
+        let leader = self.leader(now)?;
+        self.node.members().0.get(&leader).map(|member| member.address)
+    }
+
     fn leader(&self, now: Tick) -> Option<MemberId> {
         let leader = self.node.leader()?;
         (leader != self.node.id() || self.node.leads(now)).then_some(leader)
--- a/crates/state/src/core/watchers.rs
+++ b/crates/state/src/core/watchers.rs
@@ -4,6 +4,7 @@
 
 use policy::Tick;
 use tokio::sync::oneshot;
+use wire::catalog::{Follow, Followed};
 use wire::state::{Watch, Watched};
 
 use crate::applied::Applied;
@@ -15,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Watchers {
     waiting: Vec<(Tick, Watch, oneshot::Sender<Watched>)>,
+    following: Vec<(Tick, Follow, oneshot::Sender<Followed>)>,
 }
 
 impl Watchers {
@@ -23,6 +25,27 @@
         self.waiting.push((now + wait, watch, reply));
     }
 
+    pub(super) fn follow(&mut self, follow: Follow, reply: oneshot::Sender<Followed>, now: Tick) {
+        let wait = Duration::from_millis(follow.wait_ms).min(MAX_WAIT);
+        self.following.push((now + wait, follow, reply));
+    }
+
+    /// Answers who has news of the catalog or has waited long enough; `told` holds what all of them are told.
+    pub(super) fn answer_followers(&mut self, applied: &Applied, told: impl Fn() -> Followed, now: Tick) {
+        self.following.retain(|(_, _, reply)| !reply.is_closed());
+        let version = applied.catalog().map_or(0, |catalog| catalog.version);
+        let ready = |(until, follow, _): &mut (Tick, Follow, _)| follow.after < version || *until <= now;
+        for (_, follow, reply) in self.following.extract_if(.., ready) {
+            let newer = applied.catalog().filter(|_| follow.after < version);
+            let answer = Followed {
+                catalog: newer.cloned(),
+                ..told()
+            };
+            // An asker that has gone away needs no answer.
+            let _ = reply.send(answer);
+        }
+    }
+
     /// Answers who has news or has waited long enough.
     pub(super) fn answer(&mut self, applied: &Applied, age: Duration, now: Tick) {
         let revision = applied.config.revision;
--- a/crates/state/src/raft/change.rs
+++ b/crates/state/src/raft/change.rs
@@ -8,6 +8,9 @@
 
 /// Records that a learner may miss and still be made a voter.
 const CAUGHT_UP: u64 = 64;
+/// Most voters; more members stay learners. Seven bear the loss of three, one more than the largest deployment asks for,
+/// and each further voter would only make every sync wait for more hosts.
+const MAX_VOTERS: usize = 7;
 
 /// A change of the members that was not begun.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -56,6 +59,38 @@
         Ok(self.change(members))
     }
 
+    /// Adds a learner that becomes a voter once it has caught up.
+    ///
+    /// # Errors
+    /// Fails when the node does not lead or another change is not finished; nothing was written then.
+    pub fn add(&mut self, new: MemberId, member: Member, now: Tick) -> Result<Index, ChangeError> {
+        self.check_lease(now);
+        let mut members = self.may_change()?;
+        if members.0.contains_key(&new) {
+            return Err(ChangeError::Present);
+        }
+        members.0.insert(
+            new,
+            Member {
+                votes: false,
+                replaces: None,
+                ..member
+            },
+        );
+        Ok(self.change(members))
+    }
+
+    /// Removes a member.
+    ///
+    /// # Errors
+    /// Fails when the node does not lead or another change is not finished; nothing was written then.
+    pub fn remove(&mut self, old: MemberId, now: Tick) -> Result<Index, ChangeError> {
+        self.check_lease(now);
+        let mut members = self.may_change()?;
+        members.0.remove(&old).ok_or(ChangeError::Unknown)?;
+        Ok(self.change(members))
+    }
+
     /// Takes the next step of a replacement when the one before is committed.
     pub(super) fn continue_change(&mut self, _now: Tick) {
         let Ok(members) = self.may_change() else {
@@ -66,6 +101,7 @@
             .iter()
             .find_map(|(id, member)| Some((*id, member.votes, member.replaces?)));
         let Some((new, votes, old)) = replacing else {
+            self.promote(members);
             self.leave_if_removed();
             return;
         };
@@ -78,11 +114,7 @@
                 member.replaces = None;
             }
             self.change(members);
-        } else if self.matched(new).0 + CAUGHT_UP >= self.log.last().index.0
-            && self.matched(new) >= self.snapshot.at.index
-        {
-            // A voter that misses records would count towards a majority that it can't help for a long time; a second
-            // host lost in that time would stop the group.
+        } else if self.has_caught_up(new) {
             if let Some(member) = members.0.get_mut(&new) {
                 member.votes = true;
             }
@@ -90,6 +122,30 @@
         }
     }
 
+    /// Makes a voter of the first learner that has caught up, while there is room for one.
+    fn promote(&mut self, mut members: Members) {
+        if members.voters().count() >= MAX_VOTERS {
+            return;
+        }
+        let ready = |(id, member): &(&MemberId, &Member)| !member.votes && self.has_caught_up(**id);
+        let Some(learner) = members.0.iter().find(ready).map(|(id, _)| *id) else {
+            return;
+        };
+        if let Some(member) = members.0.get_mut(&learner) {
+            member.votes = true;
+        }
+        self.change(members);
+    }
+
+    /// Tells whether a learner may vote.
+    ///
+    /// A voter that misses records would count towards a majority that it can't help for a long time; a second host lost
+    /// in that time would stop the group.
+    fn has_caught_up(&self, id: MemberId) -> bool {
+        let matched = self.matched(id);
+        matched.0 + CAUGHT_UP >= self.log.last().index.0 && matched >= self.snapshot.at.index
+    }
+
     fn change(&mut self, members: Members) -> Index {
         let index = self.append(Payload::Members(members));
         self.match_members();
--- a/crates/state/src/raft/lead.rs
+++ b/crates/state/src/raft/lead.rs
@@ -247,6 +247,16 @@
         }
     }
 
+    /// Gives when the leader had sent what a member answered last; its own election where it never answered.
+    #[must_use]
+    pub fn answered(&self, id: MemberId) -> Option<Tick> {
+        let Role::Leader(leading) = &self.role else {
+            return None;
+        };
+        let progress = leading.others.get(&id)?;
+        Some(progress.acked.unwrap_or(leading.since))
+    }
+
     /// Follows a change of the members in what is kept of each.
     pub(super) fn match_members(&mut self) {
         let next = self.log.last().index.next();
--- /dev/null
+++ b/crates/state/src/registry.rs
@@ -0,0 +1,98 @@
+//! What the leader knows of the entry hosts: who shares the limits, and what they count.
+//!
+//! None of it is written to the log: every entry host says all of it again within a beat.
+
+use std::collections::BTreeMap;
+
+use contract::NodeId;
+use parking_lot::Mutex;
+use policy::Tick;
+use policy::parts::{HOLD, Sharers};
+use wire::registry::{Beat, Parts, ServiceLoad};
+
+/// Windows of usage that are kept: at the length of five seconds, more than three minutes.
+const KEPT_WINDOWS: usize = 40;
+
+/// What the leader of a term knows of the entry hosts.
+#[derive(Debug, Default)]
+pub struct Registry(Mutex<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    term: u64,
+    sharers: Option<Sharers>,
+    counts: BTreeMap<u64, BTreeMap<(NodeId, u64), Counts>>,
+    loads: BTreeMap<NodeId, (Tick, BTreeMap<String, ServiceLoad>)>,
+}
+
+/// Requests by client account.
+pub type Counts = BTreeMap<String, u64>;
+
+impl Registry {
+    /// Takes a beat in a term; gives the entry host's parts once they are known.
+    pub fn beat(&self, term: u64, from: &NodeId, beat: Beat, now: Tick) -> Option<Parts> {
+        let mut inner = self.0.lock();
+        if inner.term != term {
+            // Another led in between, and may have given other parts.
+            inner.sharers = None;
+            inner.term = term;
+        }
+        for (window, counts) in beat.began {
+            let runs = inner.counts.entry(window).or_default();
+            runs.insert((from.clone(), beat.run), counts);
+        }
+        while inner.counts.len() > KEPT_WINDOWS {
+            inner.counts.pop_first();
+        }
+        inner.loads.insert(from.clone(), (now, beat.load));
+        let sharers = inner.sharers.get_or_insert_with(|| Sharers::new(now));
+        let portion = sharers.beat(from, &beat.demand, now)?;
+        Some(Parts {
+            entries: portion.entries,
+            quotas: portion.quotas,
+            floor: portion.floor,
+            hold_ms: HOLD.as_millis() as u64,
+        })
+    }
+
+    /// Tells whether entry hosts were there when a window ended, so that its usage can be told.
+    #[must_use]
+    pub fn knows(&self, window: u64) -> bool {
+        let inner = self.0.lock();
+        inner
+            .counts
+            .first_key_value()
+            .is_some_and(|(first, _)| *first <= window)
+    }
+
+    /// Gives the requests that began in a window, over all entry hosts.
+    #[must_use]
+    pub fn counts(&self, window: u64) -> Counts {
+        let inner = self.0.lock();
+        let mut sum = Counts::new();
+        for counts in inner.counts.get(&window).into_iter().flat_map(BTreeMap::values) {
+            for (account, count) in counts {
+                *sum.entry(account.clone()).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// Gives the load of each service over the entry hosts that beat within a time.
+    #[must_use]
+    pub fn loads(&self, now: Tick, fresh: std::time::Duration) -> BTreeMap<String, ServiceLoad> {
+        let inner = self.0.lock();
+        let mut sum: BTreeMap<String, ServiceLoad> = BTreeMap::new();
+        for (at, loads) in inner.loads.values() {
+            if now.since(*at) > fresh {
+                continue;
+            }
+            for (service, load) in loads {
+                let all = sum.entry(service.clone()).or_default();
+                all.running += load.running;
+                all.refused += load.refused;
+            }
+        }
+        sum
+    }
+}
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -1,13 +1,18 @@
 //! The inner protocol's calls, passed to the thread that owns the state.
 
+use std::sync::Arc;
+
 use contract::{NodeId, Revision};
 use crossbeam_channel::Sender;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
 use metrics::counter;
+use telemetry::Clock;
 use tokio::sync::oneshot;
 use wire::Envelope;
+use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published};
 use wire::raft::{Packet, RaftRpcServer};
+use wire::registry::{Beat, Beaten};
 use wire::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
     Watched,
@@ -16,6 +21,7 @@
 use crate::applied::{Command, Reply};
 use crate::core::Ask;
 use crate::peers::Delivery;
+use crate::registry::Registry;
 
 /// JSON-RPC code for a node that is stopping.
 const STOPPING: i32 = -32_001;
@@ -27,13 +33,20 @@
 pub struct Rpc {
     me: NodeId,
     ring: Sender<Ask>,
+    registry: Arc<Registry>,
+    clock: Clock,
 }
 
 impl Rpc {
     /// Makes the server side for a ring.
     #[must_use]
-    pub const fn new(me: NodeId, ring: Sender<Ask>) -> Self {
-        Self { me, ring }
+    pub const fn new(me: NodeId, ring: Sender<Ask>, registry: Arc<Registry>, clock: Clock) -> Self {
+        Self {
+            me,
+            ring,
+            registry,
+            clock,
+        }
     }
 
     fn wrap<T>(&self, body: T) -> Envelope<T> {
@@ -97,6 +110,37 @@
     }
 }
 
+#[async_trait]
+impl CatalogRpcServer for Rpc {
+    async fn publish(&self, request: Envelope<Publish>) -> RpcResult<Envelope<Published>> {
+        answer!(self, Command::Publish(request.body), Published)
+    }
+
+    async fn fetch(&self, _request: Envelope<()>) -> RpcResult<Envelope<Fetched>> {
+        answer!(self, Command::Fetch, Fetched)
+    }
+
+    async fn follow(&self, request: Envelope<Follow>) -> RpcResult<Envelope<Followed>> {
+        self.ask(|reply| Ask::Follow(request.body, reply)).await
+    }
+
+    async fn beat(&self, request: Envelope<Beat>) -> RpcResult<Envelope<Beaten>> {
+        let lead = self.ask(Ask::Lead).await?.body;
+        if lead.since.is_none() {
+            let leader = lead.leader;
+            return Ok(self.wrap(Beaten::Unavailable(Unavailable::NotLeader { leader })));
+        }
+        let parts = self
+            .registry
+            .beat(lead.term, &request.from, request.body, self.clock.now());
+        let listening = || Unavailable::NoQuorum {
+            reason: "a new leader listens who shares the limits".to_owned(),
+        };
+        let body = parts.map_or_else(|| Beaten::Unavailable(listening()), Beaten::Parts);
+        Ok(self.wrap(body))
+    }
+}
+
 #[async_trait]
 impl RaftRpcServer for Rpc {
     async fn deliver(&self, batch: Envelope<Packet>) -> RpcResult<()> {
--- /dev/null
+++ b/crates/wire/src/catalog.rs
@@ -0,0 +1,97 @@
+//! Calls to `gentian-state` about the catalog: publishing, reading and following it, and the beats of entry hosts.
+
+use std::net::SocketAddr;
+
+use contract::Catalog;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use serde::{Deserialize, Serialize};
+
+use crate::Envelope;
+use crate::registry::{Beat, Beaten};
+use crate::state::Unavailable;
+
+/// The calls about the catalog.
+#[rpc(server, client, namespace = "catalog")]
+pub trait CatalogRpc {
+    /// Publishes a catalog.
+    #[method(name = "publish")]
+    async fn publish(&self, request: Envelope<Publish>) -> RpcResult<Envelope<Published>>;
+
+    /// Reads the newest document of the catalog.
+    #[method(name = "fetch")]
+    async fn fetch(&self, request: Envelope<()>) -> RpcResult<Envelope<Fetched>>;
+
+    /// Waits for a newer catalog.
+    #[method(name = "follow")]
+    async fn follow(&self, request: Envelope<Follow>) -> RpcResult<Envelope<Followed>>;
+
+    /// Tells the leader that an entry host is there and what it has seen; the answer holds its parts of shared limits.
+    #[method(name = "beat")]
+    async fn beat(&self, request: Envelope<Beat>) -> RpcResult<Envelope<Beaten>>;
+}
+
+/// Publishes a document and the catalog that it stands for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Publish {
+    /// The document as the operator sent it, for reading it back.
+    #[serde(with = "crate::bytes")]
+    pub document: Vec<u8>,
+    /// What it means.
+    pub catalog: Catalog,
+}
+
+/// The answer to [`Publish`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Published {
+    /// The document is durable and in force, or a newer one is.
+    Accepted {
+        /// Version in force.
+        version: u64,
+        /// Whether this document changed it.
+        changed: bool,
+    },
+    /// The node cannot decide it.
+    Unavailable(Unavailable),
+}
+
+/// The answer to a read of the newest document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fetched {
+    /// The newest document; nothing before the first.
+    Document(Option<Document>),
+    /// The node cannot be sure which document is the newest.
+    Unavailable(Unavailable),
+}
+
+/// A published document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Its version.
+    pub version: u64,
+    /// The document as the operator sent it.
+    #[serde(with = "crate::bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// Asks for a catalog newer than a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follow {
+    /// The version that the asker has.
+    pub after: u64,
+    /// How long to wait for news, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The answer to [`Follow`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Followed {
+    /// The catalog, if it is newer.
+    pub catalog: Option<Catalog>,
+    /// Milliseconds since the node last knew that its catalog was the newest.
+    pub age_ms: u64,
+    /// Inner addresses of the group.
+    pub members: Vec<SocketAddr>,
+    /// Inner address of the leader, if known.
+    pub leader: Option<SocketAddr>,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,11 +5,13 @@
 //! has applied, so that a receiver learns at once that it is behind.
 
 mod bytes;
+pub mod catalog;
 pub mod client;
 pub mod digest;
 pub mod entry;
 mod envelope;
 pub mod raft;
+pub mod registry;
 mod settler;
 pub mod state;
 
--- /dev/null
+++ b/crates/wire/src/registry.rs
@@ -0,0 +1,54 @@
+//! What entry hosts tell the leader of the state group, and their parts of limits that all of them share.
+
+use std::collections::BTreeMap;
+
+use contract::Zone;
+use serde::{Deserialize, Serialize};
+
+use crate::state::Unavailable;
+
+/// A sign of life of an entry host.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Incarnation of the process; a restarted one has another.
+    pub run: u64,
+    /// Its data centre.
+    pub zone: Zone,
+    /// Units a second that each client account asked for lately.
+    pub demand: BTreeMap<String, f64>,
+    /// Requests that began to run, by window of true time and client account; each total replaces the one before.
+    pub began: BTreeMap<u64, BTreeMap<String, u64>>,
+    /// Load by service, for orders of capacity.
+    pub load: BTreeMap<String, ServiceLoad>,
+}
+
+/// What an entry host sees of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Own requests that are at upstreams or wait for one.
+    pub running: f64,
+    /// Requests that were refused in the last seconds for lack of room, a second.
+    pub refused: f64,
+}
+
+/// The answer to [`Beat`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Beaten {
+    /// The entry host's parts.
+    Parts(Parts),
+    /// The node does not lead.
+    Unavailable(Unavailable),
+}
+
+/// An entry host's parts of what all of them share.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Parts {
+    /// Entry hosts that share.
+    pub entries: u32,
+    /// Part of each client account's quota, 0 to 1.
+    pub quotas: BTreeMap<String, f64>,
+    /// Part that holds when no newer answer comes in time, 0 to 1.
+    pub floor: f64,
+    /// How long the parts hold from the time at which the beat was sent, in milliseconds.
+    pub hold_ms: u64,
+}
