--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -13,18 +13,21 @@
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
 use telemetry::Clock;
+use upstream::directory::Listed;
 use wire::registry::{Beat, Parts, ServiceLoad};
 
 use crate::dialect::{Asked, Dialect};
 use crate::pool::Pool;
 use crate::table::Table;
-use crate::upstreams::{Listed, Upstreams};
+use crate::upstreams::Upstreams;
 use crate::usage::Began;
 
 /// Part of every limit that an entry host uses before it was told its own: there may be as many as a large deployment has.
 const UNTOLD: f64 = 1.0 / 64.0;
 /// Entry hosts that are assumed before their number was told.
 const UNTOLD_ENTRIES: u32 = 32;
+/// Part of the slack that is used. Entry hosts that restart, or are counted late, may add to it what their part was.
+const SLACK_USED: f64 = 0.75;
 /// Time over which demand is averaged.
 const DEMAND: Duration = Duration::from_secs(2);
 
@@ -48,6 +51,8 @@
     pub zone: Zone,
     /// Bounds of repeated sends.
     pub repeats: Bounds,
+    /// Units beyond an account's quota that all entry hosts together may let pass in a window.
+    pub slack: f64,
     /// Length of a window of usage.
     pub window: Duration,
 }
@@ -174,7 +179,7 @@
         let part = self.part(&account.name, now);
         let mut buckets = self.buckets.borrow_mut();
         let bucket = buckets.entry(account.name.clone()).or_insert_with(|| Bucket::new(now));
-        bucket.set(quota.per_s * part, quota.burst * part, now);
+        bucket.set(quota.per_s * part, self.burst(quota.burst, part), now);
         bucket.take(units, now).map(|()| units)
     }
 
@@ -198,10 +203,16 @@
             };
             let part = self.part(&account.name, now);
             let bucket = buckets.entry(account.name.clone()).or_insert_with(|| Bucket::new(now));
-            bucket.set(quota.per_s * part, quota.burst * part, now);
+            bucket.set(quota.per_s * part, self.burst(quota.burst, part), now);
         }
     }
 
+    /// Gives what may be saved up: the part of the burst and an even part of the slack. Callers meet entry hosts by chance,
+    /// so that each needs room for more than its share for a while.
+    fn burst(&self, burst: f64, part: f64) -> f64 {
+        burst * part + self.place.slack * SLACK_USED / f64::from(self.entries())
+    }
+
     fn part(&self, account: &str, now: Tick) -> f64 {
         match &**self.shared.parts.load() {
             Some((parts, until)) if now < *until => {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
+use upstream::directory::Directory;
 use wire::Envelope;
 use wire::catalog::{CatalogRpcClient, Follow, Followed};
 use wire::client::Calls;
@@ -20,7 +21,6 @@
 
 use crate::gate::Shared;
 use crate::table::Table;
-use crate::upstreams::Listed;
 
 /// Longest that a state node holds a question for news. Together with [`PATIENCE`] it is how soon a silent node is noticed.
 const WAIT: Duration = Duration::from_millis(500);
@@ -37,18 +37,6 @@
 /// Share of the list's rate that all entry hosts together use.
 const LIST_SHARE: f64 = 0.5;
 
-/// Reads the list of upstreams.
-pub trait Directory: Send {
-    /// Reads the whole list.
-    ///
-    /// # Errors
-    /// Tells what failed.
-    fn read(&mut self) -> Result<Vec<Listed>, String>;
-
-    /// Gives the reads a second that all entry hosts together may make.
-    fn rate(&self) -> f64;
-}
-
 /// What the threads need.
 #[derive(Clone, Debug)]
 pub struct Link {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -99,6 +99,15 @@
     upstream: String,
 }
 
+impl Running {
+    /// Notes that the upstream broke off.
+    pub(crate) fn note_failed(&self, gate: &Gate) {
+        if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.upstream) {
+            upstream.failed(gate.clock.now());
+        }
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let now = self.gate.clock.now();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,9 +25,12 @@
 
 /// Pause between two looks at what other threads have brought.
 const EXCHANGE: Duration = Duration::from_millis(100);
-/// Time after the request to stop in which the balancer notices that the host is not ready; idle connections and the
-/// listener stay until then. It asks once a second and wants two misses.
-const NOTICED: Duration = Duration::from_millis(3_200);
+/// Time after the request to stop in which the balancer notices that the host is not ready; idle connections stay until
+/// then, and requests are served. It asks once a second and wants two misses. What comes later could be cut by the end of
+/// the process, so it is refused as not run.
+const NOTICED: Duration = Duration::from_millis(2_700);
+/// Time after which a caller that was refused because of the stop finds another host.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Time before the process is ended from outside at which it ends itself.
 const MARGIN: Duration = Duration::from_millis(400);
 /// Connections that may wait to be accepted.
@@ -221,13 +224,18 @@
     /// Waits until idle connections are closed because the process stops.
     async fn closes_idle(&self) {
         loop {
-            if self.stopping.get().is_some_and(|since| since.elapsed() >= NOTICED) {
+            if self.is_closed() {
                 return;
             }
-            sleep(EXCHANGE * 5).await;
+            sleep(EXCHANGE).await;
         }
     }
 
+    /// Tells whether the stop is so far that requests are no longer served.
+    fn is_closed(&self) -> bool {
+        self.stopping.get().is_some_and(|since| since.elapsed() >= NOTICED)
+    }
+
     /// Serves one request.
     async fn one(&self, input: &mut Input, out: &mut OwnedWriteHalf) -> Kept {
         let request = match self.read(input, out).await {
@@ -290,6 +298,10 @@
             .body(input, out, &head, framing, limits.body_bytes, came, &asked)
             .await?;
         let (route, service, account) = routed.map_err(|refusal| self.refused(refusal, &id, keep))?;
+        if self.is_closed() {
+            let refusal = Refusal::closing(503, "not run: the host stops").retry_in(ELSEWHERE);
+            return Err(self.refused(refusal, &id, false));
+        }
         gate.note_request(&service);
         if let Some(account) = &account
             && let Err(over) = gate.admit(account, &asked)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,7 @@
 
 use contract::Repeatable;
 
-use crate::events::{Event, Events};
+use crate::events::{Event, EventError, Events};
 use crate::exchange::{Fate, Opened, Piece};
 use crate::gate::Gate;
 use crate::request::{End, Request, Running, answer_head};
@@ -49,6 +49,7 @@
             Err(Stop::Caller(why)) => return Ok(End::Broken { why }),
             Err(Stop::Upstream(fate)) => fate,
         };
+        source.running.note_failed(gate);
         // The upstream stops when its connection closes; it must have before another goes on.
         drop(source);
         if !request.progress.get().begun {
@@ -141,21 +142,28 @@
             }
             Piece::End => return Ok(()),
         }
-        let mut whole = Vec::new();
-        while let Some(event) = events
-            .take()
-            .map_err(|error| Stop::Upstream(Fate::unknown(error.to_string())))?
-        {
-            whole.push(event);
+        let (whole, bad) = take_whole(events);
+        if !whole.is_empty() {
+            request.count(gate);
+            request.begin();
+            let written = sink.write(&whole).await;
+            written.map_err(|error| Stop::Caller(error.to_string()))?;
         }
-        if whole.is_empty() {
-            continue;
+        if let Some(error) = bad {
+            return Err(Stop::Upstream(Fate::unknown(error.to_string())));
+        }
+    }
+}
+
+/// Takes the whole events that have come; what was good before a bad one is passed on.
+fn take_whole(events: &mut Events) -> (Vec<Event>, Option<EventError>) {
+    let mut whole = Vec::new();
+    loop {
+        match events.take() {
+            Ok(Some(event)) => whole.push(event),
+            Ok(None) => return (whole, None),
+            Err(error) => return (whole, Some(error)),
         }
-        request.count(gate);
-        request.begin();
-        sink.write(&whole)
-            .await
-            .map_err(|error| Stop::Caller(error.to_string()))?;
     }
 }
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,6 +11,8 @@
 use policy::place::{Cached, Candidate, Part, Predicted, choose};
 use xxhash_rust::xxh3::xxh3_64;
 
+use upstream::directory::Listed;
+
 use crate::dialect::Load;
 
 /// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts.
@@ -23,25 +25,6 @@
 /// Queue places behind the slots that may be filled; an upstream refuses what comes on top.
 const QUEUE: f64 = 2.0;
 
-/// An upstream as the list names it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    /// Its incarnation.
-    pub id: String,
-    /// The service.
-    pub service: ServiceName,
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub zone: Zone,
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// How much longer it is slow after its start.
-    pub cold: Duration,
-}
-
 /// An upstream with what is known of it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -118,6 +101,7 @@
         for listed in list {
             let id = listed.id.clone();
             let upstream = match before.remove(&id) {
+                Some(known) if known.listed.start != listed.start => Upstream::new(listed),
                 Some(mut known) => {
                     if listed.leaving && !known.listed.leaving {
                         ended.push(id.clone());
@@ -153,7 +137,9 @@
             return Err(NoUpstream::Failing);
         }
         open.sort_by(|a, b| a.listed.id.cmp(&b.listed.id));
-        let lead = need.parts.first().map_or(0, |part| part.key);
+        // The last part belongs to the request alone; the one before it is the largest that others share.
+        let shared = need.parts.len().saturating_sub(2);
+        let lead = need.parts.get(shared).map_or(0, |part| part.key);
         let candidates: Vec<Candidate> = open
             .iter()
             .enumerate()
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,121 @@
+//! How many upstreams of a service are ordered in each data centre, by count and kind.
+//!
+//! Reclaimable upstreams are cheap and are taken away a data centre at a time, so there are more of them than the load
+//! needs, spread evenly. A small number of on-demand upstreams is never taken away. While reclaimable ones are not to be
+//! had, on-demand ones stand in as far as the load needs it.
+
+use std::collections::BTreeMap;
+
+use contract::{Scaling, Zone};
+
+/// Requests that one upstream runs at once while first events are on time. Measured on the users' sheets: at twelve to
+/// sixteen running requests an engine reads prompts half of the time.
+const PER_UPSTREAM: f64 = 10.0;
+/// Fewest upstreams that the load is taken to need: with fewer, one that fails takes a third of the service along.
+const FEWEST: u32 = 3;
+/// Reclaimable upstreams for each that is needed, so that two of four data centres may be lost at once.
+const SPARE: f64 = 2.0;
+/// On-demand upstreams that are always kept where reclaimable ones are cheaper.
+const FLOOR: u32 = 1;
+
+/// What there is in one data centre.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Present {
+    /// On-demand upstreams that are ready.
+    pub on_demand: u32,
+    /// Reclaimable ones that are ready.
+    pub reclaimable: u32,
+    /// Whether reclaimable ones were refused lately.
+    pub dry: bool,
+}
+
+/// What there shall be in one data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// On-demand upstreams.
+    pub on_demand: u32,
+    /// Reclaimable ones.
+    pub reclaimable: u32,
+}
+
+/// Plans the upstreams of a service for so many requests that run at once.
+#[must_use]
+pub fn plan(present: &BTreeMap<Zone, Present>, scaling: &Scaling, busy: f64) -> BTreeMap<Zone, Wanted> {
+    let zones = by_price(present, scaling);
+    let needed = ((busy / PER_UPSTREAM).ceil() as u32).max(FEWEST);
+    if scaling.spot_price >= 1.0 {
+        return all_on_demand(&zones, scaling, needed);
+    }
+    let mut wanted: BTreeMap<Zone, Wanted> = zones.iter().map(|zone| (zone.clone(), Wanted::default())).collect();
+    spread_reclaimable(&mut wanted, &zones, scaling, needed);
+    let usable: u32 = present.values().map(|there| there.reclaimable).sum();
+    let missing = needed.saturating_sub(usable).max(FLOOR);
+    let held: u32 = present.values().map(|there| there.on_demand).sum();
+    // What is there already is kept first: an upstream that is drained and ordered anew elsewhere loses its cache.
+    let keep = missing.min(held);
+    place(&mut wanted, keep, &zones, |zone, there| {
+        there.on_demand < present.get(zone).map_or(0, |held| held.on_demand)
+    });
+    let dry = present.values().any(|there| there.dry);
+    let more = if dry || usable + held == 0 {
+        missing - keep
+    } else {
+        FLOOR.saturating_sub(keep)
+    };
+    place(&mut wanted, more, &zones, |_, there| {
+        there.on_demand + there.reclaimable < scaling.max
+    });
+    for there in wanted.values_mut() {
+        there.reclaimable = there.reclaimable.min(scaling.max.saturating_sub(there.on_demand));
+    }
+    wanted
+}
+
+fn by_price(present: &BTreeMap<Zone, Present>, scaling: &Scaling) -> Vec<Zone> {
+    let known = present.keys().chain(scaling.prices.keys());
+    let mut zones: Vec<Zone> = known.cloned().collect();
+    zones.sort();
+    zones.dedup();
+    let price = |zone: &Zone| scaling.prices.get(zone).copied().unwrap_or(1.0);
+    zones.sort_by(|a, b| price(a).total_cmp(&price(b)));
+    zones
+}
+
+fn spread_reclaimable(wanted: &mut BTreeMap<Zone, Wanted>, zones: &[Zone], scaling: &Scaling, needed: u32) {
+    let total = (f64::from(needed) * SPARE).ceil() as u32;
+    for at in 0..total.max(zones.len() as u32) {
+        let zone = &zones[at as usize % zones.len()];
+        if let Some(there) = wanted.get_mut(zone) {
+            there.reclaimable = (there.reclaimable + 1).min(scaling.max);
+        }
+    }
+    for there in wanted.values_mut() {
+        there.reclaimable = there.reclaimable.max(scaling.min).min(scaling.max);
+    }
+}
+
+/// Adds on-demand upstreams, the cheapest data centre with room first and one after the other.
+fn place(wanted: &mut BTreeMap<Zone, Wanted>, count: u32, zones: &[Zone], room: impl Fn(&Zone, &Wanted) -> bool) {
+    for _ in 0..count {
+        let open = zones
+            .iter()
+            .filter(|zone| wanted.get(*zone).is_some_and(|there| room(zone, there)));
+        let best = open.min_by_key(|zone| wanted.get(*zone).map_or(0, |there| there.on_demand));
+        let Some(there) = best.cloned().and_then(|zone| wanted.get_mut(&zone)) else {
+            return;
+        };
+        there.on_demand += 1;
+    }
+}
+
+fn all_on_demand(zones: &[Zone], scaling: &Scaling, needed: u32) -> BTreeMap<Zone, Wanted> {
+    let mut wanted: BTreeMap<Zone, Wanted> = zones.iter().map(|zone| (zone.clone(), Wanted::default())).collect();
+    for there in wanted.values_mut() {
+        there.on_demand = scaling.min;
+    }
+    let base = scaling.min * zones.len() as u32;
+    place(&mut wanted, (needed + 1).saturating_sub(base), zones, |_, there| {
+        there.on_demand < scaling.max
+    });
+    wanted
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod divide;
 pub mod fair;
+pub mod fleet;
 pub mod lane;
 pub mod life;
 pub mod limits;
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -3,20 +3,22 @@
 //! The fencing token is the leader's term. A new leader begins only after it has led for a while: by then a former leader
 //! has surely stopped, and two leaders that follow each other quickly don't take turns.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use contract::NodeId;
+use contract::{NodeId, Scaling, ServiceName, Zone};
 use crossbeam_channel::Sender;
 use derive_more::{Display, Error};
 use metrics::counter;
 use policy::Tick;
+use policy::fleet::{Present, plan};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
 use tokio::sync::oneshot;
+use upstream::directory::{Directory, Listed};
 
 use crate::applied::{Command, Reply, Usage};
 use crate::core::{Ask, Lead};
@@ -28,6 +30,16 @@
 const SETTLE_MS: u64 = 2_500;
 /// Windows that are looked at for a report that is still due.
 const BACK: u64 = 5;
+/// Pause between two looks at the list for the plan of capacity.
+const PLAN: Duration = Duration::from_secs(1);
+/// Time beyond an upstream's start after which an order that shows no effect is given again.
+const UNSEEN: Duration = Duration::from_secs(4);
+/// Time for which a data centre that had none available is not asked again.
+const DRY: Duration = Duration::from_secs(3);
+/// Time over which the highest load counts, so that the fleet doesn't follow each wave.
+const BUSY: Duration = Duration::from_secs(15);
+/// Age up to which the load that entry hosts tell counts.
+const LOAD_FRESH: Duration = Duration::from_secs(2);
 /// Time that a leader adds to the time in which holders must not take turns.
 const MARGIN: Duration = Duration::from_millis(300);
 
@@ -105,6 +117,30 @@
     /// Windows whose report was accepted in this term.
     reported: BTreeSet<u64>,
     term: u64,
+    #[debug("directory")]
+    directory: Box<dyn Directory>,
+    planned: Option<Tick>,
+    orders: BTreeMap<Subject, Given>,
+    busy: BTreeMap<ServiceName, Peak>,
+}
+
+/// What an order is about: service, data centre and whether upstreams are reclaimable.
+type Subject = (ServiceName, Zone, bool);
+
+/// An order that was given.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    count: u32,
+    at: Tick,
+    /// Nothing was available.
+    dry: bool,
+}
+
+/// The highest load of late.
+#[derive(Clone, Copy, Debug)]
+struct Peak {
+    busy: f64,
+    at: Tick,
 }
 
 impl Duties {
@@ -114,7 +150,7 @@
         node: NodeId,
         (ring, registry, clock): (Sender<Ask>, Arc<Registry>, Clock),
         timing: Timing,
-        office: Box<dyn Office>,
+        (office, directory): (Box<dyn Office>, Box<dyn Directory>),
         logger: Logger,
     ) -> Self {
         Self {
@@ -127,6 +163,10 @@
             logger,
             reported: BTreeSet::new(),
             term: 0,
+            directory,
+            planned: None,
+            orders: BTreeMap::new(),
+            busy: BTreeMap::new(),
         }
     }
 
@@ -151,9 +191,128 @@
         if self.term != term {
             info!(self.logger, "duties taken"; "fence" => term);
             self.reported.clear();
+            self.orders.clear();
             self.term = term;
         }
         self.report_usage();
+        self.keep_capacity();
+    }
+
+    /// Orders what the plan of each service wants.
+    fn keep_capacity(&mut self) {
+        let now = self.clock.now();
+        if self.planned.is_some_and(|at| now.since(at) < PLAN) {
+            return;
+        }
+        self.planned = Some(now);
+        let scaled = self.scaled();
+        if scaled.is_empty() {
+            return;
+        }
+        let list = match self.directory.read() {
+            Ok(list) => list,
+            Err(error) => {
+                warn!(self.logger, "list of upstreams can't be read"; "step" => "plan", "error" => error);
+                return;
+            }
+        };
+        let loads = self.registry.loads(now, LOAD_FRESH);
+        for (service, scaling) in scaled {
+            let told = loads.get(service.as_str()).map_or(0.0, |load| load.running);
+            let busy = self.peak(&service, told, now);
+            let present = self.present(&service, &scaling, &list, now);
+            for (zone, wanted) in plan(&present, &scaling, busy) {
+                let there = present.get(&zone).cloned().unwrap_or_default();
+                let kinds = [
+                    (true, wanted.reclaimable, there.reclaimable),
+                    (false, wanted.on_demand, there.on_demand),
+                ];
+                for (spot, wanted, there) in kinds {
+                    self.keep_order((service.clone(), zone.clone(), spot), wanted, there, &scaling, busy);
+                }
+            }
+        }
+    }
+
+    fn scaled(&self) -> Vec<(ServiceName, Scaling)> {
+        let (reply, answer) = oneshot::channel();
+        let read = Ask::Read(Box::new(move |applied, _age| {
+            let services = applied.catalog().map(|catalog| catalog.services.iter());
+            let scaled = services.into_iter().flatten();
+            let scaled = scaled.filter_map(|service| Some((service.name.clone(), service.scaling.clone()?)));
+            // An asker that has gone away needs no answer.
+            let _ = reply.send(scaled.collect());
+        }));
+        if self.ring.try_send(read).is_err() {
+            return Vec::new();
+        }
+        answer.blocking_recv().unwrap_or_default()
+    }
+
+    fn peak(&mut self, service: &ServiceName, busy: f64, now: Tick) -> f64 {
+        let peak = self.busy.entry(service.clone()).or_insert(Peak { busy, at: now });
+        if busy >= peak.busy || now.since(peak.at) > BUSY {
+            *peak = Peak { busy, at: now };
+        }
+        peak.busy
+    }
+
+    fn present(&self, service: &ServiceName, scaling: &Scaling, list: &[Listed], now: Tick) -> BTreeMap<Zone, Present> {
+        let zones = scaling.prices.keys().cloned();
+        let mut present: BTreeMap<Zone, Present> = zones.map(|zone| (zone, Present::default())).collect();
+        for one in list.iter().filter(|one| one.service == *service && !one.leaving) {
+            let there = present.entry(one.zone.clone()).or_default();
+            if one.reclaimable {
+                there.reclaimable += 1;
+            } else {
+                there.on_demand += 1;
+            }
+        }
+        for (zone, there) in &mut present {
+            let order = self.orders.get(&(service.clone(), zone.clone(), true));
+            there.dry = order.is_some_and(|given| given.dry && now.since(given.at) < DRY);
+        }
+        present
+    }
+
+    /// Gives an order unless the same one was given and may still take effect.
+    fn keep_order(&mut self, subject: Subject, wanted: u32, there: u32, scaling: &Scaling, busy: f64) {
+        let now = self.clock.now();
+        let given = self.orders.get(&subject).copied();
+        let pause = Duration::from_millis(scaling.boot_ms) + UNSEEN;
+        let due = match given {
+            Some(given) if given.dry => now.since(given.at) >= DRY && wanted != there,
+            Some(given) => given.count != wanted || (wanted != there && now.since(given.at) >= pause),
+            None => wanted != there,
+        };
+        if !due {
+            return;
+        }
+        let Some((fence, _)) = self.leads().filter(|(term, _)| *term == self.term) else {
+            return;
+        };
+        let (service, zone, spot) = &subject;
+        let order = Order {
+            service: service.to_string(),
+            zone: zone.to_string(),
+            count: wanted,
+            spot: *spot,
+        };
+        let seat = Seat {
+            holder: self.node.as_str(),
+            fence,
+        };
+        let result = self.office.order(&seat, &order);
+        let outcome = result
+            .as_ref()
+            .map_or_else(ToString::to_string, |()| "taken".to_owned());
+        info!(self.logger, "capacity ordered"; "service" => &order.service, "zone" => &order.zone, "spot" => spot,
+            "count" => wanted, "there" => there, "busy" => busy, "fence" => fence, "outcome" => outcome);
+        let dry = matches!(result, Err(OfficeError::NoneLeft));
+        if dry || result.is_ok() {
+            let count = wanted;
+            self.orders.insert(subject, Given { count, at: now, dry });
+        }
     }
 
     /// Gives the term in which this process may act, if it may.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,6 +1,7 @@
 //! Clients for engines, services, the cloud API and the weight store, each by its published protocol.
 
 pub mod cloud;
+pub mod directory;
 pub mod engine;
 mod error;
 pub mod kv;
