--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -2,13 +2,16 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use contract::{ClientAccount, ServiceName, Zone};
+use contract::{ClientAccount, Quota, ServiceName, Zone};
+use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
+use policy::parts::SLACK_USED;
 use policy::quota::{Bucket, Over};
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
@@ -17,6 +20,7 @@
 use wire::registry::{Beat, Parts, ServiceLoad};
 
 use crate::dialect::{Asked, Dialect};
+use crate::lender::Lender;
 use crate::pool::Pool;
 use crate::table::Table;
 use crate::upstreams::Upstreams;
@@ -24,20 +28,21 @@
 
 /// Part of every limit that an entry host uses before it was told its own: there may be as many as a large deployment has.
 const UNTOLD: f64 = 1.0 / 64.0;
+/// Log lines a second for requests that were served as they should be. An entry host serves a tenth of that at the rates
+/// of the users' sheets; refused, failed and late requests are always logged.
+const LINES_PER_S: f64 = 100.0;
 /// Entry hosts that are assumed before their number was told.
 const UNTOLD_ENTRIES: u32 = 32;
-/// Part of the slack that is used. Entry hosts that restart, or are counted late, may add to it what their part was.
-const SLACK_USED: f64 = 0.75;
-/// Time over which demand is averaged.
-const DEMAND: Duration = Duration::from_secs(2);
-
 /// What the threads beside the event loop give to it, and take from it.
 #[derive(Debug, Default)]
 pub struct Shared {
     /// The catalog in force here.
     pub table: ArcSwapOption<Table>,
-    /// The parts that were told last, and until when they hold.
-    pub parts: ArcSwap<Option<(Parts, Tick)>>,
+    /// The parts that were told last. They go on holding without news: the parts of all entry hosts that were heard of in
+    /// the last half minute add up to the whole.
+    pub parts: ArcSwap<Option<Parts>>,
+    /// Inner address of the leader, if known.
+    pub leader: ArcSwap<Option<SocketAddr>>,
     /// A list that was read and not taken over yet, with the time at which it was asked for.
     pub list: Mutex<Option<(Vec<Listed>, Tick)>>,
     /// What the next beat tells.
@@ -75,10 +80,11 @@
     pub pool: RefCell<Pool>,
     /// Requests that began to run.
     pub began: RefCell<Began>,
+    lender: Lender,
     buckets: RefCell<HashMap<String, Bucket>>,
     repeats: RefCell<HashMap<ServiceName, Repeats>>,
-    demand: RefCell<BTreeMap<String, Demand>>,
     loads: RefCell<BTreeMap<String, ServiceLoad>>,
+    lines: RefCell<Bucket>,
 }
 
 impl std::fmt::Debug for Gate {
@@ -89,33 +95,29 @@
     }
 }
 
-/// What an account asks for lately, in units a second.
-#[derive(Clone, Copy, Debug, Default)]
-struct Demand {
-    per_s: f64,
-    at: Tick,
-}
-
-impl Demand {
-    fn add(&mut self, units: f64, now: Tick) {
-        self.fade(now);
-        self.per_s += units / DEMAND.as_secs_f64();
-    }
-
-    fn fade(&mut self, now: Tick) {
-        let passed = now.since(self.at).as_secs_f64();
-        self.per_s *= (-passed / DEMAND.as_secs_f64()).exp();
-        self.at = now;
-    }
+/// How units are taken.
+#[derive(Clone, Copy)]
+enum Take {
+    /// Only if all are there.
+    Whole,
+    /// Also if a large request leaves less than nothing.
+    Overdraw,
 }
 
 impl Gate {
     /// Makes what requests share.
     #[must_use]
-    pub fn new(dialect: Box<dyn Dialect>, shared: Arc<Shared>, place: Place, clock: Clock, logger: Logger) -> Self {
+    pub fn new(
+        dialect: Box<dyn Dialect>,
+        shared: Arc<Shared>,
+        place: Place,
+        lender: Lender,
+        (clock, logger): (Clock, Logger),
+    ) -> Self {
         Self {
             dialect,
             shared,
+            lender,
             began: RefCell::new(Began::new(place.window)),
             place,
             clock,
@@ -124,14 +126,13 @@
             pool: RefCell::default(),
             buckets: RefCell::default(),
             repeats: RefCell::default(),
-            demand: RefCell::default(),
             loads: RefCell::default(),
+            lines: RefCell::new(Bucket::new(Tick::default())),
         }
     }
 
     /// Takes over what other threads have brought, and tells them what the next beat says.
     pub fn exchange(&self) {
-        let now = self.clock.now();
         if let Some((list, asked)) = self.shared.list.lock().take() {
             let ended = self.upstreams.borrow_mut().update(list, asked);
             if !ended.is_empty() {
@@ -140,47 +141,45 @@
         }
         self.pool.borrow_mut().sweep();
         let mut beat = self.shared.beat.lock();
-        beat.demand = self.demands(now);
         beat.began.clone_from(self.began.borrow().counts());
         beat.load.clone_from(&self.loads.borrow());
     }
 
-    fn demands(&self, now: Tick) -> BTreeMap<String, f64> {
-        let mut demand = self.demand.borrow_mut();
-        for one in demand.values_mut() {
-            one.fade(now);
-        }
-        demand
-            .iter()
-            .map(|(account, one)| (account.clone(), one.per_s))
-            .collect()
-    }
-
-    /// Takes a request's units from its account's quota.
+    /// Takes a request's units from its account's quota: from the own part, or else from what the leader lends.
     ///
     /// # Errors
     /// Tells how long it would have to wait when there is no room for it.
-    pub fn admit(&self, account: &ClientAccount, asked: &Asked) -> Result<f64, Over> {
+    pub async fn admit(&self, account: &ClientAccount, asked: &Asked) -> Result<f64, Over> {
         let Some(quota) = account.quota else {
             return Ok(0.0);
         };
-        let now = self.clock.now();
         let tokens = asked.tokens.map(|tokens| (tokens.prompt + tokens.answer) as f64);
         let units = if quota.tokens {
             tokens.unwrap_or(quota.plain)
         } else {
             1.0
         };
-        self.demand
-            .borrow_mut()
-            .entry(account.name.clone())
-            .or_default()
-            .add(units, now);
-        let part = self.part(&account.name, now);
+        if self.take(account, &quota, units, Take::Whole).is_ok() {
+            return Ok(units);
+        }
+        match self.lender.lend(&account.name, units).await {
+            Some(true) => Ok(units),
+            Some(false) => self.take(account, &quota, units, Take::Whole).map(|()| units),
+            // Without a leader each entry host goes on with its own part, and large requests may overdraw it.
+            None => self.take(account, &quota, units, Take::Overdraw).map(|()| units),
+        }
+    }
+
+    fn take(&self, account: &ClientAccount, quota: &Quota, units: f64, how: Take) -> Result<(), Over> {
+        let now = self.clock.now();
+        let part = self.part();
         let mut buckets = self.buckets.borrow_mut();
         let bucket = buckets.entry(account.name.clone()).or_insert_with(|| Bucket::new(now));
         bucket.set(quota.per_s * part, self.burst(quota.burst, part), now);
-        bucket.take(units, now).map(|()| units)
+        match how {
+            Take::Whole => bucket.take_whole(units, now),
+            Take::Overdraw => bucket.take(units, now),
+        }
     }
 
     /// Gives back what a request took that no upstream ran.
@@ -201,7 +200,7 @@
             let Some(quota) = account.quota else {
                 continue;
             };
-            let part = self.part(&account.name, now);
+            let part = self.part();
             let bucket = buckets.entry(account.name.clone()).or_insert_with(|| Bucket::new(now));
             bucket.set(quota.per_s * part, self.burst(quota.burst, part), now);
         }
@@ -210,27 +209,33 @@
     /// Gives what may be saved up: the part of the burst and an even part of the slack. Callers meet entry hosts by chance,
     /// so that each needs room for more than its share for a while.
     fn burst(&self, burst: f64, part: f64) -> f64 {
-        burst * part + self.place.slack * SLACK_USED / f64::from(self.entries())
+        burst * part + self.place.slack * SLACK_USED / 2.0 / f64::from(self.entries())
     }
 
-    fn part(&self, account: &str, now: Tick) -> f64 {
-        match &**self.shared.parts.load() {
-            Some((parts, until)) if now < *until => {
-                let even = 1.0 / f64::from(parts.entries.max(1));
-                parts.quotas.get(account).copied().unwrap_or(even)
-            }
-            Some((parts, _)) => parts.floor,
-            None => UNTOLD,
-        }
+    fn part(&self) -> f64 {
+        self.shared.parts.load().map_or(UNTOLD, |parts| parts.floor)
     }
 
     /// Gives the number of entry hosts that share limits, as far as known.
     #[must_use]
     pub fn entries(&self) -> u32 {
-        match &**self.shared.parts.load() {
-            Some((parts, _)) => parts.entries.max(1),
-            None => UNTOLD_ENTRIES,
+        self.shared
+            .parts
+            .load()
+            .map_or(UNTOLD_ENTRIES, |parts| parts.entries.max(1))
+    }
+
+    /// Tells whether an ordinary decision may be logged now; the others are counted.
+    #[must_use]
+    pub fn may_log(&self) -> bool {
+        let now = self.clock.now();
+        let mut lines = self.lines.borrow_mut();
+        lines.set(LINES_PER_S, LINES_PER_S, now);
+        let may = lines.take_whole(1.0, now).is_ok();
+        if !may {
+            counter!("gentian_gateway_lines_left_out_total").increment(1);
         }
+        may
     }
 
     /// Notes a request for a service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod head;
 pub mod input;
+pub mod lender;
 pub mod link;
 pub mod pool;
 pub mod refusal;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -174,18 +174,17 @@
             let Some((_, open)) = &client else {
                 continue;
             };
-            let sent = self.clock.now();
             let mut beat = self.shared.beat.lock().clone();
             beat.run = self.run;
             let error = match calls.wait(open.beat(Envelope::new(&self.node, Revision(self.version()), beat))) {
                 Ok(answer) => match answer.body {
                     Beaten::Parts(parts) => {
-                        let until = sent + Duration::from_millis(parts.hold_ms);
+                        self.shared.leader.store(Arc::new(Some(peer)));
                         if !told {
                             info!(self.logger, "parts of limits are told again"; "peer" => %peer, "entries" => parts.entries);
                         }
                         told = true;
-                        self.shared.parts.store(Arc::new(Some((parts, until))));
+                        self.shared.parts.store(Arc::new(Some(parts)));
                         continue;
                     }
                     Beaten::Unavailable(why) => {
@@ -236,7 +235,7 @@
 
     fn list_pause(&self, rate: f64) -> Duration {
         let parts = self.shared.parts.load();
-        let entries = (**parts).as_ref().map_or(1, |(parts, _)| parts.entries);
+        let entries = (**parts).map_or(1, |parts| parts.entries);
         let even = f64::from(entries) / (rate * LIST_SHARE).max(0.1);
         // Processes that start together would ask together for ever.
         let jitter = 0.9 + 0.2 * rand::random::<f64>();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! One request from its head to its final answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,6 +60,8 @@
     pub keep: bool,
     /// How far it is.
     pub progress: Cell<Progress>,
+    /// The upstream that was chosen last.
+    pub placed: RefCell<Option<Chosen>>,
 }
 
 /// How far a request is, for what is answered when its time is over.
@@ -73,6 +75,8 @@
     pub counted: bool,
     /// Upstreams that it was sent to.
     pub sends: u32,
+    /// Milliseconds until the first part of the answer left.
+    pub first_ms: Option<u64>,
 }
 
 /// How a request ended.
@@ -97,9 +101,18 @@
 pub struct Running {
     gate: Rc<Gate>,
     upstream: String,
+    /// Number under which it waits for its first event.
+    number: u64,
 }
 
 impl Running {
+    /// Notes the first event, or the whole answer.
+    pub(crate) fn begun(&self) {
+        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
+            upstream.begun(self.number);
+        }
+    }
+
     /// Notes that the upstream broke off.
     pub(crate) fn note_failed(&self, gate: &Gate) {
         if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.upstream) {
@@ -112,7 +125,7 @@
     fn drop(&mut self) {
         let now = self.gate.clock.now();
         if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
-            upstream.ended(now);
+            upstream.ended(self.number, now);
         }
     }
 }
@@ -233,6 +246,7 @@
         after: Option<u64>,
     ) -> Result<(Opened, Running), Fate> {
         let once = !self.is_idempotent();
+        self.placed.replace(Some(chosen.clone()));
         let kept = gate.pool.borrow_mut().take(chosen.address, once);
         let left = self.until.saturating_duration_since(Instant::now());
         let connection = if let Some(connection) = kept {
@@ -251,12 +265,15 @@
         progress.may_run = true;
         self.progress.set(progress);
         let now = gate.clock.now();
-        if let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id) {
-            upstream.sent(&self.asked.parts, now);
-        }
+        let mut upstreams = gate.upstreams.borrow_mut();
+        let number = upstreams
+            .get(&chosen.id)
+            .map(|upstream| upstream.sent(&self.asked.parts, chosen, now));
+        drop(upstreams);
         let running = Running {
             gate: Rc::clone(gate),
             upstream: chosen.id.clone(),
+            number: number.unwrap_or_default(),
         };
         let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref(), self.until).await;
         if let Err(Fate::Refused { other, .. }) = &opened {
@@ -335,15 +352,12 @@
             return Err(Fate::unknown(format!("answered {status}")));
         }
         self.count(gate);
-        let upstream = running.upstream.clone();
-        drop(running);
-        if let Some(upstream) = gate.upstreams.borrow_mut().get(&upstream) {
-            if failed {
-                upstream.failed(gate.clock.now());
-            } else {
-                upstream.answered(0.0);
-            }
+        if failed {
+            running.note_failed(gate);
+        } else {
+            running.begun();
         }
+        drop(running);
         let mut bytes = answer_head(&opened.head, Some(body.len()), self.keep);
         bytes.extend_from_slice(&body);
         let (address, reusable) = (opened.connection.stream.peer_addr(), opened.reusable());
@@ -373,6 +387,8 @@
     pub(crate) fn begin(&self) {
         let mut progress = self.progress.get();
         progress.begun = true;
+        let first_ms = || self.came.elapsed().as_millis() as u64;
+        progress.first_ms = progress.first_ms.or_else(|| Some(first_ms()));
         self.progress.set(progress);
     }
 
@@ -411,7 +427,11 @@
         };
         counter!("gentian_gateway_requests_total", "outcome" => outcome).increment(1);
         histogram!("gentian_gateway_request_seconds").record(took.as_secs_f64());
-        if outcome == "passed" {
+        let target = Duration::from_millis(self.route.target_ms);
+        let first_ms = self.progress.get().first_ms;
+        let late = first_ms.is_some_and(|ms| u128::from(ms) > target.as_millis());
+        let ordinary = outcome == "passed" && !late;
+        if ordinary && !gate.may_log() {
             return;
         }
         let why = match end {
@@ -420,9 +440,15 @@
             End::Broken { why } => why.clone(),
         };
         let version = gate.shared.table.load().as_ref().map(|table| table.catalog().version);
+        let placed = self.placed.borrow();
+        let placed = placed.as_ref();
         info!(gate.logger, "request ended"; "request" => &self.asked.id, "outcome" => outcome, "why" => why,
+            "late" => late, "first_ms" => first_ms, "took_ms" => took.as_millis() as u64,
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
-            "took_ms" => took.as_millis() as u64, "version" => version);
+            "upstream" => placed.map(|placed| placed.id.as_str()), "load" => placed.map(|placed| placed.load),
+            "predicted_ms" => placed.map(|placed| placed.predicted.ms as u64),
+            "cached" => placed.map(|placed| placed.cached), "parts" => self.asked.parts.len(),
+            "prompt" => self.asked.tokens.map(|tokens| tokens.prompt), "version" => version);
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! The listeners of an entry host and its planned stop.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -304,9 +304,12 @@
         }
         gate.note_request(&service);
         if let Some(account) = &account
-            && let Err(over) = gate.admit(account, &asked)
+            && let Err(over) = gate.admit(account, &asked).await
         {
             let wait = Duration::from_secs_f64(over.wait_s.clamp(0.05, 30.0));
+            info!(gate.logger, "over quota"; "request" => &id, "account" => &account.name, "saved" => over.saved as i64,
+                "rate" => over.rate as i64, "tokens" => asked.tokens.map(|tokens| tokens.prompt + tokens.answer),
+                "entries" => gate.entries());
             let refusal = Refusal::new(429, "not run: over the account's quota").retry_in(wait);
             return Err(self.refused(refusal, &id, keep));
         }
@@ -322,6 +325,7 @@
             until,
             keep,
             progress: Cell::new(Progress::default()),
+            placed: RefCell::new(None),
         })
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -146,6 +146,7 @@
         if !whole.is_empty() {
             request.count(gate);
             request.begin();
+            source.running.begun();
             let written = sink.write(&whole).await;
             written.map_err(|error| Stop::Caller(error.to_string()))?;
         }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -8,7 +8,7 @@
 use policy::Tick;
 use policy::breaker::Breaker;
 use policy::load::{LoadEstimate, Report};
-use policy::place::{Cached, Candidate, Part, Predicted, choose};
+use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
 use xxhash_rust::xxh3::xxh3_64;
 
 use upstream::directory::Listed;
@@ -20,8 +20,6 @@
 /// Milliseconds by which predictions may differ and still count as equal, so that entry hosts agree on the place of a
 /// prompt's parts instead of spreading them over all.
 const CLOSE_MS: f64 = 12.0;
-/// Weight of a new time against all earlier ones.
-const SLOW_WEIGHT: f64 = 0.1;
 /// Queue places behind the slots that may be filled; an upstream refuses what comes on top.
 const QUEUE: f64 = 2.0;
 
@@ -35,8 +33,7 @@
     cached: Cached,
     own: u32,
     hash: u64,
-    /// Milliseconds that it is slower than its service's average.
-    slow_ms: f64,
+    backlog: Backlog,
     /// It said that it is another incarnation.
     gone: bool,
 }
@@ -181,7 +178,7 @@
             breaker: Breaker::default(),
             cached: Cached::default(),
             own: 0,
-            slow_ms: 0.0,
+            backlog: Backlog::default(),
             gone: false,
         }
     }
@@ -197,31 +194,37 @@
             cached: self.cached.tokens(need.parts, now),
             weight: xxh3_64(&(self.hash ^ lead).to_le_bytes()),
             near: self.listed.zone == *need.zone,
-            slow_ms: self.slow_ms,
+            backlog_ms: self.backlog.ms(now),
         }
     }
 
-    /// Notes that a request is sent; with a prompt, its parts will be cached.
-    pub fn sent(&mut self, parts: &[Part], now: Tick) {
+    /// Notes that a request is sent; with a prompt, its parts will be cached. Gives the number under which it waits for
+    /// its first event.
+    pub fn sent(&mut self, parts: &[Part], chosen: &Chosen, now: Tick) -> u64 {
+        let tokens: u64 = parts.iter().map(|part| part.tokens).sum();
+        let fresh = tokens.saturating_sub(chosen.cached);
+        let number = self.backlog.sent(fresh, chosen.predicted.ms, now);
         self.own += 1;
         self.load.sent(now);
         self.cached.store(parts, now);
         // The choice has looked at the breaker; the claim keeps a second request from following a probe.
         let _ = self.breaker.claim(now);
+        number
+    }
+
+    /// Notes that a request got its first event, or its whole answer.
+    pub fn begun(&mut self, number: u64) {
+        self.backlog.begun(number);
+        self.breaker.succeeded();
     }
 
     /// Notes that a request has ended there.
-    pub fn ended(&mut self, now: Tick) {
+    pub fn ended(&mut self, number: u64, now: Tick) {
+        self.backlog.begun(number);
         self.own = self.own.saturating_sub(1);
         self.load.ended(now);
     }
 
-    /// Notes an answer with the time that it took beyond what was predicted.
-    pub fn answered(&mut self, late_ms: f64) {
-        self.breaker.succeeded();
-        self.slow_ms += SLOW_WEIGHT * (late_ms.clamp(0.0, 1_000.0) - self.slow_ms);
-    }
-
     /// Notes a failure.
     pub fn failed(&mut self, now: Tick) {
         self.breaker.failed(now);
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,9 +8,9 @@
 
 use contract::{Scaling, Zone};
 
-/// Requests that one upstream runs at once while first events are on time. Measured on the users' sheets: at twelve to
-/// sixteen running requests an engine reads prompts half of the time.
-const PER_UPSTREAM: f64 = 10.0;
+/// Requests that one upstream runs at once while first events are on time. Measured on the users' sheets: at sixteen
+/// running requests an engine reads prompts half of the time.
+pub const PER_UPSTREAM: f64 = 16.0;
 /// Fewest upstreams that the load is taken to need: with fewer, one that fails takes a third of the service along.
 const FEWEST: u32 = 3;
 /// Reclaimable upstreams for each that is needed, so that two of four data centres may be lost at once.
@@ -48,6 +48,10 @@
     }
     let mut wanted: BTreeMap<Zone, Wanted> = zones.iter().map(|zone| (zone.clone(), Wanted::default())).collect();
     spread_reclaimable(&mut wanted, &zones, scaling, needed);
+    let dry = present.values().any(|there| there.dry);
+    if dry {
+        keep_reclaimable(&mut wanted, present);
+    }
     let usable: u32 = present.values().map(|there| there.reclaimable).sum();
     let missing = needed.saturating_sub(usable).max(FLOOR);
     let held: u32 = present.values().map(|there| there.on_demand).sum();
@@ -56,7 +60,6 @@
     place(&mut wanted, keep, &zones, |zone, there| {
         there.on_demand < present.get(zone).map_or(0, |held| held.on_demand)
     });
-    let dry = present.values().any(|there| there.dry);
     let more = if dry || usable + held == 0 {
         missing - keep
     } else {
@@ -94,6 +97,14 @@
     }
 }
 
+/// Gives up no reclaimable upstream while others can't be had: a lower load for a moment would cost what can't be replaced.
+fn keep_reclaimable(wanted: &mut BTreeMap<Zone, Wanted>, present: &BTreeMap<Zone, Present>) {
+    for (zone, there) in wanted {
+        let held = present.get(zone).map_or(0, |there| there.reclaimable);
+        there.reclaimable = there.reclaimable.max(held);
+    }
+}
+
 /// Adds on-demand upstreams, the cheapest data centre with room first and one after the other.
 fn place(wanted: &mut BTreeMap<Zone, Wanted>, count: u32, zones: &[Zone], room: impl Fn(&Zone, &Wanted) -> bool) {
     for _ in 0..count {
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -1,48 +1,43 @@
 //! How entry hosts that come and go share limits that hold over all of them.
 //!
-//! Half of each limit is split evenly over all entry hosts that were heard of lately; an entry host that is cut off goes on
-//! with that floor, so that the sum stays within the limit whoever is cut off. The other half follows demand.
+//! A part of each limit is split evenly over all entry hosts that were heard of lately; an entry host that is cut off goes
+//! on with that floor, so that the sum stays within the limit whoever is cut off. The rest is lent out by the leader of the
+//! state group to whoever has no room for a request: requests of an account meet entry hosts by chance, and a split of
+//! everything would refuse some at one host while another has room.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use contract::NodeId;
+use contract::{NodeId, Quota};
 
 use crate::Tick;
+use crate::quota::Bucket;
 
 /// Part of every limit that is split evenly.
-const EVEN: f64 = 0.5;
+pub const EVEN: f64 = 0.4;
+/// Part of the slack beyond a quota that is used, half of it split and half of it lent. Entry hosts that restart, or are
+/// counted late, may add to it what their part was.
+pub const SLACK_USED: f64 = 0.7;
 /// How long an entry host that fell silent still counts: longer than a cut lasts on an ordinary day, since it goes on
 /// using its floor meanwhile.
 const REMEMBERED: Duration = Duration::from_secs(30);
-/// How long the demand of an entry host counts after its last beat.
-const FRESH: Duration = Duration::from_millis(1_500);
 /// How long a new leader listens before it gives parts: several beats, so that it has heard of every entry host.
 const LISTENING: Duration = Duration::from_secs(1);
-/// How long parts hold. A change of leaders takes about a second and its listening another.
-pub const HOLD: Duration = Duration::from_secs(3);
 
-/// What is known of the entry hosts.
+/// What a leader knows of those who share, and what it can lend.
 #[derive(Debug)]
 pub struct Sharers {
     since: Tick,
-    known: BTreeMap<NodeId, Sharer>,
+    known: BTreeMap<NodeId, Tick>,
+    pools: BTreeMap<String, Bucket>,
 }
 
-#[derive(Debug, Default)]
-struct Sharer {
-    heard: Tick,
-    demand: BTreeMap<String, f64>,
-}
-
-/// The parts of one entry host.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// The part of one entry host.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Portion {
     /// Entry hosts that share.
     pub entries: u32,
-    /// Part of each client account's quota, 0 to 1.
-    pub quotas: BTreeMap<String, f64>,
-    /// Part that holds without news.
+    /// Part of every limit that is its own.
     pub floor: f64,
 }
 
@@ -53,43 +48,34 @@
         Self {
             since,
             known: BTreeMap::new(),
+            pools: BTreeMap::new(),
         }
     }
 
-    /// Notes a beat and gives the entry host's parts; nothing while it is not known yet who shares.
-    pub fn beat(&mut self, node: &NodeId, demand: &BTreeMap<String, f64>, now: Tick) -> Option<Portion> {
-        self.known.retain(|_, sharer| now.since(sharer.heard) < REMEMBERED);
-        let sharer = self.known.entry(node.clone()).or_default();
-        sharer.heard = now;
-        sharer.demand.clone_from(demand);
-        if now.since(self.since) < LISTENING {
-            return None;
-        }
-        let entries = self.known.len();
-        let floor = EVEN / entries as f64;
-        let part = |(account, own): (&String, &f64)| {
-            let all = self.demand(account, now);
-            let by_demand = if all > 0.0 { own / all } else { 1.0 / entries as f64 };
-            (account.clone(), floor + (1.0 - EVEN) * by_demand)
-        };
-        Some(Portion {
-            entries: entries as u32,
-            quotas: demand.iter().map(part).collect(),
-            floor,
+    /// Notes a beat and gives the entry host's part; nothing while it is not known yet who shares.
+    pub fn beat(&mut self, node: &NodeId, now: Tick) -> Option<Portion> {
+        self.known.retain(|_, heard| now.since(*heard) < REMEMBERED);
+        self.known.insert(node.clone(), now);
+        (now.since(self.since) >= LISTENING).then(|| Portion {
+            entries: self.known.len() as u32,
+            floor: EVEN / self.known.len() as f64,
         })
     }
 
-    /// Gives the number of entry hosts that beat lately.
-    #[must_use]
-    pub fn live(&self, now: Tick) -> usize {
-        self.known
-            .values()
-            .filter(|sharer| now.since(sharer.heard) < FRESH)
-            .count()
+    /// Takes over the quotas in force. A pool that is new begins empty: a former leader may just have lent what was in it.
+    pub fn set_quotas(&mut self, quotas: &[(String, Quota)], slack: f64, now: Tick) {
+        self.pools
+            .retain(|account, _| quotas.iter().any(|(name, _)| name == account));
+        for (account, quota) in quotas {
+            let pool = self.pools.entry(account.clone()).or_insert_with(|| Bucket::new(now));
+            let burst = quota.burst * (1.0 - EVEN) + slack * SLACK_USED / 2.0;
+            pool.set(quota.per_s * (1.0 - EVEN), burst, now);
+        }
     }
 
-    fn demand(&self, account: &str, now: Tick) -> f64 {
-        let live = self.known.values().filter(|sharer| now.since(sharer.heard) < FRESH);
-        live.filter_map(|sharer| sharer.demand.get(account)).sum()
+    /// Lends units of an account's quota.
+    pub fn lend(&mut self, account: &str, units: f64, now: Tick) -> bool {
+        let pool = self.pools.get_mut(account);
+        pool.is_some_and(|pool| pool.take(units, now).is_ok())
     }
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -16,6 +16,8 @@
 const QUEUED_MS: f64 = 30.0;
 /// Milliseconds that another data centre is taken to be farther; it breaks ties and saves traffic between them.
 const DISTANCE_MS: f64 = 2.0;
+/// Longest that a request without a first event is taken for a sign of a backlog; one that waits longer has got lost.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
 /// How long a part of a prompt is believed to stay cached after its last use.
 const CACHED: Duration = Duration::from_mins(1);
 /// Parts of prompts that are remembered for one upstream; more than its cache holds at common sizes.
@@ -65,6 +67,52 @@
     }
 }
 
+/// What an upstream still has to read, as far as an entry host can tell.
+///
+/// Prompts are read one after the other. One of fifty thousand tokens takes most of a second, and whatever is sent to the
+/// same upstream meanwhile is late, although the count of its requests is low.
+#[derive(Clone, Debug, Default)]
+pub struct Backlog {
+    /// When the prompts that were sent will have been read.
+    read_at: Tick,
+    /// Requests without a first event: when they were sent, and what was predicted.
+    waiting: HashMap<u64, (Tick, f64)>,
+    next: u64,
+}
+
+impl Backlog {
+    /// Notes a request with so many tokens to read; gives the number under which it waits.
+    pub fn sent(&mut self, fresh: u64, predicted_ms: f64, now: Tick) -> u64 {
+        self.note(fresh, now);
+        self.next += 1;
+        self.waiting.insert(self.next, (now, predicted_ms));
+        self.next
+    }
+
+    /// Notes tokens that somebody has sent.
+    pub fn note(&mut self, fresh: u64, now: Tick) {
+        let ms = fresh as f64 / PREFILL_PER_MS;
+        self.read_at = self.read_at.max(now) + Duration::from_secs_f64(ms / 1_000.0);
+    }
+
+    /// Notes that a request got its first event, or ended.
+    pub fn begun(&mut self, number: u64) {
+        self.waiting.remove(&number);
+    }
+
+    /// Gives the milliseconds of work that goes before a new request: what is not read yet, or by how much requests wait
+    /// longer than was predicted because of what others sent.
+    #[must_use]
+    pub fn ms(&self, now: Tick) -> f64 {
+        let own = self.read_at.since(now).as_secs_f64() * 1_000.0;
+        let longer = |(sent, predicted): &(Tick, f64)| {
+            let waited = now.since(*sent);
+            (waited < LONGEST_WAIT).then(|| waited.as_secs_f64() * 1_000.0 - predicted)
+        };
+        self.waiting.values().filter_map(longer).fold(own, f64::max)
+    }
+}
+
 /// An upstream that may take the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -80,8 +128,8 @@
     pub weight: u64,
     /// Whether it stands in the own data centre.
     pub near: bool,
-    /// Milliseconds that it is slower than others, as far as known.
-    pub slow_ms: f64,
+    /// Milliseconds of work that goes before, as far as known: prompts that were sent there and are not read yet.
+    pub backlog_ms: f64,
 }
 
 /// What is predicted for one upstream.
@@ -106,7 +154,7 @@
         + crowd * crowd * CROWD_MS
         + queued * QUEUED_MS
         + if option.near { 0.0 } else { DISTANCE_MS }
-        + option.slow_ms;
+        + option.backlog_ms;
     Predicted {
         at: option.at,
         ms,
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -22,6 +22,10 @@
 pub struct Over {
     /// Seconds until there is room for it.
     pub wait_s: f64,
+    /// Units that are saved up; below zero what a large request before has taken too much.
+    pub saved: f64,
+    /// Units a second.
+    pub rate: f64,
 }
 
 impl Bucket {
@@ -53,12 +57,33 @@
         let needed = units.min(self.burst * LARGE);
         if self.units < needed || self.rate <= 0.0 {
             let wait_s = (needed - self.units) / self.rate.max(f64::MIN_POSITIVE);
-            return Err(Over { wait_s });
+            return Err(Over {
+                wait_s,
+                saved: self.units,
+                rate: self.rate,
+            });
         }
         self.units -= units;
         Ok(())
     }
 
+    /// Takes a request's units only if all of them are saved up.
+    ///
+    /// # Errors
+    /// Tells how long the request would have to wait when there is no room for it.
+    pub fn take_whole(&mut self, units: f64, now: Tick) -> Result<(), Over> {
+        self.fill(now);
+        if self.units >= units {
+            self.units -= units;
+            return Ok(());
+        }
+        Err(Over {
+            wait_s: (units.min(self.burst) - self.units) / self.rate.max(f64::MIN_POSITIVE),
+            saved: self.units,
+            rate: self.rate,
+        })
+    }
+
     /// Gives back the units of a request that no upstream ran.
     pub fn give_back(&mut self, units: f64) {
         self.units = (self.units + units).min(self.burst);
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -44,7 +44,7 @@
         peers: settings.peers.clone(),
         membership: Membership::Operators,
     };
-    let program = Program::start(me, &settings.data, logger, &stop)?;
+    let program = Program::start(me, &settings.data, 0.0, logger, &stop)?;
     let admin = start_admin(settings, program.ring.clone(), scrape)?;
     info!(logger, "serving"; "inner" => %settings.listen, "admin" => %admin.server_addr());
     while !stop.load(Ordering::Relaxed) {
--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -51,15 +51,16 @@
 }
 
 impl Program {
-    /// Opens the data folder and starts the node; `stop` is set when the folder can't be written any more.
+    /// Opens the data folder and starts the node; `stop` is set when the folder can't be written any more, `slack` is what
+    /// may pass beyond each quota in a window.
     ///
     /// # Errors
     /// Fails when the data folder or the address can't be used.
-    pub fn start(me: Me, data: &Path, logger: &Logger, stop: &Arc<AtomicBool>) -> anyhow::Result<Self> {
+    pub fn start(me: Me, data: &Path, slack: f64, logger: &Logger, stop: &Arc<AtomicBool>) -> anyhow::Result<Self> {
         let clock = Clock::start();
         let calls = Calls::start(2, TIMEOUT)?;
         let (ring, asks) = ring();
-        let registry = Arc::new(Registry::default());
+        let registry = Arc::new(Registry::new(slack));
         let rpc = Rpc::new(me.node.clone(), ring.clone(), Arc::clone(&registry), clock.clone());
         let listen = me.address;
         let owner = start_owner(me, data, &calls, asks, clock.clone(), logger, stop)?;
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -4,10 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use contract::NodeId;
+use contract::{NodeId, Quota};
 use parking_lot::Mutex;
 use policy::Tick;
-use policy::parts::{HOLD, Sharers};
+use policy::parts::Sharers;
 use wire::registry::{Beat, Parts, ServiceLoad};
 
 /// Windows of usage that are kept: at the length of five seconds, more than three minutes.
@@ -15,7 +15,11 @@
 
 /// What the leader of a term knows of the entry hosts.
 #[derive(Debug, Default)]
-pub struct Registry(Mutex<Inner>);
+pub struct Registry {
+    inner: Mutex<Inner>,
+    /// Units beyond a quota that may pass in a window, over all entry hosts.
+    slack: f64,
+}
 
 #[derive(Debug, Default)]
 struct Inner {
@@ -29,9 +33,24 @@
 pub type Counts = BTreeMap<String, u64>;
 
 impl Registry {
+    /// Makes a registry that may let so many units beyond each quota pass.
+    #[must_use]
+    pub fn new(slack: f64) -> Self {
+        Self {
+            inner: Mutex::default(),
+            slack,
+        }
+    }
+
     /// Takes a beat in a term; gives the entry host's parts once they are known.
-    pub fn beat(&self, term: u64, from: &NodeId, beat: Beat, now: Tick) -> Option<Parts> {
-        let mut inner = self.0.lock();
+    pub fn beat(
+        &self,
+        term: u64,
+        (from, beat): (&NodeId, Beat),
+        quotas: &[(String, Quota)],
+        now: Tick,
+    ) -> Option<Parts> {
+        let mut inner = self.inner.lock();
         if inner.term != term {
             // Another led in between, and may have given other parts.
             inner.sharers = None;
@@ -46,19 +65,26 @@
         }
         inner.loads.insert(from.clone(), (now, beat.load));
         let sharers = inner.sharers.get_or_insert_with(|| Sharers::new(now));
-        let portion = sharers.beat(from, &beat.demand, now)?;
+        sharers.set_quotas(quotas, self.slack, now);
+        let portion = sharers.beat(from, now)?;
         Some(Parts {
             entries: portion.entries,
-            quotas: portion.quotas,
             floor: portion.floor,
-            hold_ms: HOLD.as_millis() as u64,
         })
     }
 
+    /// Lends units of an account's quota in a term.
+    pub fn lend(&self, term: u64, account: &str, units: f64, now: Tick) -> bool {
+        let mut inner = self.inner.lock();
+        let same = inner.term == term;
+        let sharers = inner.sharers.as_mut().filter(|_| same);
+        sharers.is_some_and(|sharers| sharers.lend(account, units, now))
+    }
+
     /// Tells whether entry hosts were there when a window ended, so that its usage can be told.
     #[must_use]
     pub fn knows(&self, window: u64) -> bool {
-        let inner = self.0.lock();
+        let inner = self.inner.lock();
         inner
             .counts
             .first_key_value()
@@ -68,7 +94,7 @@
     /// Gives the requests that began in a window, over all entry hosts.
     #[must_use]
     pub fn counts(&self, window: u64) -> Counts {
-        let inner = self.0.lock();
+        let inner = self.inner.lock();
         let mut sum = Counts::new();
         for counts in inner.counts.get(&window).into_iter().flat_map(BTreeMap::values) {
             for (account, count) in counts {
@@ -81,7 +107,7 @@
     /// Gives the load of each service over the entry hosts that beat within a time.
     #[must_use]
     pub fn loads(&self, now: Tick, fresh: std::time::Duration) -> BTreeMap<String, ServiceLoad> {
-        let inner = self.0.lock();
+        let inner = self.inner.lock();
         let mut sum: BTreeMap<String, ServiceLoad> = BTreeMap::new();
         for (at, loads) in inner.loads.values() {
             if now.since(*at) > fresh {
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use contract::{NodeId, Revision};
+use contract::{NodeId, Quota, Revision};
 use crossbeam_channel::Sender;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -12,7 +12,7 @@
 use wire::Envelope;
 use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published};
 use wire::raft::{Packet, RaftRpcServer};
-use wire::registry::{Beat, Beaten};
+use wire::registry::{Beat, Beaten, Borrow, Borrowed};
 use wire::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
     Watched,
@@ -64,6 +64,20 @@
         answer.await.map_err(|_closed| stopping())
     }
 
+    /// Gives the quotas in force.
+    async fn quotas(&self) -> RpcResult<Vec<(String, Quota)>> {
+        let read = |reply: oneshot::Sender<Vec<(String, Quota)>>| {
+            Ask::Read(Box::new(move |applied, _age| {
+                let accounts = applied.catalog().map(|catalog| catalog.accounts.iter());
+                let quotas = accounts.into_iter().flatten();
+                let quotas = quotas.filter_map(|account| Some((account.name.clone(), account.quota?)));
+                // An asker that has gone away needs no answer.
+                let _ = reply.send(quotas.collect());
+            }))
+        };
+        Ok(self.ask(read).await?.body)
+    }
+
     async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> RpcResult<Envelope<T>> {
         let (reply, answer) = oneshot::channel();
         self.ring.try_send(ask(reply)).map_err(|_full| stopping())?;
@@ -130,15 +144,26 @@
             let leader = lead.leader;
             return Ok(self.wrap(Beaten::Unavailable(Unavailable::NotLeader { leader })));
         }
-        let parts = self
-            .registry
-            .beat(lead.term, &request.from, request.body, self.clock.now());
+        let quotas = self.quotas().await?;
+        let beat = (&request.from, request.body);
+        let parts = self.registry.beat(lead.term, beat, &quotas, self.clock.now());
         let listening = || Unavailable::NoQuorum {
             reason: "a new leader listens who shares the limits".to_owned(),
         };
         let body = parts.map_or_else(|| Beaten::Unavailable(listening()), Beaten::Parts);
         Ok(self.wrap(body))
     }
+
+    async fn borrow_units(&self, request: Envelope<Borrow>) -> RpcResult<Envelope<Borrowed>> {
+        let lead = self.ask(Ask::Lead).await?.body;
+        if lead.since.is_none() {
+            let leader = lead.leader;
+            return Ok(self.wrap(Borrowed::Unavailable(Unavailable::NotLeader { leader })));
+        }
+        let Borrow { account, units } = request.body;
+        let lent = self.registry.lend(lead.term, &account, units, self.clock.now());
+        Ok(self.wrap(if lent { Borrowed::Lent } else { Borrowed::Over }))
+    }
 }
 
 #[async_trait]
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Envelope;
-use crate::registry::{Beat, Beaten};
+use crate::registry::{Beat, Beaten, Borrow, Borrowed};
 use crate::state::Unavailable;
 
 /// The calls about the catalog.
@@ -29,6 +29,10 @@
     /// Tells the leader that an entry host is there and what it has seen; the answer holds its parts of shared limits.
     #[method(name = "beat")]
     async fn beat(&self, request: Envelope<Beat>) -> RpcResult<Envelope<Beaten>>;
+
+    /// Asks the leader for a part of a quota that is not split.
+    #[method(name = "borrow")]
+    async fn borrow_units(&self, request: Envelope<Borrow>) -> RpcResult<Envelope<Borrowed>>;
 }
 
 /// Publishes a document and the catalog that it stands for.
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -14,8 +14,6 @@
     pub run: u64,
     /// Its data centre.
     pub zone: Zone,
-    /// Units a second that each client account asked for lately.
-    pub demand: BTreeMap<String, f64>,
     /// Requests that began to run, by window of true time and client account; each total replaces the one before.
     pub began: BTreeMap<u64, BTreeMap<String, u64>>,
     /// Load by service, for orders of capacity.
@@ -41,14 +39,30 @@
 }
 
 /// An entry host's parts of what all of them share.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Parts {
     /// Entry hosts that share.
     pub entries: u32,
-    /// Part of each client account's quota, 0 to 1.
-    pub quotas: BTreeMap<String, f64>,
-    /// Part that holds when no newer answer comes in time, 0 to 1.
+    /// Part of each client account's quota that is its own, 0 to 1.
     pub floor: f64,
-    /// How long the parts hold from the time at which the beat was sent, in milliseconds.
-    pub hold_ms: u64,
+}
+
+/// Asks for units of a client account's quota beyond the own part.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Borrow {
+    /// The account.
+    pub account: String,
+    /// The units.
+    pub units: f64,
+}
+
+/// The answer to [`Borrow`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Borrowed {
+    /// All units are lent.
+    Lent,
+    /// The quota has no room for them now.
+    Over,
+    /// The node does not lead.
+    Unavailable(Unavailable),
 }
