Give on-demand upstreams the places of reclaimable ones that can't be had

Cause: while reclaimable upstreams were refused in every data centre, the plan still wanted the most of them there, so that no place was left for on-demand ones; and the first beat with a load (25 running in the first second) undid what was ordered for the start. Ruled out: refused on-demand orders (all were taken). The floor of on-demand upstreams is now a quarter of what is needed, and the load that was expected counts for its fifteen seconds.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -15,8 +15,9 @@
 const FEWEST: u32 = 3;
 /// Reclaimable upstreams for each that is needed, so that two of four data centres may be lost at once.
 const SPARE: f64 = 2.0;
-/// On-demand upstreams that are always kept where reclaimable ones are cheaper.
-const FLOOR: u32 = 1;
+/// Part of the needed upstreams that is always on-demand, so that the loss of all others leaves a thin service until
+/// on-demand ones have started.
+const FLOOR: f64 = 0.25;
 
 /// What there is in one data centre.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -52,8 +53,9 @@
     if dry {
         keep_reclaimable(&mut wanted, present);
     }
+    let floor = (f64::from(needed) * FLOOR).ceil() as u32;
     let usable: u32 = present.values().map(|there| there.reclaimable).sum();
-    let missing = needed.saturating_sub(usable).max(FLOOR);
+    let missing = needed.saturating_sub(usable).max(floor);
     let held: u32 = present.values().map(|there| there.on_demand).sum();
     // What is there already is kept first: an upstream that is drained and ordered anew elsewhere loses its cache.
     let keep = missing.min(held);
@@ -63,7 +65,7 @@
     let more = if dry || usable + held == 0 {
         missing - keep
     } else {
-        FLOOR.saturating_sub(keep)
+        floor.saturating_sub(keep)
     };
     place(&mut wanted, more, &zones, |_, there| {
         there.on_demand + there.reclaimable < scaling.max
@@ -98,10 +100,17 @@
 }
 
 /// Gives up no reclaimable upstream while others can't be had: a lower load for a moment would cost what can't be replaced.
+/// Where they can't be had, their places are left for on-demand ones.
 fn keep_reclaimable(wanted: &mut BTreeMap<Zone, Wanted>, present: &BTreeMap<Zone, Present>) {
     for (zone, there) in wanted {
-        let held = present.get(zone).map_or(0, |there| there.reclaimable);
-        there.reclaimable = there.reclaimable.max(held);
+        let Some(held) = present.get(zone) else {
+            continue;
+        };
+        there.reclaimable = if held.dry {
+            held.reclaimable
+        } else {
+            there.reclaimable.max(held.reclaimable)
+        };
     }
 }
 
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -13,7 +13,7 @@
 use derive_more::{Display, Error};
 use metrics::counter;
 use policy::Tick;
-use policy::fleet::{PER_UPSTREAM, Present, Wanted, plan};
+use policy::fleet::{PER_UPSTREAM, Present, plan};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
@@ -122,8 +122,6 @@
     planned: Option<Tick>,
     orders: BTreeMap<Subject, Given>,
     busy: BTreeMap<ServiceName, Peak>,
-    /// Upstreams that are taken to be needed as long as no load is known.
-    idle: BTreeMap<ServiceName, BTreeMap<Zone, Present>>,
 }
 
 /// What an order is about: service, data centre and whether upstreams are reclaimable.
@@ -169,7 +167,6 @@
             planned: None,
             orders: BTreeMap::new(),
             busy: BTreeMap::new(),
-            idle: BTreeMap::new(),
         }
     }
 
@@ -222,9 +219,9 @@
         let loads = self.registry.loads(now, LOAD_FRESH);
         for (service, scaling) in scaled {
             let told = loads.get(service.as_str()).map_or(0.0, |load| load.running);
-            let busy = self.peak(&service, told, now);
             let present = self.present(&service, &scaling, &list, now);
-            for (zone, wanted) in self.wanted(&service, &scaling, &present, busy) {
+            let busy = self.peak(&service, told, &present, now);
+            for (zone, wanted) in plan(&present, &scaling, busy) {
                 let there = present.get(&zone).cloned().unwrap_or_default();
                 let kinds = [
                     (true, wanted.reclaimable, there.reclaimable),
@@ -237,27 +234,6 @@
         }
     }
 
-    fn wanted(
-        &mut self,
-        service: &ServiceName,
-        scaling: &Scaling,
-        present: &BTreeMap<Zone, Present>,
-        busy: f64,
-    ) -> BTreeMap<Zone, Wanted> {
-        if busy > 0.0 {
-            return plan(present, scaling, busy);
-        }
-        // Before the first request, half of what was there first is taken to be needed: operators had a reason for it, and
-        // later counts already follow the plan itself.
-        let there = |present: &BTreeMap<Zone, Present>| present.values().map(|one| one.on_demand).sum::<u32>();
-        let first = self.idle.entry(service.clone()).or_insert_with(|| present.clone());
-        if there(first) < there(present) {
-            first.clone_from(present);
-        }
-        let expected = f64::from(there(first)) / 2.0 * PER_UPSTREAM;
-        plan(present, scaling, expected)
-    }
-
     fn scaled(&self) -> Vec<(ServiceName, Scaling)> {
         let (reply, answer) = oneshot::channel();
         let read = Ask::Read(Box::new(move |applied, _age| {
@@ -273,9 +249,21 @@
         answer.blocking_recv().unwrap_or_default()
     }
 
-    fn peak(&mut self, service: &ServiceName, busy: f64, now: Tick) -> f64 {
-        let peak = self.busy.entry(service.clone()).or_insert(Peak { busy, at: now });
-        if busy >= peak.busy || now.since(peak.at) > BUSY {
+    /// Gives the highest load of late; before the first requests, half of what was there first is taken to be needed, since
+    /// operators had a reason for it.
+    fn peak(&mut self, service: &ServiceName, busy: f64, present: &BTreeMap<Zone, Present>, now: Tick) -> f64 {
+        let there: u32 = present.values().map(|one| one.on_demand).sum();
+        let expected = f64::from(there) / 2.0 * PER_UPSTREAM;
+        let first = Peak {
+            busy: expected,
+            at: now,
+        };
+        let peak = self.busy.entry(service.clone()).or_insert(first);
+        let unknown = busy <= 0.0;
+        if unknown {
+            peak.at = now;
+            peak.busy = peak.busy.max(expected);
+        } else if busy >= peak.busy || now.since(peak.at) > BUSY {
             *peak = Peak { busy, at: now };
         }
         peak.busy
