--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::{Instant, timeout_at};
 
 use crate::body::Decoder;
 use crate::dialect::{Dialect, Told};
@@ -67,22 +66,12 @@
     sent: bool,
 }
 
-/// Sends a request and reads the head of its answer.
+/// Sends a request and reads the head of its answer; the caller of this ends the wait when the request's time is over.
 ///
 /// # Errors
 /// Tells what is certain about the request when no answer to it comes.
-pub async fn open(
-    mut connection: Connection,
-    request: &[u8],
-    id: &str,
-    dialect: &dyn Dialect,
-    until: Instant,
-) -> Result<Opened, Fate> {
-    let opening = send_and_read(&mut connection, request, id, dialect);
-    let (head, told, decoder, sent) = match timeout_at(until, opening).await {
-        Ok(read) => read?,
-        Err(_late) => return Err(Fate::unknown("no answer in time")),
-    };
+pub async fn open(mut connection: Connection, request: &[u8], id: &str, dialect: &dyn Dialect) -> Result<Opened, Fate> {
+    let (head, told, decoder, sent) = send_and_read(&mut connection, request, id, dialect).await?;
     if told.refused || told.other {
         let (status, other) = (head.start.status, told.other);
         return Err(Fate::Refused { status, other });
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -152,7 +152,7 @@
         if newer {
             info!(self.logger, "configuration in force"; "version" => catalog.version, "peer" => %peer,
                 "age_ms" => news.age_ms, "routes" => catalog.routes.len(), "accounts" => catalog.accounts.len());
-            gauge!("gentian_gateway_config_version").set(catalog.version as f64);
+            gauge!("gentian_gateway_config_revision").set(catalog.version as f64);
             self.shared.table.store(Some(Arc::new(Table::new(catalog))));
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -264,18 +264,13 @@
         progress.sends += 1;
         progress.may_run = true;
         self.progress.set(progress);
-        let now = gate.clock.now();
-        let mut upstreams = gate.upstreams.borrow_mut();
-        let number = upstreams
-            .get(&chosen.id)
-            .map(|upstream| upstream.sent(&self.asked.parts, chosen, now));
-        drop(upstreams);
+        let number = self.note_sent(gate, chosen);
         let running = Running {
             gate: Rc::clone(gate),
             upstream: chosen.id.clone(),
-            number: number.unwrap_or_default(),
+            number,
         };
-        let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref(), self.until).await;
+        let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref()).await;
         if let Err(Fate::Refused { other, .. }) = &opened {
             let mut progress = self.progress.get();
             progress.may_run = ran_before;
@@ -292,6 +287,14 @@
         Ok((opened, running))
     }
 
+    /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
+    fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
+        let now = gate.clock.now();
+        let mut upstreams = gate.upstreams.borrow_mut();
+        let upstream = upstreams.get(&chosen.id);
+        upstream.map_or(0, |upstream| upstream.sent(&self.asked.parts, chosen, now))
+    }
+
     /// Writes the request as the upstream gets it.
     fn render(&self, gate: &Gate, chosen: &Chosen, after: Option<u64>) -> Vec<u8> {
         let mut out = Vec::with_capacity(ROOM + self.body.len());
--- /dev/null
+++ b/crates/policy/tests/fleet_plan.rs
@@ -0,0 +1,82 @@
+//! How many upstreams are ordered: cheap ones in plenty, some that nobody takes away, and others while none are to be had.
+
+use std::collections::BTreeMap;
+
+use contract::{Scaling, Zone};
+use policy::fleet::{PER_UPSTREAM, Present, Wanted, plan};
+use quickcheck::quickcheck;
+
+fn scaling(spot_price: f64) -> Scaling {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    Scaling {
+        min: 1,
+        max: 6,
+        boot_ms: 4_000,
+        spot_price,
+        prices: prices
+            .into_iter()
+            .map(|(zone, price)| (Zone::from(zone), price))
+            .collect(),
+    }
+}
+
+fn present(counts: [(u32, u32, bool); 4]) -> BTreeMap<Zone, Present> {
+    let zones = ["a", "b", "c", "d"].into_iter().map(Zone::from);
+    let there = counts.into_iter().map(|(on_demand, reclaimable, dry)| Present {
+        on_demand,
+        reclaimable,
+        dry,
+    });
+    zones.zip(there).collect()
+}
+
+fn sum(wanted: &BTreeMap<Zone, Wanted>, of: impl Fn(&Wanted) -> u32) -> u32 {
+    wanted.values().map(of).sum()
+}
+
+const START: [(u32, u32, bool); 4] = [(3, 0, false), (2, 0, false), (2, 0, false), (2, 0, false)];
+
+/// All upstreams are on-demand at the start. They stay until reclaimable ones serve, and go then but for a floor.
+#[test]
+fn moves_to_cheap() {
+    let busy = 5.0 * PER_UPSTREAM;
+    let first = plan(&present(START), &scaling(0.16), busy);
+    assert!(sum(&first, |one| one.on_demand) >= 5, "{first:?}");
+    assert!(sum(&first, |one| one.reclaimable) >= 10, "{first:?}");
+    let later = [(3, 3, false), (2, 3, false), (2, 2, false), (2, 2, false)];
+    let later = plan(&present(later), &scaling(0.16), busy);
+    assert_eq!(sum(&later, |one| one.on_demand), 2, "{later:?}");
+}
+
+/// A data centre's reclaimable upstreams are taken away, and none are to be had anywhere. On-demand ones take their places
+/// as far as the load needs it; without that the rest would be overrun for as long as the dry spell lasts.
+#[test]
+fn dry_spell() {
+    let busy = 7.0 * PER_UPSTREAM;
+    let dry = [(0, 2, true), (1, 0, true), (0, 2, true), (0, 0, true)];
+    let wanted = plan(&present(dry), &scaling(0.16), busy);
+    assert!(sum(&wanted, |one| one.on_demand) >= 3, "{wanted:?}");
+    let kept = ["a", "c"].map(|zone| wanted[&Zone::from(zone)].reclaimable);
+    assert_eq!(kept, [2, 2], "what is there is not given up");
+}
+
+/// Where reclaimable upstreams cost as much as others, there is no reason to risk them.
+#[test]
+fn no_discount() {
+    let wanted = plan(&present(START), &scaling(1.0), 3.0 * PER_UPSTREAM);
+    assert_eq!(sum(&wanted, |one| one.reclaimable), 0);
+    assert_eq!(sum(&wanted, |one| one.on_demand), 4);
+}
+
+quickcheck! {
+    /// No plan leaves the bounds of a data centre, and every plan has what the load needs or the most that is allowed.
+    fn within_bounds(counts: Vec<(u8, u8, bool)>, busy: u16) -> bool {
+        let mut all = [(0, 0, false); 4];
+        for (at, (a, b, dry)) in counts.into_iter().take(4).enumerate() {
+            all[at] = (u32::from(a % 4), u32::from(b % 4), dry);
+        }
+        let wanted = plan(&present(all), &scaling(0.16), f64::from(busy % 600));
+        wanted.values().all(|one| (1..=6).contains(&(one.on_demand + one.reclaimable)) || all.iter().any(|one| one.2))
+            && wanted.values().all(|one| one.on_demand + one.reclaimable <= 6)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/prompt_place.rs
@@ -0,0 +1,73 @@
+//! Where prompts go: to what holds their beginning, unless waiting there costs more.
+
+use policy::Tick;
+use policy::place::{Backlog, Cached, Candidate, Part, choose};
+
+fn candidate(at: usize, load: f64) -> Candidate {
+    Candidate {
+        at,
+        load,
+        slots: 64.0,
+        cached: 0,
+        weight: at as u64,
+        near: true,
+        backlog_ms: 0.0,
+    }
+}
+
+fn chosen(candidates: &[Candidate], tokens: u64) -> usize {
+    choose(candidates, tokens, 12.0).unwrap().at
+}
+
+#[test]
+fn cached_first() {
+    let mut two = [candidate(0, 3.0), candidate(1, 3.0)];
+    two[0].cached = 5_000;
+    assert_eq!(chosen(&two, 6_000), 0);
+}
+
+/// Several entry hosts choose at once, each with its own view. For equal upstreams all of them must agree, or the shared
+/// part of a prompt is read at every upstream.
+#[test]
+fn agreed_place() {
+    let weights = [7, 9, 3];
+    let at = |weight: usize| Candidate {
+        weight: weights[weight],
+        ..candidate(weight, weight as f64)
+    };
+    assert_eq!(chosen(&[at(0), at(1), at(2)], 2_000), 1);
+}
+
+/// A prompt of fifty thousand tokens was sent to an upstream a moment ago, whose count of requests is as low as the
+/// others'. Whatever is sent there next would wait for most of a second.
+#[test]
+fn behind_long_prompt() {
+    let now = Tick::from_millis(1_000);
+    let mut backlog = Backlog::default();
+    backlog.sent(50_000, 780.0, now);
+    let mut two = [candidate(1, 0.0), candidate(0, 0.0)];
+    two[0].backlog_ms = backlog.ms(Tick::from_millis(1_050));
+    assert!(two[0].backlog_ms > 600.0);
+    assert_eq!(chosen(&two, 500), 0);
+    assert!(backlog.ms(Tick::from_millis(1_900)) < 200.0);
+}
+
+/// Another entry host has sent the long prompt, so that this one can't count it. Its own small request there waits longer
+/// than was predicted, which tells the same.
+#[test]
+fn longer_than_predicted() {
+    let mut backlog = Backlog::default();
+    let number = backlog.sent(300, 5.0, Tick::from_millis(1_000));
+    assert!(backlog.ms(Tick::from_millis(1_400)) > 350.0);
+    backlog.begun(number);
+    assert!(backlog.ms(Tick::from_millis(1_400)) < 1.0);
+}
+
+#[test]
+fn beginnings_only() {
+    let part = |key| Part { key, tokens: 100 };
+    let mut cached = Cached::default();
+    cached.store(&[part(1), part(3)], Tick::default());
+    assert_eq!(cached.tokens(&[part(1), part(2), part(3)], Tick::default()), 100);
+    assert_eq!(cached.tokens(&[part(1)], Tick::from_millis(120_000)), 0);
+}
--- /dev/null
+++ b/crates/policy/tests/quota_bucket.rs
@@ -0,0 +1,51 @@
+//! What one entry host lets pass of an account's quota.
+
+use policy::Tick;
+use policy::quota::Bucket;
+use quickcheck::quickcheck;
+
+quickcheck! {
+    /// Whatever is asked for, no more passes than the burst and what the rate has brought since; whole takes only.
+    fn never_over(asks: Vec<(u16, u16)>) -> bool {
+        let (rate, burst) = (1_000.0, 5_000.0);
+        let mut bucket = Bucket::new(Tick::default());
+        bucket.set(rate, burst, Tick::default());
+        let (mut now, mut passed) = (0, 0.0);
+        asks.into_iter().all(|(units, pause)| {
+            now += u64::from(pause);
+            if bucket.take_whole(f64::from(units), Tick::from_millis(now)).is_ok() {
+                passed += f64::from(units);
+            }
+            passed <= rate * now as f64 / 1_000.0 + 1e-6
+        })
+    }
+}
+
+/// A process is killed again and again. If each start owned a full burst, an account would get many times its quota.
+#[test]
+fn starts_empty() {
+    let mut bucket = Bucket::new(Tick::default());
+    bucket.set(100.0, 1_000.0, Tick::default());
+    assert!(bucket.take(100.0, Tick::default()).is_err());
+    bucket.take(100.0, Tick::from_millis(1_000)).unwrap();
+}
+
+/// A request is larger than the burst. It would never be let in if the whole had to be there; what it takes too much is
+/// paid back before the next.
+#[test]
+fn larger_than_burst() {
+    let mut bucket = Bucket::new(Tick::default());
+    bucket.set(100.0, 1_000.0, Tick::default());
+    bucket.take(3_000.0, Tick::from_millis(6_000)).unwrap();
+    let over = bucket.take(100.0, Tick::from_millis(6_000)).unwrap_err();
+    assert!((over.wait_s - 25.0).abs() < 1e-6, "{over:?}");
+}
+
+#[test]
+fn lower_burst() {
+    let mut bucket = Bucket::new(Tick::default());
+    bucket.set(1_000.0, 1_000.0, Tick::default());
+    bucket.set(10.0, 10.0, Tick::from_millis(1_000));
+    assert!(bucket.take_whole(11.0, Tick::from_millis(1_000)).is_err());
+    bucket.take_whole(10.0, Tick::from_millis(1_000)).unwrap();
+}
--- /dev/null
+++ b/crates/policy/tests/repeat_budget.rs
@@ -0,0 +1,53 @@
+//! Repeated sends of all entry hosts together stay within the service's budget.
+
+use std::time::Duration;
+
+use policy::Tick;
+use policy::retries::{Bounds, Repeats};
+use quickcheck::quickcheck;
+
+const BOUNDS: Bounds = Bounds {
+    ratio: 0.2,
+    extra: 56.0,
+    window: Duration::from_secs(10),
+};
+const HOSTS: usize = 8;
+
+/// All upstreams of a service fail, and every entry host wants to send every request again. In no window may the repeats
+/// be more than the share of the requests and the fixed number.
+#[test]
+fn all_fail() {
+    let mut hosts = vec![Repeats::default(); HOSTS];
+    let mut repeats: Vec<u64> = Vec::new();
+    for ms in (0..40_000).step_by(10) {
+        let host = &mut hosts[ms as usize / 10 % HOSTS];
+        host.request(Tick::from_millis(ms), &BOUNDS);
+        if host.take(Tick::from_millis(ms), &BOUNDS, HOSTS as u32) {
+            repeats.push(ms);
+        }
+    }
+    for begin in (0..30_000).step_by(500) {
+        let inside = repeats
+            .iter()
+            .filter(|at| (begin..begin + 10_000).contains(*at))
+            .count() as f64;
+        assert!(inside <= 0.2 * 1_000.0 + 56.0, "{inside} from {begin} ms on");
+    }
+    assert!(
+        repeats.len() > 100,
+        "a budget that is never given out helps nobody: {}",
+        repeats.len()
+    );
+}
+
+quickcheck! {
+    fn one_host(pauses: Vec<u8>) -> bool {
+        let mut host = Repeats::default();
+        let (mut now, mut given) = (0, 0_u32);
+        for pause in pauses {
+            now += u64::from(pause);
+            given += u32::from(host.take(Tick::from_millis(now), &BOUNDS, HOSTS as u32));
+        }
+        f64::from(given) <= 56.0 / 8.0 * (1.0 + now as f64 / 10_000.0)
+    }
+}
--- a/crates/state/src/core/membership.rs
+++ b/crates/state/src/core/membership.rs
@@ -17,8 +17,13 @@
 const SILENT: Duration = Duration::from_secs(2);
 /// Silence after which a member is removed although nobody takes its place, so that it no longer counts for majorities.
 const GONE: Duration = Duration::from_secs(12);
+/// The same where a newcomer has joined before the loss was noticed: the lost one's place is taken already, and together
+/// with a second loss it would leave half of the group.
+const REPLACED: Duration = Duration::from_secs(3);
 /// Voters that must have answered within [`SILENT`] before one is removed without a successor.
 const FEWEST: usize = 3;
+/// The same for an early removal: as many as a group has that nothing has happened to.
+const PLENTY: usize = 4;
 
 impl Core {
     /// Lets whoever announced itself join, in the place of a lost member if there is one.
@@ -75,13 +80,14 @@
     }
 
     fn remove_gone(&mut self, now: Tick) {
-        let Some(gone) = self.silent(GONE, now) else {
-            return;
-        };
         let answers = |id: &MemberId| self.node.answered(*id).is_some_and(|at| now.since(at) < SILENT);
         let lively = 1 + self.node.members().voters().filter(answers).count();
-        if lively >= FEWEST && self.node.remove(gone, now).is_ok() {
-            info!(self.logger, "member removed"; "member" => %gone, "silent_s" => GONE.as_secs());
+        let limit = if lively >= PLENTY { REPLACED } else { GONE };
+        let Some(gone) = self.silent(limit, now).filter(|_| lively >= FEWEST) else {
+            return;
+        };
+        if self.node.remove(gone, now).is_ok() {
+            info!(self.logger, "member removed"; "member" => %gone, "silent_s" => limit.as_secs(), "answering" => lively);
         }
     }
 }
