Count upstreams that are starting, need by prompt tokens, take duties sooner

What is ordered and starting counts now. The need goes by prompt tokens as well as by running requests: behind long prompts eight running requests fill an upstream.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -31,6 +31,8 @@
 /// Log lines a second for requests that were served as they should be. An entry host serves a tenth of that at the rates
 /// of the users' sheets; refused, failed and late requests are always logged.
 const LINES_PER_S: f64 = 100.0;
+/// Time over which the rate of prompt tokens is averaged: longer than the gaps between long prompts at one entry host.
+const AVERAGED: Duration = Duration::from_secs(4);
 /// Entry hosts that are assumed before their number was told.
 const UNTOLD_ENTRIES: u32 = 32;
 /// What the threads beside the event loop give to it, and take from it.
@@ -84,9 +86,30 @@
     buckets: RefCell<HashMap<String, Bucket>>,
     repeats: RefCell<HashMap<ServiceName, Repeats>>,
     loads: RefCell<BTreeMap<String, ServiceLoad>>,
+    rates: RefCell<BTreeMap<String, Rate>>,
     lines: RefCell<Bucket>,
 }
 
+/// An average of what comes a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_s: f64,
+    at: Tick,
+}
+
+impl Rate {
+    fn add(&mut self, units: f64, now: Tick) {
+        self.fade(now);
+        self.per_s += units / AVERAGED.as_secs_f64();
+    }
+
+    fn fade(&mut self, now: Tick) {
+        let passed = now.since(self.at).as_secs_f64();
+        self.per_s *= (-passed / AVERAGED.as_secs_f64()).exp();
+        self.at = now;
+    }
+}
+
 impl std::fmt::Debug for Gate {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Gate")
@@ -127,6 +150,7 @@
             buckets: RefCell::default(),
             repeats: RefCell::default(),
             loads: RefCell::default(),
+            rates: RefCell::default(),
             lines: RefCell::new(Bucket::new(LINES_PER_S, Tick::default())),
         }
     }
@@ -143,6 +167,11 @@
         let mut beat = self.shared.beat.lock();
         beat.began.clone_from(self.began.borrow().counts());
         beat.load.clone_from(&self.loads.borrow());
+        let now = self.clock.now();
+        for (service, rate) in self.rates.borrow_mut().iter_mut() {
+            rate.fade(now);
+            beat.load.entry(service.clone()).or_default().prompt_per_s = rate.per_s;
+        }
     }
 
     /// Takes a request's units from its account's quota: from the own part, or else from what the leader lends.
@@ -261,6 +290,13 @@
         repeats.take(now, &self.place.repeats, self.entries())
     }
 
+    /// Notes prompt tokens that were sent to an upstream to be read.
+    pub fn note_prompt(&self, service: &ServiceName, tokens: u64) {
+        let now = self.clock.now();
+        let mut rates = self.rates.borrow_mut();
+        rates.entry(service.to_string()).or_default().add(tokens as f64, now);
+    }
+
     /// Notes that a service's own running requests change in number.
     pub fn note_running(&self, service: &ServiceName, by: f64) {
         let mut loads = self.loads.borrow_mut();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -290,6 +290,8 @@
     /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
     fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
         let now = gate.clock.now();
+        let tokens: u64 = self.asked.parts.iter().map(|part| part.tokens).sum();
+        gate.note_prompt(&self.service, tokens.saturating_sub(chosen.cached));
         let mut upstreams = gate.upstreams.borrow_mut();
         let upstream = upstreams.get(&chosen.id);
         upstream.map_or(0, |upstream| upstream.sent(&self.asked.parts, chosen, now))
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,9 +8,14 @@
 
 use contract::{Scaling, Zone};
 
+use crate::place::PREFILL_PER_MS;
+
 /// Requests that one upstream runs at once while first events are on time. Measured on the users' sheets: at sixteen
 /// running requests an engine reads prompts half of the time.
-pub const PER_UPSTREAM: f64 = 16.0;
+const PER_UPSTREAM: f64 = 16.0;
+/// Part of its time that an upstream may spend on reading prompts. Prompts are read one after the other and hold up the
+/// tokens of all others; beyond a half, first events wait behind several prompts.
+const READING: f64 = 0.45;
 /// Fewest upstreams that the load is taken to need: with fewer, one that fails takes a third of the service along.
 const FEWEST: u32 = 3;
 /// Reclaimable upstreams for each that is needed, so that two of four data centres may be lost at once.
@@ -22,7 +27,7 @@
 /// What there is in one data centre.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Present {
-    /// On-demand upstreams that are ready.
+    /// On-demand upstreams that are ready, or ordered and starting.
     pub on_demand: u32,
     /// Reclaimable ones that are ready.
     pub reclaimable: u32,
@@ -39,11 +44,20 @@
     pub reclaimable: u32,
 }
 
-/// Plans the upstreams of a service for so many requests that run at once.
+/// Gives the upstreams that are needed for so many requests at once, which bring so many prompt tokens a second.
+///
+/// The count of requests alone says too little: with long prompts an upstream is full while few run there.
+#[must_use]
+pub fn needed(running: f64, prompt_per_s: f64) -> f64 {
+    let reading = prompt_per_s / (PREFILL_PER_MS * 1_000.0 * READING);
+    reading.max(running / PER_UPSTREAM)
+}
+
+/// Plans the upstreams of a service of which so many are needed.
 #[must_use]
-pub fn plan(present: &BTreeMap<Zone, Present>, scaling: &Scaling, busy: f64) -> BTreeMap<Zone, Wanted> {
+pub fn plan(present: &BTreeMap<Zone, Present>, scaling: &Scaling, needed: f64) -> BTreeMap<Zone, Wanted> {
     let zones = by_price(present, scaling);
-    let needed = ((busy / PER_UPSTREAM).ceil() as u32).max(FEWEST);
+    let needed = (needed.ceil() as u32).max(FEWEST);
     if scaling.spot_price >= 1.0 {
         return all_on_demand(&zones, scaling, needed);
     }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -8,7 +8,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond until something better is known; the deployments' sheets give 64
 /// and 68.
-const PREFILL_PER_MS: f64 = 64.0;
+pub const PREFILL_PER_MS: f64 = 64.0;
 /// Milliseconds that an upstream with all slots taken answers later than an idle one. Prefill and decoding share the
 /// engine, so each running request slows the others; twice the token time of a full batch.
 const CROWD_MS: f64 = 120.0;
--- a/crates/policy/tests/fleet_plan.rs
+++ b/crates/policy/tests/fleet_plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use contract::{Scaling, Zone};
-use policy::fleet::{PER_UPSTREAM, Present, Wanted, plan};
+use policy::fleet::{Present, Wanted, needed, plan};
 use quickcheck::quickcheck;
 
 fn scaling(spot_price: f64) -> Scaling {
@@ -39,7 +39,7 @@
 /// All upstreams are on-demand at the start. They stay until reclaimable ones serve, and go then but for a floor.
 #[test]
 fn moves_to_cheap() {
-    let busy = 5.0 * PER_UPSTREAM;
+    let busy = 5.0;
     let first = plan(&present(START), &scaling(0.16), busy);
     assert!(sum(&first, |one| one.on_demand) >= 5, "{first:?}");
     assert!(sum(&first, |one| one.reclaimable) >= 10, "{first:?}");
@@ -52,7 +52,7 @@
 /// as far as the load needs it; without that the rest would be overrun for as long as the dry spell lasts.
 #[test]
 fn dry_spell() {
-    let busy = 7.0 * PER_UPSTREAM;
+    let busy = 7.0;
     let dry = [(0, 2, true), (1, 0, true), (0, 2, true), (0, 0, true)];
     let wanted = plan(&present(dry), &scaling(0.16), busy);
     assert!(sum(&wanted, |one| one.on_demand) >= 3, "{wanted:?}");
@@ -60,10 +60,26 @@
     assert_eq!(kept, [2, 2], "what is there is not given up");
 }
 
+/// The next look at the list comes while the on-demand upstreams of the last one start. They are counted, so that no order
+/// takes back what the one before asked for: the dry spell would end before the first of them served.
+#[test]
+fn keeps_starting() {
+    let starting = [(2, 2, false), (1, 0, false), (2, 2, false), (1, 0, false)];
+    let wanted = plan(&present(starting), &scaling(0.16), 7.0);
+    assert!(sum(&wanted, |one| one.on_demand) >= 3, "{wanted:?}");
+}
+
+/// A hundred requests with short prompts, and ten with long ones, need about as much.
+#[test]
+fn prompts_count() {
+    assert!(needed(100.0, 10_000.0) > 6.0);
+    assert!(needed(10.0, 180_000.0) > 6.0);
+}
+
 /// Where reclaimable upstreams cost as much as others, there is no reason to risk them.
 #[test]
 fn no_discount() {
-    let wanted = plan(&present(START), &scaling(1.0), 3.0 * PER_UPSTREAM);
+    let wanted = plan(&present(START), &scaling(1.0), 3.0);
     assert_eq!(sum(&wanted, |one| one.reclaimable), 0);
     assert_eq!(sum(&wanted, |one| one.on_demand), 4);
 }
@@ -75,7 +91,7 @@
         for (at, (a, b, dry)) in counts.into_iter().take(4).enumerate() {
             all[at] = (u32::from(a % 4), u32::from(b % 4), dry);
         }
-        let wanted = plan(&present(all), &scaling(0.16), f64::from(busy % 600));
+        let wanted = plan(&present(all), &scaling(0.16), f64::from(busy % 60));
         wanted.values().all(|one| (1..=6).contains(&(one.on_demand + one.reclaimable)) || all.iter().any(|one| one.2))
             && wanted.values().all(|one| one.on_demand + one.reclaimable <= 6)
     }
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -1,7 +1,7 @@
 //! Duties that one process does for all: the leader of the state group reports usage and orders capacity.
 //!
-//! The fencing token is the leader's term. A new leader begins only after it has led for a while: by then a former leader
-//! has surely stopped, and two leaders that follow each other quickly don't take turns.
+//! The fencing token is the leader's term. A new leader begins only after it has led for a while: by then what a former
+//! leader sent has arrived. One that leads again after another waits longer, so that two don't take turns.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use derive_more::{Display, Error};
 use metrics::counter;
 use policy::Tick;
-use policy::fleet::{PER_UPSTREAM, Present, plan};
+use policy::fleet::{Present, needed, plan};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
@@ -40,6 +40,8 @@
 const BUSY: Duration = Duration::from_secs(15);
 /// Age up to which the load that entry hosts tell counts.
 const LOAD_FRESH: Duration = Duration::from_secs(2);
+/// Time for which a new leader waits for what a former one may just have sent.
+const SETTLED: Duration = Duration::from_secs(1);
 /// Time that a leader adds to the time in which holders must not take turns.
 const MARGIN: Duration = Duration::from_millis(300);
 
@@ -117,11 +119,13 @@
     /// Windows whose report was accepted in this term.
     reported: BTreeSet<u64>,
     term: u64,
+    /// When this process acted last; its start counts as an act, since it may have acted just before.
+    acted: Tick,
     #[debug("directory")]
     directory: Box<dyn Directory>,
     planned: Option<Tick>,
     orders: BTreeMap<Subject, Given>,
-    busy: BTreeMap<ServiceName, Peak>,
+    peaks: BTreeMap<ServiceName, Peak>,
 }
 
 /// What an order is about: service, data centre and whether upstreams are reclaimable.
@@ -139,7 +143,8 @@
 /// The highest load of late.
 #[derive(Clone, Copy, Debug)]
 struct Peak {
-    busy: f64,
+    /// Upstreams that were needed.
+    needed: f64,
     at: Tick,
 }
 
@@ -153,6 +158,7 @@
         (office, directory): (Box<dyn Office>, Box<dyn Directory>),
         logger: Logger,
     ) -> Self {
+        let acted = clock.now();
         Self {
             node,
             ring,
@@ -163,10 +169,11 @@
             logger,
             reported: BTreeSet::new(),
             term: 0,
+            acted,
             directory,
             planned: None,
             orders: BTreeMap::new(),
-            busy: BTreeMap::new(),
+            peaks: BTreeMap::new(),
         }
     }
 
@@ -218,17 +225,18 @@
         };
         let loads = self.registry.loads(now, LOAD_FRESH);
         for (service, scaling) in scaled {
-            let told = loads.get(service.as_str()).map_or(0.0, |load| load.running);
+            let load = loads.get(service.as_str()).copied().unwrap_or_default();
             let present = self.present(&service, &scaling, &list, now);
-            let busy = self.peak(&service, told, &present, now);
-            for (zone, wanted) in plan(&present, &scaling, busy) {
+            let told = needed(load.running, load.prompt_per_s);
+            let needed = self.peak(&service, told, &present, now);
+            for (zone, wanted) in plan(&present, &scaling, needed) {
                 let there = present.get(&zone).cloned().unwrap_or_default();
                 let kinds = [
                     (true, wanted.reclaimable, there.reclaimable),
                     (false, wanted.on_demand, there.on_demand),
                 ];
                 for (spot, wanted, there) in kinds {
-                    self.keep_order((service.clone(), zone.clone(), spot), wanted, there, &scaling, busy);
+                    self.keep_order((service.clone(), zone.clone(), spot), wanted, there, &scaling, needed);
                 }
             }
         }
@@ -251,22 +259,22 @@
 
     /// Gives the highest load of late; before the first requests, half of what was there first is taken to be needed, since
     /// operators had a reason for it.
-    fn peak(&mut self, service: &ServiceName, busy: f64, present: &BTreeMap<Zone, Present>, now: Tick) -> f64 {
+    fn peak(&mut self, service: &ServiceName, needed: f64, present: &BTreeMap<Zone, Present>, now: Tick) -> f64 {
         let there: u32 = present.values().map(|one| one.on_demand).sum();
-        let expected = f64::from(there) / 2.0 * PER_UPSTREAM;
+        let expected = f64::from(there) / 2.0;
         let first = Peak {
-            busy: expected,
+            needed: expected,
             at: now,
         };
-        let peak = self.busy.entry(service.clone()).or_insert(first);
-        let unknown = busy <= 0.0;
+        let peak = self.peaks.entry(service.clone()).or_insert(first);
+        let unknown = needed <= 0.0;
         if unknown {
             peak.at = now;
-            peak.busy = peak.busy.max(expected);
-        } else if busy >= peak.busy || now.since(peak.at) > BUSY {
-            *peak = Peak { busy, at: now };
+            peak.needed = peak.needed.max(expected);
+        } else if needed >= peak.needed || now.since(peak.at) > BUSY {
+            *peak = Peak { needed, at: now };
         }
-        peak.busy
+        peak.needed
     }
 
     fn present(&self, service: &ServiceName, scaling: &Scaling, list: &[Listed], now: Tick) -> BTreeMap<Zone, Present> {
@@ -280,15 +288,19 @@
                 there.on_demand += 1;
             }
         }
+        let pause = Duration::from_millis(scaling.boot_ms) + UNSEEN;
         for (zone, there) in &mut present {
-            let order = self.orders.get(&(service.clone(), zone.clone(), true));
-            there.dry = order.is_some_and(|given| given.dry && now.since(given.at) < DRY);
+            let order = |spot| self.orders.get(&(service.clone(), zone.clone(), spot)).copied();
+            there.dry = order(true).is_some_and(|given| given.dry && now.since(given.at) < DRY);
+            // What was ordered a moment ago is still starting; an order that forgot it would take it back.
+            let starting = order(false).filter(|given| !given.dry && now.since(given.at) < pause);
+            there.on_demand = there.on_demand.max(starting.map_or(0, |given| given.count));
         }
         present
     }
 
     /// Gives an order unless the same one was given and may still take effect.
-    fn keep_order(&mut self, subject: Subject, wanted: u32, there: u32, scaling: &Scaling, busy: f64) {
+    fn keep_order(&mut self, subject: Subject, wanted: u32, there: u32, scaling: &Scaling, needed: f64) {
         let now = self.clock.now();
         let given = self.orders.get(&subject).copied();
         let pause = Duration::from_millis(scaling.boot_ms) + UNSEEN;
@@ -314,12 +326,13 @@
             holder: self.node.as_str(),
             fence,
         };
+        self.acted = now;
         let result = self.office.order(&seat, &order);
         let outcome = result
             .as_ref()
             .map_or_else(ToString::to_string, |()| "taken".to_owned());
         info!(self.logger, "capacity ordered"; "service" => &order.service, "zone" => &order.zone, "spot" => spot,
-            "count" => wanted, "there" => there, "busy" => busy, "fence" => fence, "outcome" => outcome);
+            "count" => wanted, "there" => there, "needed" => needed, "fence" => fence, "outcome" => outcome);
         let dry = matches!(result, Err(OfficeError::NoneLeft));
         if dry || result.is_ok() {
             let count = wanted;
@@ -332,7 +345,8 @@
         let lead: Lead = self.ask(Ask::Lead)?;
         let since = lead.since?;
         let now = self.clock.now();
-        (now.since(since) >= self.timing.lease + MARGIN).then_some((lead.term, since))
+        let turns = lead.term == self.term || now.since(self.acted) >= self.timing.lease + MARGIN;
+        (turns && now.since(since) >= SETTLED).then_some((lead.term, since))
     }
 
     fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
@@ -371,6 +385,7 @@
             holder: self.node.as_str(),
             fence: term,
         };
+        self.acted = self.clock.now();
         match self.office.report(&seat, &usage) {
             Ok(()) => {
                 info!(self.logger, "usage reported"; "window" => window, "accounts" => usage.counts.len(),
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -133,7 +133,7 @@
             for (service, load) in loads {
                 let all = sum.entry(service.clone()).or_default();
                 all.running += load.running;
-                all.refused += load.refused;
+                all.prompt_per_s += load.prompt_per_s;
             }
         }
         sum
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -25,8 +25,8 @@
 pub struct ServiceLoad {
     /// Own requests that are at upstreams or wait for one.
     pub running: f64,
-    /// Requests that were refused in the last seconds for lack of room, a second.
-    pub refused: f64,
+    /// Prompt tokens that were sent to be read, a second.
+    pub prompt_per_s: f64,
 }
 
 /// The answer to [`Beat`].
