--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod customer;
 mod error;
+mod listed;
 mod name;
 mod rule;
 pub mod settings;
@@ -20,6 +21,7 @@
 pub use config::{Change, ChangeRecord, Config};
 pub use customer::{Account, Contract, KeyHash, Limits, MAX_ACCOUNTS, MAX_CLASSES};
 pub use error::{FieldError, Problems};
+pub use listed::Listed;
 pub use name::{
     AccountName, ChangeId, ClassName, CustomerId, DataCenter, HostId, ModelName, NodeId, RequestId, Revision,
     ServiceName, UpstreamId, Zone,
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use contract::Listed;
 use contract::{ClientAccount, Quota, ServiceName, Zone};
 use metrics::counter;
 use parking_lot::Mutex;
@@ -16,7 +17,6 @@
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
 use telemetry::Clock;
-use upstream::directory::Listed;
 use wire::registry::{Beat, Parts, ServiceLoad};
 
 use crate::dialect::{Asked, Dialect};
@@ -47,6 +47,8 @@
     pub leader: ArcSwap<Option<SocketAddr>>,
     /// A list that was read and not taken over yet, with the time at which it was asked for.
     pub list: Mutex<Option<(Vec<Listed>, Tick)>>,
+    /// When the list that was heard of last was asked for.
+    pub listed: ArcSwap<Option<Tick>>,
     /// What the next beat tells.
     pub beat: Mutex<Beat>,
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -16,7 +16,7 @@
 use wire::Envelope;
 use wire::catalog::{CatalogRpcClient, Follow, Followed};
 use wire::client::Calls;
-use wire::registry::Beaten;
+use wire::registry::{Beaten, ListNews};
 use wire::state::Unavailable;
 
 use crate::gate::Shared;
@@ -30,9 +30,16 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Age from which a state node's news are too old: it may be cut off from the leader.
 const STALE: Duration = Duration::from_millis(1_200);
-/// Pause between two beats; a few of them fit in the time for which parts hold.
+/// Shortest pause between two beats; news of the list of upstreams come with them.
 const BEAT: Duration = Duration::from_millis(300);
-/// Pause between two reads of the list; upstreams that leave must get no new work a few seconds later.
+/// Beats a second that a leader takes from all entry hosts together: a twentieth of a small host's processor.
+const BEATS_PER_S: f64 = 200.0;
+/// Age of the list from which an entry host reads it for itself. Upstreams that leave must get no new work three seconds
+/// after the list says so.
+const LIST_AGE: Duration = Duration::from_millis(1_900);
+/// Pause between two looks at the age of the list.
+const LOOK: Duration = Duration::from_millis(200);
+/// Pause between two own reads of the list.
 const LIST: Duration = Duration::from_secs(1);
 /// Share of the list's rate that all entry hosts together use.
 const LIST_SHARE: f64 = 0.5;
@@ -162,8 +169,9 @@
         let mut at = self.run as usize;
         let mut client = None;
         let mut told = true;
+        let mut number = 0;
         loop {
-            thread::sleep(BEAT);
+            thread::sleep(self.beat_pause());
             let leader = known.lock().leader;
             let Some(peer) = leader.or_else(|| self.peer(known, at)) else {
                 continue;
@@ -176,9 +184,11 @@
             };
             let mut beat = self.shared.beat.lock().clone();
             beat.run = self.run;
+            beat.list = number;
             let error = match calls.wait(open.beat(Envelope::new(&self.node, Revision(self.version()), beat))) {
                 Ok(answer) => match answer.body {
-                    Beaten::Parts(parts) => {
+                    Beaten::Parts(parts, news) => {
+                        number = self.take_list(news, number);
                         self.shared.leader.store(Arc::new(Some(peer)));
                         if !told {
                             info!(self.logger, "parts of limits are told again"; "peer" => %peer, "entries" => parts.entries);
@@ -208,11 +218,44 @@
         }
     }
 
-    /// Reads the list of upstreams again and again.
+    fn beat_pause(&self) -> Duration {
+        BEAT.max(Duration::from_secs_f64(f64::from(self.entries()) / BEATS_PER_S))
+    }
+
+    fn entries(&self) -> u32 {
+        let parts = self.shared.parts.load();
+        (**parts).map_or(1, |parts| parts.entries)
+    }
+
+    /// Takes over news of the list; gives the number of the list that this entry host has then.
+    fn take_list(&self, news: ListNews, known: u64) -> u64 {
+        let Some(age_ms) = news.age_ms else {
+            return known;
+        };
+        let asked = self.clock.now() - Duration::from_millis(age_ms);
+        // An own read may be newer than what the leader has.
+        if (**self.shared.listed.load()).is_some_and(|newest| newest > asked) {
+            return known;
+        }
+        if let Some(list) = news.list {
+            *self.shared.list.lock() = Some((list, asked));
+        } else if known != news.number {
+            return known;
+        }
+        self.shared.listed.store(Arc::new(Some(asked)));
+        news.number
+    }
+
+    /// Reads the list of upstreams while no leader tells it.
     fn list(&self, mut directory: Box<dyn Directory>) {
         let mut failed = 0;
         loop {
             let asked = self.clock.now();
+            let listed = **self.shared.listed.load();
+            if listed.is_some_and(|listed| asked.since(listed) < LIST_AGE) {
+                thread::sleep(LOOK);
+                continue;
+            }
             match directory.read() {
                 Ok(list) => {
                     if failed > 0 {
@@ -220,6 +263,7 @@
                     }
                     failed = 0;
                     *self.shared.list.lock() = Some((list, asked));
+                    self.shared.listed.store(Arc::new(Some(asked)));
                 }
                 Err(error) => {
                     if failed == 0 {
@@ -234,9 +278,7 @@
     }
 
     fn list_pause(&self, rate: f64) -> Duration {
-        let parts = self.shared.parts.load();
-        let entries = (**parts).map_or(1, |parts| parts.entries);
-        let even = f64::from(entries) / (rate * LIST_SHARE).max(0.1);
+        let even = f64::from(self.entries()) / (rate * LIST_SHARE).max(0.1);
         // Processes that start together would ask together for ever.
         let jitter = 0.9 + 0.2 * rand::random::<f64>();
         LIST.max(Duration::from_secs_f64(even)).mul_f64(jitter)
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,7 +11,7 @@
 use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
 use xxhash_rust::xxh3::xxh3_64;
 
-use upstream::directory::Listed;
+use contract::Listed;
 
 use crate::dialect::Load;
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use contract::Listed;
 use contract::{Catalog, KeyHash, NodeId, Repeatable, Route, Service, ServiceName, Share, Zone};
 use gateway::dialect::{Asked, Attempt, Dialect, Told};
 use gateway::gate::{Gate, Place, Shared};
@@ -20,7 +21,6 @@
 use policy::retries::Bounds;
 use slog::{Discard, Logger, o};
 use telemetry::Clock;
-use upstream::directory::Listed;
 use wire::registry::Parts;
 
 /// Longest wait for anything; only a guard against hanging.
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use contract::{NodeId, Scaling, ServiceName, Zone};
+use contract::{Listed, NodeId, Scaling, ServiceName, Zone};
 use crossbeam_channel::Sender;
 use derive_more::{Display, Error};
 use metrics::counter;
@@ -18,7 +18,6 @@
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
 use tokio::sync::oneshot;
-use upstream::directory::{Directory, Listed};
 
 use crate::applied::{Command, Reply, Usage};
 use crate::core::{Ask, Lead};
@@ -32,6 +31,8 @@
 const BACK: u64 = 5;
 /// Pause between two looks at the list for the plan of capacity.
 const PLAN: Duration = Duration::from_secs(1);
+/// Age up to which a list counts for the plan.
+const LIST_FRESH: Duration = Duration::from_secs(3);
 /// Time beyond an upstream's start after which an order that shows no effect is given again.
 const UNSEEN: Duration = Duration::from_secs(4);
 /// Time for which a data centre that had none available is not asked again.
@@ -121,8 +122,6 @@
     term: u64,
     /// When this process acted last; its start counts as an act, since it may have acted just before.
     acted: Tick,
-    #[debug("directory")]
-    directory: Box<dyn Directory>,
     planned: Option<Tick>,
     orders: BTreeMap<Subject, Given>,
     peaks: BTreeMap<ServiceName, Peak>,
@@ -155,7 +154,7 @@
         node: NodeId,
         (ring, registry, clock): (Sender<Ask>, Arc<Registry>, Clock),
         timing: Timing,
-        (office, directory): (Box<dyn Office>, Box<dyn Directory>),
+        office: Box<dyn Office>,
         logger: Logger,
     ) -> Self {
         let acted = clock.now();
@@ -170,7 +169,6 @@
             reported: BTreeSet::new(),
             term: 0,
             acted,
-            directory,
             planned: None,
             orders: BTreeMap::new(),
             peaks: BTreeMap::new(),
@@ -216,12 +214,8 @@
         if scaled.is_empty() {
             return;
         }
-        let list = match self.directory.read() {
-            Ok(list) => list,
-            Err(error) => {
-                warn!(self.logger, "list of upstreams can't be read"; "step" => "plan", "error" => error);
-                return;
-            }
+        let Some(list) = self.registry.list(now, LIST_FRESH) else {
+            return;
         };
         let loads = self.registry.loads(now, LOAD_FRESH);
         for (service, scaling) in scaled {
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -3,16 +3,21 @@
 //! None of it is written to the log: every entry host says all of it again within a beat.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
-use contract::{NodeId, Quota};
+use contract::{Listed, NodeId, Quota};
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::parts::Sharers;
-use wire::registry::{Beat, Parts, ServiceLoad};
+use wire::registry::{Beat, ListNews, Parts, ServiceLoad};
 
 /// Windows of usage that are kept: at the length of five seconds, more than three minutes.
 const KEPT_WINDOWS: usize = 40;
 
+/// Place of the term in the number of a list.
+const TERM_BITS: u32 = 24;
+
 /// What the leader of a term knows of the entry hosts.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -24,6 +29,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     term: u64,
+    list: Numbered,
     /// Number of sharers that the log holds.
     counted: u32,
     sharers: Option<Sharers>,
@@ -31,6 +37,46 @@
     loads: BTreeMap<NodeId, (Tick, BTreeMap<String, ServiceLoad>)>,
 }
 
+/// The list of upstreams with a number that changes whenever something else does.
+#[derive(Debug, Default)]
+struct Numbered {
+    number: u64,
+    asked: Option<Tick>,
+    list: Arc<Vec<Listed>>,
+}
+
+impl Numbered {
+    fn set(&mut self, term: u64, mut list: Vec<Listed>, asked: Tick) {
+        list.sort_by(|a, b| a.id.cmp(&b.id));
+        let same = self.list.len() == list.len() && self.list.iter().zip(&list).all(|(a, b)| is_same(a, b));
+        // Lists of two leaders never have the same number.
+        let first = term << TERM_BITS;
+        if !same || self.number < first {
+            self.number = first.max(self.number) + 1;
+            self.list = Arc::new(list);
+        }
+        self.asked = Some(asked);
+    }
+
+    fn news(&self, known: u64, now: Tick) -> ListNews {
+        let changed = self.asked.is_some() && known != self.number;
+        ListNews {
+            number: self.number,
+            age_ms: self.asked.map(|asked| now.since(asked).as_millis() as u64),
+            list: changed.then(|| (*self.list).clone()),
+        }
+    }
+}
+
+/// Tells whether two entries say the same; how long an upstream is still cold changes with every read.
+fn is_same(a: &Listed, b: &Listed) -> bool {
+    let warm = |one: &Listed| Listed {
+        cold: Duration::ZERO,
+        ..one.clone()
+    };
+    warm(a) == warm(b)
+}
+
 /// What the log says of shared limits.
 #[derive(Clone, Debug, Default)]
 pub struct Sharing {
@@ -54,7 +100,13 @@
     }
 
     /// Takes a beat in a term; gives the entry host's parts once they are known.
-    pub fn beat(&self, term: u64, (from, beat): (&NodeId, Beat), shared: &Sharing, now: Tick) -> Option<Parts> {
+    pub fn beat(
+        &self,
+        term: u64,
+        (from, beat): (&NodeId, Beat),
+        shared: &Sharing,
+        now: Tick,
+    ) -> Option<(Parts, ListNews)> {
         let mut inner = self.inner.lock();
         if inner.term != term {
             // Another led in between, and may have given other parts.
@@ -73,10 +125,23 @@
         let sharers = inner.sharers.get_or_insert_with(|| Sharers::new(shared.sharers, now));
         sharers.set_quotas(&shared.quotas, self.slack, now);
         let portion = sharers.beat(from, now)?;
-        Some(Parts {
+        let parts = Parts {
             entries: portion.entries,
             floor: portion.floor,
-        })
+        };
+        Some((parts, inner.list.news(beat.list, now)))
+    }
+
+    /// Takes over a list of upstreams that was asked for at a time, in a term.
+    pub fn set_list(&self, term: u64, list: Vec<Listed>, asked: Tick) {
+        self.inner.lock().list.set(term, list, asked);
+    }
+
+    /// Gives the newest list, if it was asked for within a time.
+    pub fn list(&self, now: Tick, fresh: Duration) -> Option<Arc<Vec<Listed>>> {
+        let inner = self.inner.lock();
+        let asked = inner.list.asked?;
+        (now.since(asked) < fresh).then(|| Arc::clone(&inner.list.list))
     }
 
     /// Gives the number of those who share if it has changed since it was last asked for.
@@ -123,7 +188,7 @@
 
     /// Gives the load of each service over the entry hosts that beat within a time.
     #[must_use]
-    pub fn loads(&self, now: Tick, fresh: std::time::Duration) -> BTreeMap<String, ServiceLoad> {
+    pub fn loads(&self, now: Tick, fresh: Duration) -> BTreeMap<String, ServiceLoad> {
         let inner = self.inner.lock();
         let mut sum: BTreeMap<String, ServiceLoad> = BTreeMap::new();
         for (at, loads) in inner.loads.values() {
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -160,7 +160,10 @@
         let listening = || Unavailable::NoQuorum {
             reason: "a new leader listens who shares the limits".to_owned(),
         };
-        let body = parts.map_or_else(|| Beaten::Unavailable(listening()), Beaten::Parts);
+        let body = parts.map_or_else(
+            || Beaten::Unavailable(listening()),
+            |(parts, list)| Beaten::Parts(parts, list),
+        );
         Ok(self.wrap(body))
     }
 
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use contract::Zone;
+use contract::{Listed, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::state::Unavailable;
@@ -12,6 +12,8 @@
 pub struct Beat {
     /// Incarnation of the process; a restarted one has another.
     pub run: u64,
+    /// Number of the list of upstreams that it has.
+    pub list: u64,
     /// Its data centre.
     pub zone: Zone,
     /// Requests that began to run, by window of true time and client account; each total replaces the one before.
@@ -32,12 +34,23 @@
 /// The answer to [`Beat`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Beaten {
-    /// The entry host's parts.
-    Parts(Parts),
+    /// The entry host's parts, and news of the list of upstreams.
+    Parts(Parts, ListNews),
     /// The node does not lead.
     Unavailable(Unavailable),
 }
 
+/// What the leader knows of the list of upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// Number of the list; it is another whenever something has changed.
+    pub number: u64,
+    /// Milliseconds since the list was asked for; nothing where the leader has none.
+    pub age_ms: Option<u64>,
+    /// The list, if the entry host has another one.
+    pub list: Option<Vec<Listed>>,
+}
+
 /// An entry host's parts of what all of them share.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Parts {
