--- a/crates/entry/tests/common/process.rs
+++ b/crates/entry/tests/common/process.rs
@@ -56,7 +56,7 @@
         command
             .args(arguments)
             .env("GENTIAN_OPERATOR_KEY", "test-operator-key-0001");
-        Self(command.stderr(Stdio::null()).spawn().unwrap())
+        Self(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap())
     }
 }
 
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -24,6 +24,7 @@
             .args(["--node", "entry-1", "--data-center", "dc-1", "--notice-ms", "2000"])
             .args(["--listen", &callers.to_string(), "--ops", &ops.to_string()])
             .args(["--inner", &inner.to_string(), "--state", &state.address.to_string()])
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
--- a/crates/entry/tests/scrape_parses.rs
+++ b/crates/entry/tests/scrape_parses.rs
@@ -37,6 +37,7 @@
     command.args(["--node", "entry-1", "--data-center", "dc-1", "--state", "127.0.0.1:1"]);
     let child = command
         .args(["--ops", &ops.to_string()])
+        .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
--- a/crates/load/src/trial/process.rs
+++ b/crates/load/src/trial/process.rs
@@ -64,6 +64,12 @@
             .open(self.file(&format!("{name}.log")))?;
         // Settings come as flags only, so that the environment of the trial can't change them.
         let environment = std::env::vars().filter(|(name, _)| name.starts_with("GENTIAN_"));
+        // A stand-in prints its address for the trial to read; the others log to their output.
+        let output = if program == "gentian-standin" {
+            Stdio::piped()
+        } else {
+            Stdio::from(log.try_clone()?)
+        };
         let mut command = Command::new(&path);
         for (variable, _) in environment {
             command.env_remove(variable);
@@ -71,7 +77,7 @@
         let child = command
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .with_context(|| format!("start {name}"))?;
--- a/crates/state/examples/measure/force.rs
+++ b/crates/state/examples/measure/force.rs
@@ -21,6 +21,7 @@
         Command::new(entry)
             .args(["--node", &format!("entry-{number}"), "--data-center", "dc-1"])
             .args(["--state", &peers.join(","), "--ops", &ops.to_string()])
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .unwrap()
--- a/crates/state/examples/measure/learners.rs
+++ b/crates/state/examples/measure/learners.rs
@@ -76,6 +76,7 @@
             "--state",
             state,
         ])
+        .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()
         .unwrap()
--- a/crates/state/tests/nodes/mod.rs
+++ b/crates/state/tests/nodes/mod.rs
@@ -67,6 +67,7 @@
             .arg("--data")
             .arg(self.data(n))
             .env("GENTIAN_OPERATOR_KEY", KEY)
+            .stdout(Stdio::null())
             .stderr(Stdio::from(log.unwrap()))
             .spawn()
             .unwrap();
