--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use contract::{ClientAccount, Repeatable, Route, ServiceName};
 use metrics::{counter, histogram};
+use policy::reach::Reach;
 use rand::Rng;
 use slog::info;
 use tokio::io::AsyncWriteExt;
@@ -103,9 +104,18 @@
     upstream: String,
     /// Number under which it waits for its first event.
     number: u64,
+    /// What is heard of the upstream's data centre.
+    reach: Option<Rc<Reach>>,
 }
 
 impl Running {
+    /// Notes that something came from the upstream.
+    pub(crate) fn hear(&self) {
+        if let Some(reach) = &self.reach {
+            reach.hear(self.gate.clock.now());
+        }
+    }
+
     /// Notes the first event, or the whole answer.
     pub(crate) fn begun(&self) {
         if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
@@ -223,6 +233,7 @@
             tried,
             zone: &gate.place.zone,
             entries: gate.entries(),
+            once: !self.is_idempotent(),
         };
         gate.upstreams.borrow().choose(&need, gate.clock.now())
     }
@@ -269,6 +280,11 @@
             gate: Rc::clone(gate),
             upstream: chosen.id.clone(),
             number,
+            reach: gate
+                .upstreams
+                .borrow_mut()
+                .get(&chosen.id)
+                .map(|upstream| upstream.reach()),
         };
         let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref()).await;
         if let Err(Fate::Refused { other, .. }) = &opened {
@@ -278,6 +294,9 @@
             progress.sends -= u32::from(*other);
             self.progress.set(progress);
         }
+        if !matches!(opened, Err(Fate::Unknown { .. })) {
+            running.hear();
+        }
         let opened = opened?;
         if let Some(load) = opened.told.load
             && let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id)
@@ -414,7 +433,8 @@
             match fate {
                 Fate::Refused { other: true, .. } => upstream.replaced(),
                 Fate::Refused { .. } => {}
-                Fate::NotSent { .. } | Fate::Unknown { .. } => upstream.failed(now),
+                Fate::NotSent { .. } => upstream.refused(now),
+                Fate::Unknown { .. } => upstream.failed(now),
             }
         }
         info!(gate.logger, "attempt failed"; "request" => &self.asked.id, "upstream" => &chosen.id,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -142,6 +142,7 @@
             }
             Piece::End => return Ok(()),
         }
+        source.running.hear();
         let (whole, bad) = take_whole(events);
         if !whole.is_empty() {
             request.count(gate);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use contract::{ServiceName, Zone};
@@ -9,6 +10,7 @@
 use policy::breaker::Breaker;
 use policy::load::{LoadEstimate, Report};
 use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
+use policy::reach::Reach;
 use xxhash_rust::xxh3::xxh3_64;
 
 use contract::Listed;
@@ -34,6 +36,8 @@
     own: u32,
     hash: u64,
     backlog: Backlog,
+    /// What is heard of its data centre.
+    reach: Rc<Reach>,
     /// It said that it is another incarnation.
     gone: bool,
 }
@@ -42,6 +46,7 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     all: HashMap<String, Upstream>,
+    zones: HashMap<Zone, Rc<Reach>>,
     /// Number of the list that was read last, and when it was asked for.
     pub listed: Option<Tick>,
 }
@@ -57,6 +62,8 @@
     pub tried: &'a [String],
     /// Own data centre.
     pub zone: &'a Zone,
+    /// Whether the request may run only once.
+    pub once: bool,
     /// Entry hosts that share the upstreams.
     pub entries: u32,
 }
@@ -97,8 +104,9 @@
         let mut before = std::mem::take(&mut self.all);
         for listed in list {
             let id = listed.id.clone();
+            let reach = Rc::clone(self.zones.entry(listed.zone.clone()).or_default());
             let upstream = match before.remove(&id) {
-                Some(known) if known.listed.start != listed.start => Upstream::new(listed),
+                Some(known) if known.listed.start != listed.start => Upstream::new(listed, reach),
                 Some(mut known) => {
                     if listed.leaving && !known.listed.leaving {
                         ended.push(id.clone());
@@ -107,7 +115,7 @@
                     known.listed = listed;
                     known
                 }
-                None => Upstream::new(listed),
+                None => Upstream::new(listed, reach),
             };
             self.all.insert(id, upstream);
         }
@@ -123,6 +131,11 @@
     pub fn choose(&self, need: &Need<'_>, now: Tick) -> Result<Chosen, NoUpstream> {
         let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
         let all: Vec<&Upstream> = self.all.values().filter(serves).collect();
+        for upstream in self.all.values() {
+            if let Some(sent) = upstream.backlog.oldest() {
+                upstream.reach.waits(sent, now);
+            }
+        }
         if all.is_empty() {
             return Err(NoUpstream::None);
         }
@@ -133,6 +146,11 @@
         if open.is_empty() {
             return Err(NoUpstream::Failing);
         }
+        // Where all others are cut off too, being cut off is no reason to refuse.
+        let reached = |upstream: &&Upstream| !upstream.reach.is_silent(need.once, now);
+        if open.iter().any(reached) {
+            open.retain(|upstream| reached(upstream));
+        }
         open.sort_by(|a, b| a.listed.id.cmp(&b.listed.id));
         // The last part belongs to the request alone; the one before it is the largest that others share.
         let shared = need.parts.len().saturating_sub(2);
@@ -170,8 +188,9 @@
 }
 
 impl Upstream {
-    fn new(listed: Listed) -> Self {
+    fn new(listed: Listed, reach: Rc<Reach>) -> Self {
         Self {
+            reach,
             hash: xxh3_64(listed.id.as_bytes()),
             listed,
             load: LoadEstimate::default(),
@@ -225,6 +244,18 @@
         self.load.ended(now);
     }
 
+    /// Gives what is heard of its data centre.
+    #[must_use]
+    pub fn reach(&self) -> Rc<Reach> {
+        Rc::clone(&self.reach)
+    }
+
+    /// Notes that it did not accept a connection.
+    pub fn refused(&mut self, now: Tick) {
+        self.reach.hangs(now);
+        self.breaker.failed(now);
+    }
+
     /// Notes a failure.
     pub fn failed(&mut self, now: Tick) {
         self.breaker.failed(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod quota;
+pub mod reach;
 pub mod rescue;
 pub mod retries;
 pub mod room;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -100,6 +100,12 @@
         self.waiting.remove(&number);
     }
 
+    /// Gives when the request was sent that has waited longest for its first event.
+    #[must_use]
+    pub fn oldest(&self) -> Option<Tick> {
+        self.waiting.values().map(|(sent, _)| *sent).min()
+    }
+
     /// Gives the milliseconds of work that goes before a new request: what is not read yet, or by how much requests wait
     /// longer than was predicted because of what others sent.
     #[must_use]
--- /dev/null
+++ b/crates/policy/tests/zone_silence.rs
@@ -0,0 +1,33 @@
+//! A data centre that is cut off is noticed from what is not heard of it.
+
+use policy::Tick;
+use policy::reach::Reach;
+
+fn at(ms: u64) -> Tick {
+    Tick::from_millis(ms)
+}
+
+/// A data centre is cut off while requests wait there. New ones keep away after a third of a second; a lookup probes it a
+/// second later, a deposit only after four, and whatever comes from there ends it at once.
+#[test]
+fn cut_off() {
+    let reach = Reach::default();
+    reach.hear(at(1_000));
+    reach.waits(at(1_010), at(1_200));
+    assert!(!reach.is_silent(true, at(1_200)));
+    reach.waits(at(1_010), at(1_350));
+    assert!(reach.is_silent(false, at(1_400)) && reach.is_silent(true, at(1_400)));
+    assert!(!reach.is_silent(false, at(2_400)) && reach.is_silent(true, at(2_400)));
+    reach.hear(at(2_500));
+    assert!(!reach.is_silent(true, at(2_501)));
+}
+
+/// One upstream hangs, or reads a long prompt, while others of its data centre answer. The data centre is not to blame.
+#[test]
+fn one_hangs() {
+    let reach = Reach::default();
+    reach.hear(at(2_900));
+    reach.waits(at(1_000), at(3_000));
+    reach.hangs(at(3_000));
+    assert!(!reach.is_silent(true, at(3_000)));
+}
