--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -30,6 +30,8 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Connections that may fail before the request is given up; nothing was sent on them.
 const MAX_UNSENT: usize = 3;
+/// Time after which a caller comes back that found a host without a configuration.
+const UNKNOWN_AGAIN: Duration = Duration::from_millis(500);
 /// Shortest and longest time after which a refused caller is asked to come back; spread evenly, so that those who were
 /// refused together don't come back together.
 const COME_BACK_S: (f64, f64) = (0.25, 0.9);
@@ -488,7 +490,7 @@
         asked: &Asked,
     ) -> Result<(Route, ServiceName, Option<ClientAccount>), Refusal> {
         let Some(table) = self.shared.table.load_full() else {
-            return Err(Refusal::new(503, "not run: no configuration is known yet").retry_in(Duration::from_secs(1)));
+            return Err(Refusal::new(503, "not run: no configuration is known yet").retry_in(UNKNOWN_AGAIN));
         };
         let target = std::str::from_utf8(&head.start.target).unwrap_or_default();
         let host = head.get("host").unwrap_or_default();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -36,6 +36,12 @@
 const MARGIN: Duration = Duration::from_millis(400);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Longest wait of a request for a first catalog, and the share of its time that it may take. A group that has lost power
+/// elects a leader within 0.8 s of its start.
+const UNKNOWN: Duration = Duration::from_millis(900);
+const UNKNOWN_SHARE: f64 = 0.35;
+/// Pause between two looks whether a catalog is known.
+const LOOK: Duration = Duration::from_millis(20);
 /// Longest wait for a question of the balancer.
 const QUESTION: Duration = Duration::from_secs(2);
 /// Longest question of the balancer.
@@ -118,8 +124,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        let known = self.gate.shared.table.load().is_some() && self.gate.upstreams.borrow().listed.is_some();
-        known && self.stopping.get().is_none()
+        self.knows_enough() && self.stopping.get().is_none()
     }
 
     fn has_ended(&self) -> bool {
@@ -239,6 +244,24 @@
         self.stopping.get().is_some_and(|since| since.elapsed() >= NOTICED)
     }
 
+    /// Waits a short time until a catalog and a list are known.
+    ///
+    /// After a restart of the whole system they come within a second. A caller who is refused before that has used up its
+    /// one repeat, or comes back later than it would have been served.
+    async fn wait_known(&self, patience: Option<Duration>) {
+        let share = patience.unwrap_or(UNKNOWN).mul_f64(UNKNOWN_SHARE);
+        let until = Instant::now() + UNKNOWN.min(share);
+        while !self.knows_enough() && Instant::now() < until {
+            self.gate.exchange();
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Tells whether a catalog and a list of upstreams are known.
+    fn knows_enough(&self) -> bool {
+        self.gate.shared.table.load().is_some() && self.gate.upstreams.borrow().listed.is_some()
+    }
+
     /// Tells whether a request of a route surely ends before the process does.
     fn ends_in_time(&self, route: &Route) -> bool {
         let streams = matches!(route.repeat, Repeatable::Stream | Repeatable::ResumableStream);
@@ -303,6 +326,7 @@
             Err(why) => return Err(self.refused(Refusal::closing(400, why), "", keep)),
         };
         let id = asked.id.clone();
+        self.wait_known(asked.patience).await;
         let routed = gate.route(&head, &asked);
         let body = self
             .body(input, out, &head, framing, limits.body_bytes, came, &asked)
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -203,6 +203,11 @@
 
     /// Starts one with a timeout of its route.
     pub fn with(repeat: Repeatable, attempts: u32, timeout_ms: u64, upstreams: &[&Upstream]) -> Self {
+        Self::run(Self::shared(repeat, attempts, timeout_ms, upstreams))
+    }
+
+    /// Makes what such a host knows.
+    pub fn shared(repeat: Repeatable, attempts: u32, timeout_ms: u64, upstreams: &[&Upstream]) -> Arc<Shared> {
         let service = ServiceName::from("till");
         let route = Route {
             name: "r".to_owned(),
@@ -242,7 +247,7 @@
         shared.table.store(Some(Arc::new(Table::new(catalog))));
         shared.parts.store(Arc::new(Some(Parts { entries: 1, floor: 1.0 })));
         *shared.list.lock() = Some((upstreams.iter().enumerate().map(listed).collect(), Tick::default()));
-        Self::run(shared)
+        shared
     }
 
     /// Starts one that knows nothing yet.
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -67,3 +67,19 @@
     assert_eq!(ready(&host), 503);
     assert_eq!(host.ask("", "").status, 503);
 }
+
+/// All processes were restarted, and callers come while the state group still elects its leader. They wait for a moment and
+/// are served, instead of being sent away with their only repeat.
+#[test]
+fn known_soon() {
+    let till = till();
+    let known = Host::shared(Repeatable::Once, 1, 5_000, &[&till]);
+    let empty = std::sync::Arc::new(Shared::default());
+    let host = Host::run(std::sync::Arc::clone(&empty));
+    let mut caller = host.connect();
+    caller.send("Wait-Ms: 3000\r\n", "deposit");
+    std::thread::sleep(Duration::from_millis(300));
+    *empty.list.lock() = known.list.lock().take();
+    empty.table.store(known.table.load_full());
+    assert_eq!(caller.reply().status, 200);
+}
