Plan for the next data centre of a wave of reclaims

On-demand upstreams were ordered only once too few were left, four seconds before they serve; and each time a refusal was three seconds old, the plan took them for no longer needed and took the orders back. The fullest data centre is taken for lost as well while refusals are younger than eight seconds, and requests that have piled up raise the need only so far (14 upstreams were ordered for the pile, and came when it was gone).

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -16,6 +16,8 @@
 /// Part of its time that an upstream may spend on reading prompts. Prompts are read one after the other and hold up the
 /// tokens of all others; beyond a half, first events wait behind several prompts.
 const READING: f64 = 0.45;
+/// Factor and number of upstreams by which running requests may raise the need beyond what prompts ask for.
+const BACKLOG: (f64, f64) = (1.5, 3.0);
 /// Fewest upstreams that the load is taken to need: with fewer, one that fails takes a third of the service along.
 const FEWEST: u32 = 3;
 /// Reclaimable upstreams for each that is needed, so that two of four data centres may be lost at once.
@@ -31,8 +33,10 @@
     pub on_demand: u32,
     /// Reclaimable ones that are ready.
     pub reclaimable: u32,
-    /// Whether reclaimable ones were refused lately.
+    /// Whether reclaimable ones were refused lately, so that a wave of reclaims is likely under way.
     pub dry: bool,
+    /// Whether they were refused just now, so that asking again is of no use yet.
+    pub closed: bool,
 }
 
 /// What there shall be in one data centre.
@@ -50,7 +54,9 @@
 #[must_use]
 pub fn needed(running: f64, prompt_per_s: f64) -> f64 {
     let reading = prompt_per_s / (PREFILL_PER_MS * 1_000.0 * READING);
-    reading.max(running / PER_UPSTREAM)
+    // Under too much load requests pile up. Upstreams that are ordered for the pile start when it is gone.
+    let piled = BACKLOG.0 * reading + BACKLOG.1;
+    reading.max((running / PER_UPSTREAM).min(piled))
 }
 
 /// Plans the upstreams of a service of which so many are needed.
@@ -69,7 +75,11 @@
     }
     let floor = (f64::from(needed) * FLOOR).ceil() as u32;
     let usable: u32 = present.values().map(|there| there.reclaimable).sum();
-    let missing = needed.saturating_sub(usable).max(floor);
+    // Data centres are reclaimed one after the other. Once one is, the fullest of the others is taken for lost as well: an
+    // on-demand upstream that is ordered when it goes starts seconds too late.
+    let next = present.values().map(|there| there.reclaimable).max().unwrap_or(0);
+    let sure = if dry { usable - next } else { usable };
+    let missing = needed.saturating_sub(sure).max(floor);
     let held: u32 = present.values().map(|there| there.on_demand).sum();
     // What is there already is kept first: an upstream that is drained and ordered anew elsewhere loses its cache.
     let keep = missing.min(held);
@@ -120,7 +130,7 @@
         let Some(held) = present.get(zone) else {
             continue;
         };
-        there.reclaimable = if held.dry {
+        there.reclaimable = if held.closed {
             held.reclaimable
         } else {
             there.reclaimable.max(held.reclaimable)
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -37,6 +37,8 @@
 const UNSEEN: Duration = Duration::from_secs(4);
 /// Time for which a data centre that had none available is not asked again.
 const DRY: Duration = Duration::from_secs(3);
+/// Time for which a refusal counts as a sign that reclaims go on.
+const WAVE: Duration = Duration::from_secs(8);
 /// Time over which the highest load counts, so that the fleet doesn't follow each wave.
 const BUSY: Duration = Duration::from_secs(15);
 /// Age up to which the load that entry hosts tell counts.
@@ -125,6 +127,8 @@
     planned: Option<Tick>,
     orders: BTreeMap<Subject, Given>,
     peaks: BTreeMap<ServiceName, Peak>,
+    /// When reclaimable upstreams were refused last.
+    refused: BTreeMap<(ServiceName, Zone), Tick>,
 }
 
 /// What an order is about: service, data centre and whether upstreams are reclaimable.
@@ -172,6 +176,7 @@
             planned: None,
             orders: BTreeMap::new(),
             peaks: BTreeMap::new(),
+            refused: BTreeMap::new(),
         }
     }
 
@@ -285,7 +290,9 @@
         let pause = Duration::from_millis(scaling.boot_ms) + UNSEEN;
         for (zone, there) in &mut present {
             let order = |spot| self.orders.get(&(service.clone(), zone.clone(), spot)).copied();
-            there.dry = order(true).is_some_and(|given| given.dry && now.since(given.at) < DRY);
+            there.closed = order(true).is_some_and(|given| given.dry && now.since(given.at) < DRY);
+            let refused = self.refused.get(&(service.clone(), zone.clone()));
+            there.dry = refused.is_some_and(|at| now.since(*at) < WAVE);
             // What was ordered a moment ago is still starting; an order that forgot it would take it back.
             let starting = order(false).filter(|given| !given.dry && now.since(given.at) < pause);
             there.on_demand = there.on_demand.max(starting.map_or(0, |given| given.count));
@@ -328,6 +335,9 @@
         info!(self.logger, "capacity ordered"; "service" => &order.service, "zone" => &order.zone, "spot" => spot,
             "count" => wanted, "there" => there, "needed" => needed, "fence" => fence, "outcome" => outcome);
         let dry = matches!(result, Err(OfficeError::NoneLeft));
+        if dry && *spot {
+            self.refused.insert((service.clone(), zone.clone()), now);
+        }
         if dry || result.is_ok() {
             let count = wanted;
             self.orders.insert(subject, Given { count, at: now, dry });
