--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -32,6 +32,8 @@
 const STALE: Duration = Duration::from_millis(1_200);
 /// Shortest pause between two beats; news of the list of upstreams come with them.
 const BEAT: Duration = Duration::from_millis(300);
+/// Pause between two beats of an entry host that has not been told its part yet: callers wait for it.
+const UNTOLD: Duration = Duration::from_millis(50);
 /// Beats a second that a leader takes from all entry hosts together: a twentieth of a small host's processor.
 const BEATS_PER_S: f64 = 200.0;
 /// Age of the list from which an entry host reads it for itself. Upstreams that leave must get no new work three seconds
@@ -219,6 +221,9 @@
     }
 
     fn beat_pause(&self) -> Duration {
+        if self.shared.parts.load().is_none() {
+            return UNTOLD;
+        }
         BEAT.max(Duration::from_secs_f64(f64::from(self.entries()) / BEATS_PER_S))
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -244,14 +244,15 @@
         self.stopping.get().is_some_and(|since| since.elapsed() >= NOTICED)
     }
 
-    /// Waits a short time until a catalog and a list are known.
+    /// Waits a short time until a catalog, a list and the own part of the quotas are known.
     ///
     /// After a restart of the whole system they come within a second. A caller who is refused before that has used up its
     /// one repeat, or comes back later than it would have been served.
     async fn wait_known(&self, patience: Option<Duration>) {
         let share = patience.unwrap_or(UNKNOWN).mul_f64(UNKNOWN_SHARE);
         let until = Instant::now() + UNKNOWN.min(share);
-        while !self.knows_enough() && Instant::now() < until {
+        let told = || self.gate.shared.parts.load().is_some();
+        while !(self.knows_enough() && told()) && Instant::now() < until {
             self.gate.exchange();
             sleep(LOOK).await;
         }
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -13,8 +13,9 @@
 use crate::Tick;
 use crate::quota::Bucket;
 
-/// Part of every limit that is split evenly.
-pub const EVEN: f64 = 0.4;
+/// Part of every limit that is split evenly. Accounts use about half of their quota on ordinary days; with this a data
+/// centre that is cut off from the leader goes on serving what it usually does.
+pub const EVEN: f64 = 0.6;
 /// Part of the slack beyond a quota that is used, half of it split and half of it lent. Entry hosts that restart, or are
 /// counted late, may add to it what their part was.
 pub const SLACK_USED: f64 = 0.7;
