--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::capacity::CapacityOptions;
 use crate::host::HostOptions;
 use crate::state::StateOptions;
+use crate::trace::TraceOptions;
 
 /// Operate gentianspring.
 #[derive(Debug, FromArgs)]
@@ -59,6 +60,8 @@
     Capacity(CapacityOptions),
     /// Hosts.
     Host(HostOptions),
+    /// Logs.
+    Trace(TraceOptions),
 }
 
 /// Show state nodes and entry hosts with the revision that each has in force.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod requests;
 pub mod state;
 pub mod status;
+pub mod trace;
 pub mod upstreams;
--- /dev/null
+++ b/crates/ctl/src/trace.rs
@@ -0,0 +1,158 @@
+//! What the logs of the entry hosts say of one request, and what befell its host and upstream before.
+
+use std::collections::BTreeSet;
+use std::io::BufRead;
+use std::path::PathBuf;
+
+use anyhow::Context;
+use argh::FromArgs;
+use serde_json::Value;
+
+use crate::exit::{Absent, Output};
+
+/// Time before a request's end in which news of its host count, in seconds.
+const HOST_S: f64 = 10.0;
+/// Time before a request's end in which news of its upstream count, in seconds: what drains may take as long.
+const UPSTREAM_S: f64 = 30.0;
+/// Messages about a host that explain what happens to its requests.
+const HOST_NEWS: [&str; 7] = [
+    "serving",
+    "stopping",
+    "readiness changed",
+    "state node lost",
+    "no parts of limits are told",
+    "list of upstreams can't be read",
+    "configuration in force",
+];
+
+/// Find what the logs say of a request.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "trace",
+    example = "gentianctl trace a77fe7cf4570a9b8 entry-1.log entry-2.log"
+)]
+pub struct TraceOptions {
+    /// id of the request, as its caller sent it
+    #[argh(positional)]
+    pub id: String,
+    /// log files of entry hosts, one JSON object a line
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// What was found of a request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Trace {
+    /// Lines about the request, its host and its upstream, in order.
+    pub lines: Vec<Value>,
+    /// The cause in words, as far as the lines tell it.
+    pub cause: String,
+}
+
+/// Reads the files and prints the trace.
+///
+/// # Errors
+/// Fails when a file can't be read, or none says anything of the request.
+pub fn run(options: &TraceOptions, json: bool) -> anyhow::Result<Output> {
+    let mut lines = Vec::new();
+    for path in &options.files {
+        let file = std::fs::File::open(path).with_context(|| format!("open {}", path.display()))?;
+        for line in std::io::BufReader::new(file).lines() {
+            let line = line.with_context(|| format!("read {}", path.display()))?;
+            // A line that a process could not finish, or one that is no JSON, says nothing of the request.
+            lines.extend(serde_json::from_str::<Value>(&line).ok());
+        }
+    }
+    let trace = trace(&options.id, &lines).ok_or_else(|| Absent {
+        what: format!("request {}", options.id),
+        next: "name the logs of all entry hosts, and of the hour in which it came",
+    })?;
+    let shown: Vec<String> = trace.lines.iter().map(ToString::to_string).collect();
+    let text = if json {
+        serde_json::json!({ "cause": trace.cause, "lines": trace.lines }).to_string()
+    } else {
+        format!("{}\ncause: {}", shown.join("\n"), trace.cause)
+    };
+    Ok(Output::from(text))
+}
+
+/// Finds the lines of a request and what explains them.
+#[must_use]
+pub fn trace(id: &str, lines: &[Value]) -> Option<Trace> {
+    let own: Vec<&Value> = lines.iter().filter(|line| text(line, "request") == id).collect();
+    let last = own.iter().max_by(|a, b| time(a).total_cmp(&time(b)))?;
+    let (end, host) = (time(last), text(last, "node"));
+    let upstreams: BTreeSet<&str> = own
+        .iter()
+        .map(|line| text(line, "upstream"))
+        .filter(|id| !id.is_empty())
+        .collect();
+    let before = |line: &Value, window: f64| (0.0..=window).contains(&(end - time(line)));
+    let of_host =
+        |line: &&Value| text(line, "node") == host && HOST_NEWS.contains(&text(line, "msg")) && before(line, HOST_S);
+    let of_upstream = |line: &&Value| {
+        let named = text(line, "upstreams")
+            .split(',')
+            .any(|named| upstreams.contains(named));
+        text(line, "node") == host && named && before(line, UPSTREAM_S)
+    };
+    let mut found: Vec<&Value> = own.clone();
+    found.extend(lines.iter().filter(|line| of_host(line) || of_upstream(line)));
+    found.sort_by(|a, b| time(a).total_cmp(&time(b)));
+    Some(Trace {
+        cause: cause(last, &found),
+        lines: found.into_iter().cloned().collect(),
+    })
+}
+
+/// Says in words why a request ended as it did.
+fn cause(last: &Value, found: &[&Value]) -> String {
+    let why = text(last, "why");
+    let told = |msg: &str| found.iter().any(|line| text(line, "msg") == msg);
+    let leaving = told("upstreams leave");
+    if why.contains("quota") {
+        return if told("serving") {
+            "over the account's quota shortly after the start of the host, which begins with a part of a burst"
+                .to_owned()
+        } else if told("no parts of limits are told") {
+            "over the host's own part of the quota, cut off from the leader that lends more".to_owned()
+        } else {
+            "the account used up its quota".to_owned()
+        };
+    }
+    if why.contains("host stops") {
+        return "the host was stopped as planned".to_owned();
+    }
+    if why.contains("no configuration") {
+        return "the host had just started and no state node told it a configuration".to_owned();
+    }
+    if leaving && (why.contains("broke off") || why.contains("may have run") || why.contains("not run")) {
+        return format!("the upstream left or was taken away: {why}");
+    }
+    if told("attempt failed") || why.contains("broke off") || why.contains("may have run") {
+        return format!("the upstream failed: {why}");
+    }
+    if last.get("late") == Some(&Value::Bool(true)) {
+        let (load, predicted) = (&last["load"], &last["predicted_ms"]);
+        return format!("late at the upstream: {load} requests there, {predicted} ms were predicted");
+    }
+    if why.is_empty() {
+        "the caller left".to_owned()
+    } else {
+        why.to_owned()
+    }
+}
+
+fn text<'a>(line: &'a Value, name: &str) -> &'a str {
+    line.get(name).and_then(Value::as_str).unwrap_or_default()
+}
+
+/// Gives the time of a line in seconds of its day; logs of one incident lie within hours.
+fn time(line: &Value) -> f64 {
+    let stamp = text(line, "ts");
+    let clock = stamp.split('T').nth(1).unwrap_or_default().trim_end_matches('Z');
+    clock
+        .split(':')
+        .fold(0.0, |sum, part| sum * 60.0 + part.parse::<f64>().unwrap_or(0.0))
+}
--- /dev/null
+++ b/crates/ctl/tests/log_trace.rs
@@ -0,0 +1,87 @@
+//! From a request's id to its cause, with the logs alone.
+
+use ctl::trace::trace;
+use serde_json::{Value, json};
+
+fn line(at_s: u32, node: &str, msg: &str, more: Value) -> Value {
+    let mut line = json!({"ts": format!("2026-03-20T18:02:{at_s:02}.5Z"), "node": node, "msg": msg, "level": "INFO"});
+    line.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+    line
+}
+
+fn cause(id: &str, lines: &[Value]) -> String {
+    trace(id, lines).unwrap().cause
+}
+
+/// An engine is reclaimed in the middle of a stream. The line of the request names only a closed connection; the news of
+/// the list, two seconds before on the same host, names the reason.
+#[test]
+fn reclaimed_engine() {
+    let lines = [
+        line(10, "e1", "upstreams leave", json!({"upstreams": "i-1,i-2"})),
+        line(10, "e2", "upstreams leave", json!({"upstreams": "i-2"})),
+        line(
+            12,
+            "e1",
+            "request ended",
+            json!({"request": "q", "upstream": "i-2", "outcome": "broken",
+            "why": "stream broke off: unknown: closed within the answer"}),
+        ),
+    ];
+    let found = trace("q", &lines).unwrap();
+    assert_eq!(found.lines.len(), 2, "news of other hosts are left out");
+    assert!(found.cause.contains("taken away"), "{}", found.cause);
+}
+
+#[test]
+fn quota_causes() {
+    let refused = line(
+        20,
+        "e1",
+        "request refused",
+        json!({"request": "q", "why": "not run: over the account's quota"}),
+    );
+    assert_eq!(
+        cause("q", std::slice::from_ref(&refused)),
+        "the account used up its quota"
+    );
+    let cut = line(
+        15,
+        "e1",
+        "no parts of limits are told",
+        json!({"peer": "10.0.0.1:7600"}),
+    );
+    assert!(cause("q", &[cut, refused.clone()]).contains("cut off"));
+    let started = line(18, "e1", "serving", json!({}));
+    assert!(cause("q", &[started, refused]).contains("start"));
+}
+
+#[test]
+fn failed_and_late() {
+    let attempt = line(
+        1,
+        "e1",
+        "attempt failed",
+        json!({"request": "q", "upstream": "i-1", "fate": "unknown: silent"}),
+    );
+    let ended = line(
+        2,
+        "e1",
+        "request ended",
+        json!({"request": "q", "why": "may have run: silent"}),
+    );
+    assert!(cause("q", &[attempt, ended]).contains("upstream failed"));
+    let late = line(
+        2,
+        "e1",
+        "request ended",
+        json!({"request": "r", "why": "answered 200", "late": true, "load": 9.0,
+        "predicted_ms": 30}),
+    );
+    assert!(cause("r", &[late]).contains("9.0 requests"));
+}
+
+#[test]
+fn unknown_id() {
+    assert_eq!(trace("nobody", &[line(1, "e1", "serving", json!({}))]), None);
+}
