Size the fleet by an upstream's slots

Cause: engines of the grown deployments run 12 and 16 requests at once; the plan counted 16 for each, so that requests waited for slots.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -16,6 +16,8 @@
 /// Part of its time that an upstream may spend on reading prompts. Prompts are read one after the other and hold up the
 /// tokens of all others; beyond a half, first events wait behind several prompts.
 const READING: f64 = 0.45;
+/// Part of an upstream's slots that may be filled; requests come in bunches, and one that finds no slot waits for a whole run.
+const FILLED: f64 = 0.5;
 /// Factor and number of upstreams by which running requests may raise the need beyond what prompts ask for.
 const BACKLOG: (f64, f64) = (1.5, 3.0);
 /// Fewest upstreams that the load is taken to need: with fewer, one that fails takes a third of the service along.
@@ -52,11 +54,12 @@
 ///
 /// The count of requests alone says too little: with long prompts an upstream is full while few run there.
 #[must_use]
-pub fn needed(running: f64, prompt_per_s: f64) -> f64 {
+pub fn needed(running: f64, prompt_per_s: f64, slots: u32) -> f64 {
     let reading = prompt_per_s / (PREFILL_PER_MS * 1_000.0 * READING);
     // Under too much load requests pile up. Upstreams that are ordered for the pile start when it is gone.
     let piled = BACKLOG.0 * reading + BACKLOG.1;
-    reading.max((running / PER_UPSTREAM).min(piled))
+    let each = PER_UPSTREAM.min(f64::from(slots.max(2)) * FILLED);
+    reading.max((running / each).min(piled))
 }
 
 /// Plans the upstreams of a service of which so many are needed.
--- a/crates/policy/tests/fleet_plan.rs
+++ b/crates/policy/tests/fleet_plan.rs
@@ -70,11 +70,19 @@
     assert!(sum(&wanted, |one| one.on_demand) >= 2, "{wanted:?}");
 }
 
+/// Engines differ in how many requests they run at once. Where it is twelve, sixteen for each would leave callers waiting for
+/// a slot all day.
+#[test]
+fn few_slots() {
+    assert!(needed(60.0, 200_000.0, 12) >= 10.0);
+    assert!(needed(60.0, 200_000.0, 64) < 8.0);
+}
+
 /// Requests pile up behind an overload. The fleet must not be ordered for the pile: it would be there when the pile is gone,
 /// and cost as much as all the rest of the day.
 #[test]
 fn pile_is_bounded() {
-    assert!(needed(500.0, 90_000.0) < 9.0);
+    assert!(needed(500.0, 90_000.0, 64) < 9.0);
 }
 
 /// The next look at the list comes while the on-demand upstreams of the last one start. They are counted, so that no order
@@ -89,8 +97,8 @@
 /// A hundred requests with short prompts, and ten with long ones, need about as much.
 #[test]
 fn prompts_count() {
-    assert!(needed(100.0, 10_000.0) > 3.0);
-    assert!(needed(10.0, 180_000.0) > 6.0);
+    assert!(needed(100.0, 10_000.0, 64) > 3.0);
+    assert!(needed(10.0, 180_000.0, 64) > 6.0);
 }
 
 /// Where reclaimable upstreams cost as much as others, there is no reason to risk them.
--- a/crates/state/src/duties.rs
+++ b/crates/state/src/duties.rs
@@ -223,10 +223,10 @@
             return;
         };
         let loads = self.registry.loads(now, LOAD_FRESH);
-        for (service, scaling) in scaled {
+        for (service, scaling, slots) in scaled {
             let load = loads.get(service.as_str()).copied().unwrap_or_default();
             let present = self.present(&service, &scaling, &list, now);
-            let told = needed(load.running, load.prompt_per_s);
+            let told = needed(load.running, load.prompt_per_s, slots);
             let needed = self.peak(&service, told, &present, now);
             for (zone, wanted) in plan(&present, &scaling, needed) {
                 let there = present.get(&zone).cloned().unwrap_or_default();
@@ -241,12 +241,15 @@
         }
     }
 
-    fn scaled(&self) -> Vec<(ServiceName, Scaling)> {
+    fn scaled(&self) -> Vec<(ServiceName, Scaling, u32)> {
         let (reply, answer) = oneshot::channel();
         let read = Ask::Read(Box::new(move |applied, _age| {
             let services = applied.catalog().map(|catalog| catalog.services.iter());
             let scaled = services.into_iter().flatten();
-            let scaled = scaled.filter_map(|service| Some((service.name.clone(), service.scaling.clone()?)));
+            let scaled = scaled.filter_map(|service| {
+                let slots = service.engine.map_or(0, |engine| engine.slots);
+                Some((service.name.clone(), service.scaling.clone()?, slots))
+            });
             // An asker that has gone away needs no answer.
             let _ = reply.send(scaled.collect());
         }));
