Share what entry hosts see of upstreams; small differences of load don't count for prompts

Cause: at 80 entry hosts each meets an upstream every few seconds, chose without knowing its load (unknown for 18,787 of 18,841 choices), and one prompt in eight was late behind full engines. Beats carry loads and unread prompts now, and the answers those of all others. Kept: an engine that is less than half full counts as free, so that prompts stay at their homes and only crowded ones are avoided.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -17,7 +17,7 @@
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Beat, Parts, ServiceLoad};
+use wire::registry::{Beat, Parts, ServiceLoad, Sign};
 
 use crate::dialect::{Asked, Dialect};
 use crate::lender::Lender;
@@ -49,6 +49,8 @@
     pub list: Mutex<Option<(Vec<Listed>, Tick)>>,
     /// When the list that was heard of last was asked for.
     pub listed: ArcSwap<Option<Tick>>,
+    /// What others have seen of upstreams, and when it was told.
+    pub signs: Mutex<Option<(Vec<Sign>, Tick)>>,
     /// What the next beat tells.
     pub beat: Mutex<Beat>,
 }
@@ -165,9 +167,13 @@
                 slog::info!(self.logger, "upstreams leave"; "upstreams" => ended.join(","));
             }
         }
+        if let Some((signs, told)) = self.shared.signs.lock().take() {
+            self.upstreams.borrow_mut().take_signs(&signs, told);
+        }
         self.pool.borrow_mut().sweep();
         let mut beat = self.shared.beat.lock();
         beat.began.clone_from(self.began.borrow().counts());
+        beat.signs = self.upstreams.borrow().signs(self.clock.now());
         beat.load.clone_from(&self.loads.borrow());
         let now = self.clock.now();
         for (service, rate) in self.rates.borrow_mut().iter_mut() {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -189,8 +189,10 @@
             beat.list = number;
             let error = match calls.wait(open.beat(Envelope::new(&self.node, Revision(self.version()), beat))) {
                 Ok(answer) => match answer.body {
-                    Beaten::Parts(parts, news) => {
-                        number = self.take_list(news, number);
+                    Beaten::News(news) => {
+                        let parts = news.parts;
+                        *self.shared.signs.lock() = Some((news.signs, self.clock.now()));
+                        number = self.take_list(news.list, number);
                         self.shared.leader.store(Arc::new(Some(peer)));
                         if !told {
                             info!(self.logger, "parts of limits are told again"; "peer" => %peer, "entries" => parts.entries);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,17 +11,22 @@
 use policy::load::{LoadEstimate, Report};
 use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
 use policy::reach::Reach;
+use rand::seq::SliceRandom;
+use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
 
 use contract::Listed;
 
 use crate::dialect::Load;
 
-/// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts.
-const LOAD_FRESH: Duration = Duration::from_millis(1_500);
+/// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts. What others
+/// have seen takes two beats to come here.
+const LOAD_FRESH: Duration = Duration::from_millis(2_500);
+/// Age up to which an own sight of an upstream's load is told to the others; longer than a beat.
+const SIGHT_FRESH: Duration = Duration::from_millis(600);
 /// Milliseconds by which predictions may differ and still count as equal, so that entry hosts agree on the place of a
 /// prompt's parts instead of spreading them over all.
-const CLOSE_MS: f64 = 12.0;
+const CLOSE_MS: f64 = 25.0;
 /// Queue places behind the slots that may be filled; an upstream refuses what comes on top.
 const QUEUE: f64 = 2.0;
 
@@ -36,6 +41,10 @@
     own: u32,
     hash: u64,
     backlog: Backlog,
+    /// Load that it told this entry host, and when.
+    sight: Option<(Load, Tick)>,
+    /// Until when it reads what other entry hosts have sent.
+    others_until: Tick,
     /// What is heard of its data centre.
     reach: Rc<Reach>,
     /// It said that it is another incarnation.
@@ -155,12 +164,9 @@
         // The last part belongs to the request alone; the one before it is the largest that others share.
         let shared = need.parts.len().saturating_sub(2);
         let lead = need.parts.get(shared).map_or(0, |part| part.key);
-        let candidates: Vec<Candidate> = open
-            .iter()
-            .enumerate()
-            .map(|(at, upstream)| upstream.candidate(at, lead, need, now))
-            .filter(|one| one.load < one.slots * QUEUE)
-            .collect();
+        let all = open.iter().enumerate();
+        let candidates = all.map(|(at, upstream)| upstream.candidate(at, lead, need, now));
+        let candidates: Vec<Candidate> = candidates.filter(|one| one.load < one.slots * QUEUE).collect();
         let tokens = need.parts.iter().map(|part| part.tokens).sum();
         // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
         let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
@@ -176,6 +182,25 @@
         })
     }
 
+    /// Gives what the others should know.
+    #[must_use]
+    pub fn signs(&self, now: Tick) -> Vec<Sign> {
+        self.all.values().filter_map(|upstream| upstream.sign(now)).collect()
+    }
+
+    /// Takes what others have seen.
+    pub fn take_signs(&mut self, signs: &[Sign], told: Tick) {
+        for sign in signs {
+            let Some(upstream) = self.all.get_mut(&sign.id) else {
+                continue;
+            };
+            if let Some((running, waiting, age_ms)) = sign.load {
+                upstream.note_load(running, waiting, told - Duration::from_millis(u64::from(age_ms)));
+            }
+            upstream.others_until = told + Duration::from_millis(u64::from(sign.backlog_ms));
+        }
+    }
+
     /// Gives an upstream.
     pub fn get(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
@@ -198,6 +223,8 @@
             cached: Cached::default(),
             own: 0,
             backlog: Backlog::default(),
+            sight: None,
+            others_until: Tick::default(),
             gone: false,
         }
     }
@@ -213,7 +240,7 @@
             cached: self.cached.tokens(need.parts, now),
             weight: xxh3_64(&(self.hash ^ lead).to_le_bytes()),
             near: self.listed.zone == *need.zone,
-            backlog_ms: self.backlog.ms(now),
+            backlog_ms: self.backlog.ms(now) + self.others_until.since(now).as_secs_f64() * 1_000.0,
         }
     }
 
@@ -271,11 +298,28 @@
         if load.slots > 0 {
             self.listed.slots = load.slots;
         }
+        self.sight = Some((load, now));
+        self.note_load(load.running, load.waiting, now);
+    }
+
+    fn note_load(&mut self, running: u32, waiting: u32, measured: Tick) {
         self.load.report(Report {
-            measured: now,
-            running: load.running,
-            waiting: load.waiting,
+            measured,
+            running,
+            waiting,
             kv_used: 0.0,
         });
     }
+
+    /// Gives what the others should know of it, if there is something.
+    fn sign(&self, now: Tick) -> Option<Sign> {
+        let fresh = self.sight.filter(|(_, at)| now.since(*at) < SIGHT_FRESH);
+        let load = fresh.map(|(load, at)| (load.running, load.waiting, now.since(at).as_millis() as u32));
+        let backlog_ms = self.backlog.unread_ms(now) as u32;
+        (load.is_some() || backlog_ms > 0).then(|| Sign {
+            id: self.listed.id.clone(),
+            load,
+            backlog_ms,
+        })
+    }
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -12,6 +12,8 @@
 /// Milliseconds that an upstream with all slots taken answers later than an idle one. Prefill and decoding share the
 /// engine, so each running request slows the others; twice the token time of a full batch.
 const CROWD_MS: f64 = 120.0;
+/// Part of the slots up to which an engine counts as not crowded.
+const CROWDED: f64 = 0.5;
 /// Milliseconds that a request waits for each one that is queued before it.
 const QUEUED_MS: f64 = 30.0;
 /// Milliseconds that another data centre is taken to be farther; it breaks ties and saves traffic between them.
@@ -100,6 +102,12 @@
         self.waiting.remove(&number);
     }
 
+    /// Gives the milliseconds of own prompts that are not read yet.
+    #[must_use]
+    pub fn unread_ms(&self, now: Tick) -> f64 {
+        self.read_at.since(now).as_secs_f64() * 1_000.0
+    }
+
     /// Gives when the request was sent that has waited longest for its first event.
     #[must_use]
     pub fn oldest(&self) -> Option<Tick> {
@@ -110,7 +118,7 @@
     /// longer than was predicted because of what others sent.
     #[must_use]
     pub fn ms(&self, now: Tick) -> f64 {
-        let own = self.read_at.since(now).as_secs_f64() * 1_000.0;
+        let own = self.unread_ms(now);
         let longer = |(sent, predicted): &(Tick, f64)| {
             let waited = now.since(*sent);
             (waited < LONGEST_WAIT).then(|| waited.as_secs_f64() * 1_000.0 - predicted)
@@ -154,7 +162,14 @@
 pub fn predict(option: &Candidate, tokens: u64) -> Predicted {
     let slots = option.slots.max(1.0);
     let queued = (option.load + 1.0 - slots).max(0.0);
-    let crowd = (option.load / slots).min(1.0);
+    let filled = (option.load / slots).min(1.0);
+    // Prompts go to their home as long as it is not half full. Reports are as old as two beats, and many entry hosts read the
+    // same ones: if small differences counted, all of them would send to whichever was idle then.
+    let crowd = if tokens == 0 {
+        filled
+    } else {
+        ((filled - CROWDED) / (1.0 - CROWDED)).max(0.0)
+    };
     let fresh = tokens.saturating_sub(option.cached) as f64;
     let ms = fresh / PREFILL_PER_MS * (1.0 + crowd)
         + crowd * crowd * CROWD_MS
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod registry;
 pub mod rpc;
 pub mod settings;
+mod signs;
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -10,7 +10,9 @@
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::parts::Sharers;
-use wire::registry::{Beat, ListNews, Parts, ServiceLoad};
+use wire::registry::{Beat, ListNews, News, Parts, ServiceLoad};
+
+use crate::signs::Signs;
 
 /// Windows of usage that are kept: at the length of five seconds, more than three minutes.
 const KEPT_WINDOWS: usize = 40;
@@ -30,6 +32,7 @@
 struct Inner {
     term: u64,
     list: Numbered,
+    signs: Signs,
     /// Number of sharers that the log holds.
     counted: u32,
     sharers: Option<Sharers>,
@@ -100,13 +103,7 @@
     }
 
     /// Takes a beat in a term; gives the entry host's parts once they are known.
-    pub fn beat(
-        &self,
-        term: u64,
-        (from, beat): (&NodeId, Beat),
-        shared: &Sharing,
-        now: Tick,
-    ) -> Option<(Parts, ListNews)> {
+    pub fn beat(&self, term: u64, (from, beat): (&NodeId, Beat), shared: &Sharing, now: Tick) -> Option<News> {
         let mut inner = self.inner.lock();
         if inner.term != term {
             // Another led in between, and may have given other parts.
@@ -122,6 +119,7 @@
             inner.counts.pop_first();
         }
         inner.loads.insert(from.clone(), (now, beat.load));
+        inner.signs.note(from, beat.signs, now);
         let sharers = inner.sharers.get_or_insert_with(|| Sharers::new(shared.sharers, now));
         sharers.set_quotas(&shared.quotas, self.slack, now);
         let portion = sharers.beat(from, now)?;
@@ -129,7 +127,11 @@
             entries: portion.entries,
             floor: portion.floor,
         };
-        Some((parts, inner.list.news(beat.list, now)))
+        Some(News {
+            parts,
+            list: inner.list.news(beat.list, now),
+            signs: inner.signs.others(from, now),
+        })
     }
 
     /// Takes over a list of upstreams that was asked for at a time, in a term.
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -160,10 +160,7 @@
         let listening = || Unavailable::NoQuorum {
             reason: "a new leader listens who shares the limits".to_owned(),
         };
-        let body = parts.map_or_else(
-            || Beaten::Unavailable(listening()),
-            |(parts, list)| Beaten::Parts(parts, list),
-        );
+        let body = parts.map_or_else(|| Beaten::Unavailable(listening()), |news| Beaten::News(Box::new(news)));
         Ok(self.wrap(body))
     }
 
--- /dev/null
+++ b/crates/state/src/signs.rs
@@ -0,0 +1,73 @@
+//! What entry hosts have seen of upstreams, put together.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use contract::NodeId;
+use policy::Tick;
+use wire::registry::Sign;
+
+/// How long a sight of an upstream's load is told on.
+const LOAD_FRESH: Duration = Duration::from_millis(2_500);
+/// How long a backlog counts that its entry host tells no more; it is read within that time, or the host is gone.
+const BACKLOG_FRESH: Duration = Duration::from_millis(1_500);
+/// Backlog that is not worth telling: the prompts of a few small requests.
+const LITTLE_MS: u64 = 10;
+
+/// The newest signs of all upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Signs(BTreeMap<String, Known>);
+
+#[derive(Debug, Default)]
+struct Known {
+    load: Option<(u32, u32, Tick)>,
+    backlogs: BTreeMap<NodeId, (Duration, Tick)>,
+}
+
+impl Signs {
+    /// Takes what an entry host has seen.
+    pub(crate) fn note(&mut self, from: &NodeId, signs: Vec<Sign>, now: Tick) {
+        for sign in signs {
+            let known = self.0.entry(sign.id).or_default();
+            if let Some((running, waiting, age_ms)) = sign.load {
+                let at = now - Duration::from_millis(u64::from(age_ms));
+                if known.load.is_none_or(|(_, _, before)| before < at) {
+                    known.load = Some((running, waiting, at));
+                }
+            }
+            let backlog = Duration::from_millis(u64::from(sign.backlog_ms));
+            known.backlogs.insert(from.clone(), (backlog, now));
+        }
+        self.0.retain(|_, known| known.is_fresh(now));
+    }
+
+    /// Gives what others than one entry host have seen.
+    pub(crate) fn others(&self, to: &NodeId, now: Tick) -> Vec<Sign> {
+        let sign = |(id, known): (&String, &Known)| {
+            let load = known.load.filter(|(_, _, at)| now.since(*at) < LOAD_FRESH);
+            let load = load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32));
+            let backlog_ms = known.backlog_without(to, now);
+            (load.is_some() || backlog_ms > 0).then(|| Sign {
+                id: id.clone(),
+                load,
+                backlog_ms,
+            })
+        };
+        self.0.iter().filter_map(sign).collect()
+    }
+}
+
+impl Known {
+    fn is_fresh(&self, now: Tick) -> bool {
+        let seen = self.load.is_some_and(|(_, _, at)| now.since(at) < LOAD_FRESH);
+        seen || self.backlogs.values().any(|(_, at)| now.since(*at) < BACKLOG_FRESH)
+    }
+
+    /// Adds up what others have sent and is not read yet; it is read as time passes.
+    fn backlog_without(&self, node: &NodeId, now: Tick) -> u32 {
+        let others = self.backlogs.iter().filter(|(other, _)| *other != node);
+        let left = others.map(|(_, (backlog, at))| backlog.saturating_sub(now.since(*at)));
+        let ms = left.sum::<Duration>().as_millis() as u64;
+        if ms < LITTLE_MS { 0 } else { ms as u32 }
+    }
+}
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -18,6 +18,8 @@
     pub zone: Zone,
     /// Requests that began to run, by window of true time and client account; each total replaces the one before.
     pub began: BTreeMap<u64, BTreeMap<String, u64>>,
+    /// What it has seen of upstreams since its last beat.
+    pub signs: Vec<Sign>,
     /// Load by service, for orders of capacity.
     pub load: BTreeMap<String, ServiceLoad>,
 }
@@ -34,12 +36,37 @@
 /// The answer to [`Beat`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Beaten {
-    /// The entry host's parts, and news of the list of upstreams.
-    Parts(Parts, ListNews),
+    /// What the entry host shares with the others.
+    News(Box<News>),
     /// The node does not lead.
     Unavailable(Unavailable),
 }
 
+/// What an entry host shares with the others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Its parts of limits.
+    pub parts: Parts,
+    /// News of the list of upstreams.
+    pub list: ListNews,
+    /// What others have seen of upstreams.
+    pub signs: Vec<Sign>,
+}
+
+/// What was seen of an upstream.
+///
+/// With many entry hosts each one meets an upstream too seldom to know its load; together they meet it several times a
+/// second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sign {
+    /// The upstream.
+    pub id: String,
+    /// Requests that run and wait there, with the age of the sight in milliseconds.
+    pub load: Option<(u32, u32, u32)>,
+    /// Milliseconds of prompts that were sent there and are not read yet.
+    pub backlog_ms: u32,
+}
+
 /// What the leader knows of the list of upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ListNews {
