--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,7 +11,6 @@
 use policy::load::{LoadEstimate, Report};
 use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
 use policy::reach::Reach;
-use rand::seq::SliceRandom;
 use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
 
--- /dev/null
+++ b/crates/state/tests/shared_news.rs
@@ -0,0 +1,103 @@
+//! What entry hosts learn from the leader about upstreams: the list, and what the others have seen.
+
+use std::time::Duration;
+
+use contract::{Listed, NodeId, ServiceName, Zone};
+use policy::Tick;
+use state::registry::{Registry, Sharing};
+use wire::registry::{Beat, News, Sign};
+
+const TERM: u64 = 3;
+
+fn listed(id: &str, leaving: bool, cold_ms: u64) -> Listed {
+    Listed {
+        id: id.to_owned(),
+        start: 1,
+        service: ServiceName::from("m"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: Zone::from("z"),
+        slots: 4,
+        leaving,
+        reclaimable: false,
+        cold: Duration::from_millis(cold_ms),
+    }
+}
+
+fn beat(registry: &Registry, from: &str, beat: Beat, now_ms: u64) -> News {
+    let sharing = Sharing {
+        sharers: 2,
+        ..Sharing::default()
+    };
+    let from = NodeId::from(from);
+    let news = registry.beat(TERM, (&from, beat), &sharing, Tick::from_millis(now_ms));
+    news.expect("the number of sharers was left by the leader before")
+}
+
+fn seen(id: &str, load: Option<(u32, u32, u32)>, backlog_ms: u32) -> Beat {
+    Beat {
+        signs: vec![Sign {
+            id: id.to_owned(),
+            load,
+            backlog_ms,
+        }],
+        ..Beat::default()
+    }
+}
+
+/// One entry host sends a prompt that takes an upstream 800 ms to read. Another would send its own callers behind it, as it
+/// sees no more than its own requests; it is told what is left of the 800 ms.
+#[test]
+fn others_backlog() {
+    let registry = Registry::default();
+    beat(&registry, "e1", seen("u", None, 800), 1_000);
+    let news = beat(&registry, "e2", Beat::default(), 1_300);
+    assert_eq!((news.signs[0].id.as_str(), news.signs[0].backlog_ms), ("u", 500));
+    let own = beat(&registry, "e1", Beat::default(), 1_300);
+    assert!(
+        own.signs.is_empty(),
+        "its own prompts come back to nobody: {:?}",
+        own.signs
+    );
+    assert!(beat(&registry, "e2", Beat::default(), 1_900).signs.is_empty());
+}
+
+/// Two entry hosts saw an upstream's load at different times. The newest sight counts, whichever came last.
+#[test]
+fn newest_load() {
+    let registry = Registry::default();
+    beat(&registry, "e1", seen("u", Some((9, 1, 50)), 0), 1_000);
+    beat(&registry, "e2", seen("u", Some((2, 0, 400)), 0), 1_010);
+    let news = beat(&registry, "e3", Beat::default(), 1_100);
+    assert_eq!(news.signs[0].load, Some((9, 1, 150)));
+    assert!(beat(&registry, "e3", Beat::default(), 5_000).signs.is_empty());
+}
+
+/// The list is read every second, and how long upstreams are cold changes each time. Only what matters is sent again.
+#[test]
+fn list_when_changed() {
+    let registry = Registry::default();
+    registry.set_list(TERM, vec![listed("u", false, 900)], Tick::from_millis(1_000));
+    let first = beat(&registry, "e1", Beat::default(), 1_100).list;
+    assert_eq!((first.age_ms, first.list.map(|list| list.len())), (Some(100), Some(1)));
+    let known = || Beat {
+        list: first.number,
+        ..Beat::default()
+    };
+    registry.set_list(TERM, vec![listed("u", false, 0)], Tick::from_millis(2_000));
+    let same = beat(&registry, "e1", known(), 2_100).list;
+    assert_eq!((same.number, same.list), (first.number, None));
+    registry.set_list(TERM, vec![listed("u", true, 0)], Tick::from_millis(3_000));
+    let leaving = beat(&registry, "e1", known(), 3_100).list;
+    assert!(leaving.number > first.number && leaving.list.is_some_and(|list| list[0].leaving));
+}
+
+/// Another leader reads the list anew and counts from the beginning. Its numbers must not meet those of the leader before, or
+/// entry hosts would keep the old list as if it were this one.
+#[test]
+fn numbers_of_leaders() {
+    let (old, new) = (Registry::default(), Registry::default());
+    old.set_list(TERM, vec![listed("u", false, 0)], Tick::from_millis(1_000));
+    new.set_list(TERM + 1, vec![listed("v", false, 0)], Tick::from_millis(1_000));
+    let number = |registry: &Registry| beat(registry, "e1", Beat::default(), 1_100).list.number;
+    assert!(number(&new) > number(&old));
+}
