--- a/crates/state/tests/agreement.rs
+++ b/crates/state/tests/agreement.rs
@@ -13,10 +13,11 @@
         let mut group = Group::new(seed, rough.hosts);
         group.live(rough);
         println!(
-            "agreed {} wiped {} repaired {} terms {}",
+            "agreed {} wiped {} repaired {} removed {} terms {}",
             group.count(),
             group.wiped,
             group.repaired,
+            group.removed,
             group.terms()
         );
         group.count() > 0
@@ -48,6 +49,7 @@
             hosts: 3,
             steps: 2_000,
             lose_disks: false,
+            resize: false,
         },
     );
 }
@@ -62,6 +64,7 @@
             hosts: 5,
             steps: 2_000,
             lose_disks: false,
+            resize: false,
         },
     );
 }
@@ -77,6 +80,24 @@
             hosts: 3,
             steps: 3_000,
             lose_disks: true,
+            resize: false,
+        },
+    );
+}
+
+/// Members that seem gone are removed without a successor, and join again with an old log, while disks are lost too. If a
+/// removed node still counted, or one that joins again voted before it has caught up, two majorities could decide
+/// differently, and a configuration that was acknowledged would be gone.
+#[test]
+fn members_come_and_go() {
+    check(
+        150,
+        SEED + 5,
+        Rough {
+            hosts: 5,
+            steps: 3_000,
+            lose_disks: true,
+            resize: true,
         },
     );
 }
--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -42,6 +42,8 @@
     pub hosts: usize,
     pub steps: usize,
     pub lose_disks: bool,
+    /// Whether members are removed and join again.
+    pub resize: bool,
 }
 
 /// The group with everything that was ever agreed in it.
@@ -59,6 +61,7 @@
     first: Members,
     pub wiped: usize,
     pub repaired: usize,
+    pub removed: usize,
 }
 
 impl Group {
@@ -107,6 +110,7 @@
             first: members,
             wiped: 0,
             repaired: 0,
+            removed: 0,
         };
         (0..group.hosts.len()).for_each(|n| group.start(n));
         group
@@ -116,7 +120,7 @@
     pub fn live(&mut self, rough: Rough) {
         self.calm = false;
         for _ in 0..rough.steps {
-            self.fault(rough.lose_disks);
+            self.fault(rough);
             self.step();
         }
         self.settle();
@@ -185,7 +189,7 @@
         members.voters().collect::<BTreeSet<_>>() == ids && members.len() == ids.len()
     }
 
-    /// Asks the leader to put blank hosts in the place of the lost ones.
+    /// Asks the leader to put blank hosts in the place of the lost ones, and to let removed ones join again.
     pub fn repair(&mut self) {
         let Some(leader) = self.leader() else {
             return;
@@ -196,10 +200,31 @@
         let members = node.members().clone();
         let lost = members.0.iter().find(|(id, _)| !ids.contains(id));
         let blank = ids.iter().find(|id| !members.0.contains_key(id));
-        if let (Some((old, member)), Some(new)) = (lost, blank)
-            && node.replace(*old, *new, member.clone(), now).is_ok()
+        let Some(new) = blank else {
+            return;
+        };
+        let begun = match lost {
+            Some((old, member)) => node.replace(*old, *new, member.clone(), now),
+            // Nobody is lost: a member that was removed is there again, with what it had on its disk.
+            None => node.add(*new, self.first.0.values().next().unwrap().clone(), now),
+        };
+        self.repaired += usize::from(begun.is_ok());
+    }
+
+    /// Has the leader remove a member that it takes for gone, as long as three others vote.
+    pub fn shrink(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let now = self.local(leader);
+        let own = self.hosts[leader].disk.id;
+        let node = self.hosts[leader].node.as_mut().unwrap();
+        let others: Vec<MemberId> = node.members().voters().filter(|id| *id != own).collect();
+        if others.len() >= 3
+            && let Some(gone) = others.choose(&mut self.random)
+            && node.remove(*gone, now).is_ok()
         {
-            self.repaired += 1;
+            self.removed += 1;
         }
     }
 
@@ -223,7 +248,7 @@
         self.leaders.len()
     }
 
-    fn fault(&mut self, lose_disks: bool) {
+    fn fault(&mut self, rough: Rough) {
         let n = self.random.random_range(0..self.hosts.len());
         let other = self.random.random_range(0..self.hosts.len());
         match self.random.random_range(0..1_000) {
@@ -232,8 +257,9 @@
             35..=38 => self.freeze(n, 3_000),
             39..=44 => self.cut(n, other),
             45..=59 => self.cuts.clear(),
-            60..=64 if lose_disks && self.whole() => self.wipe(n),
+            60..=64 if rough.lose_disks && self.whole() => self.wipe(n),
             65..=165 => self.repair(),
+            166..=170 if rough.resize => self.shrink(),
             // Where nothing is written for a while, a node that missed a heartbeat is as good a candidate as any.
             _ if (self.now / QUIET_MS).is_multiple_of(2) => self.propose(),
             _ => {}
