--- a/crates/state/src/signs.rs
+++ b/crates/state/src/signs.rs
@@ -11,6 +11,11 @@
 const LOAD_FRESH: Duration = Duration::from_millis(2_500);
 /// How long a backlog counts that its entry host tells no more; it is read within that time, or the host is gone.
 const BACKLOG_FRESH: Duration = Duration::from_millis(1_500);
+/// Signs that one answer holds, those of the busiest upstreams. Entry hosts keep away from few; at 70 bytes each, the news of
+/// all would fill the thin links of a large deployment.
+const MOST: usize = 64;
+/// Milliseconds that one running or waiting request weighs against unread prompts.
+const REQUEST_MS: u32 = 30;
 /// Backlog that is not worth telling: the prompts of a few small requests.
 const LITTLE_MS: u64 = 10;
 
@@ -53,10 +58,20 @@
                 backlog_ms,
             })
         };
-        self.0.iter().filter_map(sign).collect()
+        let mut signs: Vec<Sign> = self.0.iter().filter_map(sign).collect();
+        signs.sort_by_key(|sign| std::cmp::Reverse(weight(sign)));
+        signs.truncate(MOST);
+        signs
     }
 }
 
+/// Gives how much a sign should keep requests away, in milliseconds.
+fn weight(sign: &Sign) -> u32 {
+    let (running, waiting, _) = sign.load.unwrap_or_default();
+    sign.backlog_ms
+        .saturating_add((running + waiting).saturating_mul(REQUEST_MS))
+}
+
 impl Known {
     fn is_fresh(&self, now: Tick) -> bool {
         let seen = self.load.is_some_and(|(_, _, at)| now.since(at) < LOAD_FRESH);
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -72,6 +72,24 @@
     assert!(beat(&registry, "e3", Beat::default(), 5_000).signs.is_empty());
 }
 
+/// A large deployment has thousands of upstreams. An answer names only the busiest, so that beats stay small.
+#[test]
+fn busiest_first() {
+    let registry = Registry::default();
+    let signs = (0..500).map(|at| Sign {
+        id: format!("u{at}"),
+        load: Some((at, 0, 10)),
+        backlog_ms: 0,
+    });
+    let all = Beat {
+        signs: signs.collect(),
+        ..Beat::default()
+    };
+    beat(&registry, "e1", all, 1_000);
+    let told = beat(&registry, "e2", Beat::default(), 1_100).signs;
+    assert_eq!((told.len(), told[0].id.as_str()), (64, "u499"));
+}
+
 /// The list is read every second, and how long upstreams are cold changes each time. Only what matters is sent again.
 #[test]
 fn list_when_changed() {
