--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -57,6 +57,8 @@
     calm: bool,
     next_id: u64,
     leaders: BTreeMap<Term, MemberId>,
+    /// What the leader of a term had committed when it was first seen to lead.
+    began: BTreeMap<Term, Index>,
     agreed: BTreeMap<Index, (Record, u64)>,
     first: Members,
     pub wiped: usize,
@@ -106,6 +108,7 @@
             calm: true,
             next_id,
             leaders: BTreeMap::new(),
+            began: BTreeMap::new(),
             agreed: BTreeMap::new(),
             first: members,
             wiped: 0,
@@ -380,6 +383,16 @@
             if node.role() == "leader" {
                 let first = *self.leaders.entry(node.term()).or_insert(node.id());
                 assert_eq!(first, node.id(), "two leaders in term {}", node.term());
+                let began = *self.began.entry(node.term()).or_insert_with(|| node.committed());
+                // A majority that holds a record of an older term may still be overruled by a leader that does not have it;
+                // only a record of the own term settles what stands before it.
+                if let Some((record, _)) = self.agreed.get(&node.committed()).filter(|_| node.committed() > began) {
+                    assert_eq!(
+                        record.at.term,
+                        node.term(),
+                        "committed through a record of an older term"
+                    );
+                }
             }
             // A frozen one is asked as well: it answers as it would on waking up.
             if node.leads(self.local(n)) {
