--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,178 @@
+//! One attempt of a request at an upstream, and what is noted of both.
+
+use std::rc::Rc;
+
+use metrics::counter;
+use policy::reach::Reach;
+use slog::info;
+use tokio::time::Instant;
+
+use crate::answer::{ROOM, write_line};
+use crate::dialect::Attempt;
+use crate::exchange::{Fate, Opened, open};
+use crate::gate::Gate;
+use crate::pool::connect;
+use crate::request::Request;
+use crate::upstreams::Chosen;
+
+/// Frees what a request holds at an upstream, also when its caller has gone and the work is dropped.
+#[derive(Debug)]
+pub struct Running {
+    gate: Rc<Gate>,
+    upstream: String,
+    /// Number under which it waits for its first event.
+    number: u64,
+    /// What is heard of the upstream's data centre.
+    reach: Option<Rc<Reach>>,
+}
+
+impl Running {
+    /// Notes that something came from the upstream.
+    pub(crate) fn hear(&self) {
+        if let Some(reach) = &self.reach {
+            reach.hear(self.gate.clock.now());
+        }
+    }
+
+    /// Notes the first event, or the whole answer.
+    pub(crate) fn begun(&self) {
+        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
+            upstream.begun(self.number);
+        }
+    }
+
+    /// Notes that the upstream broke off.
+    pub(crate) fn note_failed(&self, gate: &Gate) {
+        if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.upstream) {
+            upstream.failed(gate.clock.now());
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
+            upstream.ended(self.number, now);
+        }
+    }
+}
+
+impl Request {
+    /// Sends the request to an upstream and waits for the head of its answer.
+    pub(crate) async fn attempt(
+        &self,
+        gate: &Rc<Gate>,
+        chosen: &Chosen,
+        after: Option<u64>,
+    ) -> Result<(Opened, Running), Fate> {
+        let once = !self.is_idempotent();
+        self.placed.replace(Some(chosen.clone()));
+        let kept = gate.pool.borrow_mut().take(chosen.address, once);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let connection = if let Some(connection) = kept {
+            connection
+        } else {
+            counter!("gentian_gateway_connections_opened_total").increment(1);
+            let opened = connect(chosen.address, left).await;
+            opened.map_err(|error| Fate::NotSent {
+                why: format!("connect to {}: {error}", chosen.address),
+            })?
+        };
+        let bytes = self.render(gate, chosen, after);
+        let mut progress = self.progress.get();
+        let ran_before = progress.may_run;
+        progress.sends += 1;
+        progress.may_run = true;
+        self.progress.set(progress);
+        let number = self.note_sent(gate, chosen);
+        let running = Running {
+            gate: Rc::clone(gate),
+            upstream: chosen.id.clone(),
+            number,
+            reach: gate
+                .upstreams
+                .borrow_mut()
+                .get(&chosen.id)
+                .map(|upstream| upstream.reach()),
+        };
+        let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref()).await;
+        if let Err(Fate::Refused { other, .. }) = &opened {
+            let mut progress = self.progress.get();
+            progress.may_run = ran_before;
+            // Another incarnation than the one that was meant is no upstream of this service.
+            progress.sends -= u32::from(*other);
+            self.progress.set(progress);
+        }
+        if !matches!(opened, Err(Fate::Unknown { .. })) {
+            running.hear();
+        }
+        let opened = opened?;
+        if let Some(load) = opened.told.load
+            && let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id)
+        {
+            upstream.told(load, gate.clock.now());
+        }
+        Ok((opened, running))
+    }
+
+    /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
+    fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
+        let now = gate.clock.now();
+        let tokens: u64 = self.asked.parts.iter().map(|part| part.tokens).sum();
+        gate.note_prompt(&self.service, tokens.saturating_sub(chosen.cached));
+        let mut upstreams = gate.upstreams.borrow_mut();
+        let upstream = upstreams.get(&chosen.id);
+        upstream.map_or(0, |upstream| upstream.sent(&self.asked.parts, chosen, now))
+    }
+
+    /// Writes the request as the upstream gets it.
+    fn render(&self, gate: &Gate, chosen: &Chosen, after: Option<u64>) -> Vec<u8> {
+        let mut out = Vec::with_capacity(ROOM + self.body.len());
+        let start = &self.head.start;
+        for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
+            out.extend_from_slice(part);
+        }
+        for line in &self.head.lines {
+            if !self.head.is_hop(&line.name) && gate.dialect.passes(&line.name) {
+                write_line(&mut out, &line.name, &line.value);
+            }
+        }
+        let attempt = Attempt {
+            left: self.until.saturating_duration_since(Instant::now()),
+            upstream: &chosen.id,
+            account: self.account.as_ref().map(|account| account.name.as_str()),
+            after,
+            priority: self.priority(),
+        };
+        gate.dialect.write(&mut out, &attempt);
+        let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
+        if !self.body.is_empty() || !bodyless {
+            write_line(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&self.body);
+        out
+    }
+
+    fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|account| account.priority);
+        account.unwrap_or(self.route.priority)
+    }
+
+    /// Takes in what an attempt tells about its upstream.
+    pub(crate) fn note_fate(&self, gate: &Gate, chosen: &Chosen, fate: &Fate) {
+        let now = gate.clock.now();
+        if let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id) {
+            match fate {
+                Fate::Refused { other: true, .. } => upstream.replaced(),
+                Fate::Refused { .. } => {}
+                Fate::NotSent { .. } => upstream.refused(now),
+                Fate::Unknown { .. } => upstream.failed(now),
+            }
+        }
+        info!(gate.logger, "attempt failed"; "request" => &self.asked.id, "upstream" => &chosen.id,
+            "address" => %chosen.address, "fate" => %fate, "load" => chosen.load,
+            "sends" => self.progress.get().sends);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,10 @@
 //! One event loop serves all callers of an entry host; the threads beside it follow the state group and read the list of
 //! upstreams. Which headers say what is the business of a [`dialect::Dialect`].
 
+mod answer;
+pub mod attempt;
 pub mod body;
+mod callers;
 pub mod dialect;
 pub mod events;
 pub mod exchange;
@@ -15,6 +18,7 @@
 pub mod pool;
 pub mod refusal;
 pub mod request;
+mod routing;
 pub mod server;
 pub mod stream;
 pub mod table;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,38 +7,29 @@
 use bytes::Bytes;
 use contract::{ClientAccount, Repeatable, Route, ServiceName};
 use metrics::{counter, histogram};
-use policy::reach::Reach;
 use rand::Rng;
 use slog::info;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, timeout_at};
 
-use crate::dialect::{Asked, Attempt};
-use crate::exchange::{Fate, Opened, open};
+use crate::answer::answer_head;
+use crate::attempt::Running;
+use crate::dialect::Asked;
+use crate::exchange::{Fate, Opened};
 use crate::gate::Gate;
-use crate::head::{Head, RequestLine, StatusLine};
-use crate::pool::connect;
-use crate::refusal::{Refusal, reason};
+use crate::head::{Head, RequestLine};
+use crate::refusal::Refusal;
 use crate::stream;
-use crate::table::draw_service;
 use crate::upstreams::{Chosen, Need, NoUpstream};
 
-/// Time before a caller's deadline at which its final answer leaves, so that it arrives in time.
-const EARLY: Duration = Duration::from_millis(20);
-/// Wait that is taken for a caller's that names none.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Connections that may fail before the request is given up; nothing was sent on them.
 const MAX_UNSENT: usize = 3;
-/// Time after which a caller comes back that found a host without a configuration.
-const UNKNOWN_AGAIN: Duration = Duration::from_millis(500);
 /// Shortest and longest time after which a refused caller is asked to come back; spread evenly, so that those who were
 /// refused together don't come back together.
 const COME_BACK_S: (f64, f64) = (0.25, 0.9);
 /// Share of the time that is left beyond which callers don't wait for a second try.
 const COME_BACK_SHARE: f64 = 0.33;
-/// Largest answer, with its head, whose buffer is made at once.
-const ROOM: usize = 512;
 
 /// A request that is being served.
 #[derive(Debug)]
@@ -99,49 +90,6 @@
     },
 }
 
-/// Frees what a request holds at an upstream, also when its caller has gone and the work is dropped.
-#[derive(Debug)]
-pub struct Running {
-    gate: Rc<Gate>,
-    upstream: String,
-    /// Number under which it waits for its first event.
-    number: u64,
-    /// What is heard of the upstream's data centre.
-    reach: Option<Rc<Reach>>,
-}
-
-impl Running {
-    /// Notes that something came from the upstream.
-    pub(crate) fn hear(&self) {
-        if let Some(reach) = &self.reach {
-            reach.hear(self.gate.clock.now());
-        }
-    }
-
-    /// Notes the first event, or the whole answer.
-    pub(crate) fn begun(&self) {
-        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
-            upstream.begun(self.number);
-        }
-    }
-
-    /// Notes that the upstream broke off.
-    pub(crate) fn note_failed(&self, gate: &Gate) {
-        if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.upstream) {
-            upstream.failed(gate.clock.now());
-        }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let now = self.gate.clock.now();
-        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
-            upstream.ended(self.number, now);
-        }
-    }
-}
-
 impl Request {
     /// Serves the request and tells how it ended; what is written has left by then.
     pub async fn serve(&self, gate: &Rc<Gate>, out: &mut OwnedWriteHalf) -> End {
@@ -251,107 +199,6 @@
         Duration::from_secs_f64(spread.min(left * COME_BACK_SHARE).max(0.01))
     }
 
-    /// Sends the request to an upstream and waits for the head of its answer.
-    pub(crate) async fn attempt(
-        &self,
-        gate: &Rc<Gate>,
-        chosen: &Chosen,
-        after: Option<u64>,
-    ) -> Result<(Opened, Running), Fate> {
-        let once = !self.is_idempotent();
-        self.placed.replace(Some(chosen.clone()));
-        let kept = gate.pool.borrow_mut().take(chosen.address, once);
-        let left = self.until.saturating_duration_since(Instant::now());
-        let connection = if let Some(connection) = kept {
-            connection
-        } else {
-            counter!("gentian_gateway_connections_opened_total").increment(1);
-            let opened = connect(chosen.address, left).await;
-            opened.map_err(|error| Fate::NotSent {
-                why: format!("connect to {}: {error}", chosen.address),
-            })?
-        };
-        let bytes = self.render(gate, chosen, after);
-        let mut progress = self.progress.get();
-        let ran_before = progress.may_run;
-        progress.sends += 1;
-        progress.may_run = true;
-        self.progress.set(progress);
-        let number = self.note_sent(gate, chosen);
-        let running = Running {
-            gate: Rc::clone(gate),
-            upstream: chosen.id.clone(),
-            number,
-            reach: gate
-                .upstreams
-                .borrow_mut()
-                .get(&chosen.id)
-                .map(|upstream| upstream.reach()),
-        };
-        let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref()).await;
-        if let Err(Fate::Refused { other, .. }) = &opened {
-            let mut progress = self.progress.get();
-            progress.may_run = ran_before;
-            // Another incarnation than the one that was meant is no upstream of this service.
-            progress.sends -= u32::from(*other);
-            self.progress.set(progress);
-        }
-        if !matches!(opened, Err(Fate::Unknown { .. })) {
-            running.hear();
-        }
-        let opened = opened?;
-        if let Some(load) = opened.told.load
-            && let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id)
-        {
-            upstream.told(load, gate.clock.now());
-        }
-        Ok((opened, running))
-    }
-
-    /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
-    fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
-        let now = gate.clock.now();
-        let tokens: u64 = self.asked.parts.iter().map(|part| part.tokens).sum();
-        gate.note_prompt(&self.service, tokens.saturating_sub(chosen.cached));
-        let mut upstreams = gate.upstreams.borrow_mut();
-        let upstream = upstreams.get(&chosen.id);
-        upstream.map_or(0, |upstream| upstream.sent(&self.asked.parts, chosen, now))
-    }
-
-    /// Writes the request as the upstream gets it.
-    fn render(&self, gate: &Gate, chosen: &Chosen, after: Option<u64>) -> Vec<u8> {
-        let mut out = Vec::with_capacity(ROOM + self.body.len());
-        let start = &self.head.start;
-        for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
-            out.extend_from_slice(part);
-        }
-        for line in &self.head.lines {
-            if !self.head.is_hop(&line.name) && gate.dialect.passes(&line.name) {
-                write_line(&mut out, &line.name, &line.value);
-            }
-        }
-        let attempt = Attempt {
-            left: self.until.saturating_duration_since(Instant::now()),
-            upstream: &chosen.id,
-            account: self.account.as_ref().map(|account| account.name.as_str()),
-            after,
-            priority: self.priority(),
-        };
-        gate.dialect.write(&mut out, &attempt);
-        let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-        if !self.body.is_empty() || !bodyless {
-            write_line(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
-        }
-        out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&self.body);
-        out
-    }
-
-    fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority)
-    }
-
     /// Passes an answer on.
     ///
     /// # Errors
@@ -428,22 +275,6 @@
         self.progress.set(progress);
     }
 
-    /// Takes in what an attempt tells about its upstream.
-    pub(crate) fn note_fate(&self, gate: &Gate, chosen: &Chosen, fate: &Fate) {
-        let now = gate.clock.now();
-        if let Some(upstream) = gate.upstreams.borrow_mut().get(&chosen.id) {
-            match fate {
-                Fate::Refused { other: true, .. } => upstream.replaced(),
-                Fate::Refused { .. } => {}
-                Fate::NotSent { .. } => upstream.refused(now),
-                Fate::Unknown { .. } => upstream.failed(now),
-            }
-        }
-        info!(gate.logger, "attempt failed"; "request" => &self.asked.id, "upstream" => &chosen.id,
-            "address" => %chosen.address, "fate" => %fate, "load" => chosen.load,
-            "sends" => self.progress.get().sends);
-    }
-
     fn note(&self, gate: &Gate, end: &End) {
         let took = self.came.elapsed();
         let outcome = match end {
@@ -478,72 +309,3 @@
             "prompt" => self.asked.tokens.map(|tokens| tokens.prompt), "version" => version);
     }
 }
-
-impl Gate {
-    /// Finds route, service and account of a request.
-    ///
-    /// # Errors
-    /// Gives the answer of a request that can't be served.
-    pub fn route(
-        &self,
-        head: &Head<RequestLine>,
-        asked: &Asked,
-    ) -> Result<(Route, ServiceName, Option<ClientAccount>), Refusal> {
-        let Some(table) = self.shared.table.load_full() else {
-            return Err(Refusal::new(503, "not run: no configuration is known yet").retry_in(UNKNOWN_AGAIN));
-        };
-        let target = std::str::from_utf8(&head.start.target).unwrap_or_default();
-        let host = head.get("host").unwrap_or_default();
-        let route = table
-            .route(host, target)
-            .ok_or_else(|| Refusal::new(404, "no such route"))?;
-        let account = asked.key.as_ref().and_then(|key| table.account(key));
-        if table.needs_key() && account.is_none() && !route.public {
-            return Err(Refusal::new(401, "the key is not known"));
-        }
-        let draw = rand::rng().random_range(0.0..1.0);
-        let service =
-            draw_service(route, draw).ok_or_else(|| Refusal::new(503, "not run: the route has no service"))?;
-        Ok((route.clone(), service.clone(), account.cloned()))
-    }
-
-    /// Gives the time at which a request gets its final answer at the latest.
-    #[must_use]
-    pub fn until(&self, came: Instant, asked: &Asked, route: &Route) -> Instant {
-        let patience = asked.patience.unwrap_or(DEFAULT_PATIENCE).saturating_sub(EARLY);
-        came + patience.min(Duration::from_millis(route.timeout_ms))
-    }
-}
-
-/// Writes the head of an answer; without a length the body comes in chunks.
-pub(crate) fn answer_head(head: &Head<StatusLine>, length: Option<usize>, keep: bool) -> Vec<u8> {
-    let mut out = Vec::with_capacity(ROOM + length.unwrap_or(0));
-    let status = head.start.status;
-    out.extend_from_slice(format!("HTTP/1.1 {status} ").as_bytes());
-    if head.start.reason.is_empty() {
-        out.extend_from_slice(reason(status).as_bytes());
-    } else {
-        out.extend_from_slice(&head.start.reason);
-    }
-    out.extend_from_slice(b"\r\n");
-    for line in &head.lines {
-        if !head.is_hop(&line.name) {
-            write_line(&mut out, &line.name, &line.value);
-        }
-    }
-    match length {
-        Some(length) => write_line(&mut out, b"Content-Length", length.to_string().as_bytes()),
-        None => write_line(&mut out, b"Transfer-Encoding", b"chunked"),
-    }
-    if !keep {
-        write_line(&mut out, b"Connection", b"close");
-    }
-    out.extend_from_slice(b"\r\n");
-    out
-}
-
-fn write_line(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
-    for part in [name, b": ", value, b"\r\n"] {
-        out.extend_from_slice(part);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/routing.rs
@@ -0,0 +1,56 @@
+//! Where a request goes, and how long it may take.
+
+use std::time::Duration;
+
+use contract::{ClientAccount, Route, ServiceName};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::dialect::Asked;
+use crate::gate::Gate;
+use crate::head::{Head, RequestLine};
+use crate::refusal::Refusal;
+use crate::table::draw_service;
+
+/// Time before a caller's deadline at which its final answer leaves, so that it arrives in time.
+const EARLY: Duration = Duration::from_millis(20);
+/// Wait that is taken for a caller's that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Time after which a caller comes back that found a host without a configuration.
+const UNKNOWN_AGAIN: Duration = Duration::from_millis(500);
+
+impl Gate {
+    /// Finds route, service and account of a request.
+    ///
+    /// # Errors
+    /// Gives the answer of a request that can't be served.
+    pub fn route(
+        &self,
+        head: &Head<RequestLine>,
+        asked: &Asked,
+    ) -> Result<(Route, ServiceName, Option<ClientAccount>), Refusal> {
+        let Some(table) = self.shared.table.load_full() else {
+            return Err(Refusal::new(503, "not run: no configuration is known yet").retry_in(UNKNOWN_AGAIN));
+        };
+        let target = std::str::from_utf8(&head.start.target).unwrap_or_default();
+        let host = head.get("host").unwrap_or_default();
+        let route = table
+            .route(host, target)
+            .ok_or_else(|| Refusal::new(404, "no such route"))?;
+        let account = asked.key.as_ref().and_then(|key| table.account(key));
+        if table.needs_key() && account.is_none() && !route.public {
+            return Err(Refusal::new(401, "the key is not known"));
+        }
+        let draw = rand::rng().random_range(0.0..1.0);
+        let service =
+            draw_service(route, draw).ok_or_else(|| Refusal::new(503, "not run: the route has no service"))?;
+        Ok((route.clone(), service.clone(), account.cloned()))
+    }
+
+    /// Gives the time at which a request gets its final answer at the latest.
+    #[must_use]
+    pub fn until(&self, came: Instant, asked: &Asked, route: &Route) -> Instant {
+        let patience = asked.patience.unwrap_or(DEFAULT_PATIENCE).saturating_sub(EARLY);
+        came + patience.min(Duration::from_millis(route.timeout_ms))
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,10 +11,12 @@
 
 use contract::Repeatable;
 
+use crate::answer::answer_head;
+use crate::attempt::Running;
 use crate::events::{Event, EventError, Events};
 use crate::exchange::{Fate, Opened, Piece};
 use crate::gate::Gate;
-use crate::request::{End, Request, Running, answer_head};
+use crate::request::{End, Request};
 
 /// Silence before the first event after which a stream that can go on elsewhere does; an engine with a long queue may
 /// take this long, and a second run would only lengthen it.
