--- a/crates/state/src/raft/change.rs
+++ b/crates/state/src/raft/change.rs
@@ -38,25 +38,14 @@
     /// Fails when the node does not lead or another change is not finished; nothing was written then.
     pub fn replace(&mut self, old: MemberId, new: MemberId, member: Member, now: Tick) -> Result<Index, ChangeError> {
         self.check_lease(now);
-        let mut members = self.may_change()?;
+        let members = self.may_change()?;
         if members.0.values().any(|member| member.replaces.is_some()) {
             return Err(ChangeError::Busy);
         }
         if !members.0.contains_key(&old) {
             return Err(ChangeError::Unknown);
         }
-        if members.0.contains_key(&new) {
-            return Err(ChangeError::Present);
-        }
-        members.0.insert(
-            new,
-            Member {
-                votes: false,
-                replaces: Some(old),
-                ..member
-            },
-        );
-        Ok(self.change(members))
+        self.learn(members, new, member, Some(old))
     }
 
     /// Adds a learner that becomes a voter once it has caught up.
@@ -65,18 +54,27 @@
     /// Fails when the node does not lead or another change is not finished; nothing was written then.
     pub fn add(&mut self, new: MemberId, member: Member, now: Tick) -> Result<Index, ChangeError> {
         self.check_lease(now);
-        let mut members = self.may_change()?;
+        let members = self.may_change()?;
+        self.learn(members, new, member, None)
+    }
+
+    /// Appends the members with a learner more.
+    fn learn(
+        &mut self,
+        mut members: Members,
+        new: MemberId,
+        member: Member,
+        replaces: Option<MemberId>,
+    ) -> Result<Index, ChangeError> {
         if members.0.contains_key(&new) {
             return Err(ChangeError::Present);
         }
-        members.0.insert(
-            new,
-            Member {
-                votes: false,
-                replaces: None,
-                ..member
-            },
-        );
+        let learner = Member {
+            votes: false,
+            replaces,
+            ..member
+        };
+        members.0.insert(new, learner);
         Ok(self.change(members))
     }
 
