Give a quota's units back for what was not run

An upstream that refuses a request as not run left its units taken, so that the caller who came back could be refused for its quota (gateway/true_refusals::quota_given_back fails without).

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,12 +6,14 @@
 
 use contract::{Repeatable, Route};
 use metrics::counter;
+use policy::quota::Over;
 use slog::info;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::dialect::Asked;
 use crate::head::{Framing, HeadError};
 use crate::input::{Input, NoRequest};
 use crate::refusal::Refusal;
@@ -20,6 +22,8 @@
 
 /// Time after which a caller that was refused because of the stop finds another host.
 const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Shortest and longest time after which a caller over its quota is asked to come back, in seconds.
+const QUOTA_WAIT_S: (f64, f64) = (0.05, 30.0);
 /// Longest wait for a body whose caller names no time.
 const BODY: Duration = Duration::from_secs(30);
 /// Longest wait of a request for a first catalog, and the share of its time that it may take. A group that has lost power
@@ -176,16 +180,12 @@
             return Err(self.refused(refusal, &id, false));
         }
         gate.note_request(&service);
-        if let Some(account) = &account
-            && let Err(over) = gate.admit(account, &asked).await
-        {
-            let wait = Duration::from_secs_f64(over.wait_s.clamp(0.05, 30.0));
-            info!(gate.logger, "over quota"; "request" => &id, "account" => &account.name, "saved" => over.saved as i64,
-                "rate" => over.rate as i64, "tokens" => asked.tokens.map(|tokens| tokens.prompt + tokens.answer),
-                "entries" => gate.entries());
-            let refusal = Refusal::new(429, "not run: over the account's quota").retry_in(wait);
-            return Err(self.refused(refusal, &id, keep));
-        }
+        let admitted = match &account {
+            Some(account) => gate.admit(account, &asked).await,
+            None => Ok(0.0),
+        };
+        let name = account.as_ref().map(|account| account.name.as_str());
+        let units = admitted.map_err(|over| self.over_quota(&over, name, &asked, keep))?;
         let until = gate.until(came, &asked, &route);
         Ok(Request {
             head,
@@ -196,6 +196,7 @@
             account,
             came,
             until,
+            units,
             keep,
             progress: Cell::new(Progress::default()),
             placed: RefCell::new(None),
@@ -218,6 +219,16 @@
         body.map_err(|why| self.malformed(&why))
     }
 
+    /// Refuses a request that is over its account's quota.
+    fn over_quota(&self, over: &Over, account: Option<&str>, asked: &Asked, keep: bool) -> NoService {
+        let wait = Duration::from_secs_f64(over.wait_s.clamp(QUOTA_WAIT_S.0, QUOTA_WAIT_S.1));
+        info!(self.gate.logger, "over quota"; "request" => &asked.id, "account" => account,
+            "saved" => over.saved as i64, "rate" => over.rate as i64,
+            "tokens" => asked.tokens.map(|tokens| tokens.prompt + tokens.answer), "entries" => self.gate.entries());
+        let refusal = Refusal::new(429, "not run: over the account's quota").retry_in(wait);
+        self.refused(refusal, &asked.id, keep)
+    }
+
     fn malformed(&self, why: &NoRequest) -> NoService {
         let refusal = match why {
             NoRequest::Ended => return NoService::Gone,
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -48,12 +48,6 @@
         }
     }
 
-    /// Tells whether a further request has begun to come in.
-    #[must_use]
-    pub fn has_more(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
     /// Waits until a request begins.
     pub async fn begins(&mut self) -> bool {
         if !self.buffer.is_empty() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -50,6 +50,8 @@
     pub came: Instant,
     /// When it gets its final answer at the latest.
     pub until: Instant,
+    /// Units of the account's quota that it took.
+    pub units: f64,
     /// Whether the connection is kept afterwards.
     pub keep: bool,
     /// How far it is.
@@ -99,6 +101,10 @@
             Err(_late) => self.late(),
         };
         gate.note_running(&self.service, -1.0);
+        if let (End::Refused(_), Some(account), false) = (&end, &self.account, self.progress.get().may_run) {
+            // What was not run must not count against the account when its caller comes back.
+            gate.give_back(&account.name, self.units);
+        }
         let end = self.finish(end, out).await;
         self.note(gate, &end);
         end
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -204,11 +204,6 @@
     pub fn get(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
     }
-
-    /// Gives all upstreams.
-    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
-        self.all.values()
-    }
 }
 
 impl Upstream {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use contract::Listed;
-use contract::{Catalog, KeyHash, NodeId, Repeatable, Route, Service, ServiceName, Share, Zone};
+use contract::{Catalog, ClientAccount, KeyHash, NodeId, Quota, Repeatable, Route, Service, ServiceName, Share, Zone};
 use gateway::dialect::{Asked, Attempt, Dialect, Told};
 use gateway::gate::{Gate, Place, Shared};
 use gateway::head::{Head, RequestLine, StatusLine};
@@ -206,6 +206,25 @@
         Self::run(Self::shared(repeat, attempts, timeout_ms, upstreams))
     }
 
+    /// Starts one that lets an account with the key `k` use so many requests a second.
+    pub fn with_quota(upstreams: &[&Upstream], per_s: f64) -> Self {
+        let shared = Self::shared(Repeatable::Once, 1, 5_000, upstreams);
+        let mut catalog = shared.table.load_full().unwrap().catalog().clone();
+        catalog.accounts = vec![ClientAccount {
+            name: "a".to_owned(),
+            keys: vec![KeyHash::of("k")],
+            priority: None,
+            quota: Some(Quota {
+                per_s,
+                burst: 5.0,
+                tokens: false,
+                plain: 1.0,
+            }),
+        }];
+        shared.table.store(Some(Arc::new(Table::new(catalog))));
+        Self::run(shared)
+    }
+
     /// Makes what such a host knows.
     pub fn shared(repeat: Repeatable, attempts: u32, timeout_ms: u64, upstreams: &[&Upstream]) -> Arc<Shared> {
         let service = ServiceName::from("till");
--- a/crates/gateway/tests/true_refusals.rs
+++ b/crates/gateway/tests/true_refusals.rs
@@ -168,3 +168,16 @@
     assert_eq!((reply.status, reply.body.as_str()), (413, "big"));
     assert!(begun.elapsed() < Duration::from_secs(3));
 }
+
+/// An upstream refuses a deposit as not run, and its caller comes back. The first try must not have used up the account's
+/// quota, or the caller would be refused a second time although nothing was run for it.
+#[test]
+fn quota_given_back() {
+    let full = Upstream::start(Box::new(|seen, stream| {
+        answer(seen, stream, "503 Service Unavailable", "Not-Run: 1\r\n", "full")
+    }));
+    let host = Host::with_quota(&[&full], 2.0);
+    for _ in 0..6 {
+        assert_eq!(host.ask("Key: k\r\n", "deposit").status, 503);
+    }
+}
