--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use contract::Listed;
-use contract::{ClientAccount, Quota, ServiceName, Zone};
+use contract::{ClientAccount, Listed, Quota, ServiceName, Zone};
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
@@ -35,6 +34,7 @@
 const AVERAGED: Duration = Duration::from_secs(4);
 /// Entry hosts that are assumed before their number was told.
 const UNTOLD_ENTRIES: u32 = 32;
+
 /// What the threads beside the event loop give to it, and take from it.
 #[derive(Debug, Default)]
 pub struct Shared {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use contract::{ServiceName, Zone};
+use contract::{Listed, ServiceName, Zone};
 use policy::Tick;
 use policy::breaker::Breaker;
 use policy::load::{LoadEstimate, Report};
@@ -14,8 +14,6 @@
 use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
 
-use contract::Listed;
-
 use crate::dialect::Load;
 
 /// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts. What others
@@ -37,7 +35,9 @@
     load: LoadEstimate,
     breaker: Breaker,
     cached: Cached,
+    /// Own requests there.
     own: u32,
+    /// Hash of its name, for the homes of prompts.
     hash: u64,
     backlog: Backlog,
     /// Load that it told this entry host, and when.
@@ -55,7 +55,7 @@
 pub struct Upstreams {
     all: HashMap<String, Upstream>,
     zones: HashMap<Zone, Rc<Reach>>,
-    /// Number of the list that was read last, and when it was asked for.
+    /// When the newest list was asked for.
     pub listed: Option<Tick>,
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,8 +8,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use contract::Listed;
-use contract::{Catalog, ClientAccount, KeyHash, NodeId, Quota, Repeatable, Route, Service, ServiceName, Share, Zone};
+use contract::{
+    Catalog, ClientAccount, KeyHash, Listed, NodeId, Quota, Repeatable, Route, Service, ServiceName, Share, Zone,
+};
 use gateway::dialect::{Asked, Attempt, Dialect, Told};
 use gateway::gate::{Gate, Place, Shared};
 use gateway::head::{Head, RequestLine, StatusLine};
