--- a/crates/policy/tests/fleet_plan.rs
+++ b/crates/policy/tests/fleet_plan.rs
@@ -94,7 +94,8 @@
     assert!(sum(&wanted, |one| one.on_demand) >= 3, "{wanted:?}");
 }
 
-/// A hundred requests with short prompts, and ten with long ones, need about as much.
+/// Ten requests with long prompts need more upstreams than a count of ten would tell. A hundred with short ones raise the need
+/// too, but only as far as a pile of waiting requests may.
 #[test]
 fn prompts_count() {
     assert!(needed(100.0, 10_000.0, 64) > 3.0);
