Make no more changes in kills_and_wipes than the history keeps

Cause: the audit trail keeps the newest 4,096 changes. Where a disk syncs fast, the four callers of the test make more than that while nodes are killed, and the oldest change is looked for in vain. Ruled out: loss of what was accepted. Every claim, the oldest among them, was checked before and was there; the test fails on the first change that the trail had dropped.

--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -10,8 +10,8 @@
 
 /// Changes that are kept for learners; one further behind gets the whole configuration.
 const KEPT_RECORDS: usize = 256;
-/// Changes that the audit trail keeps.
-const KEPT_AUDITS: usize = 4_096;
+/// Changes that the audit trail keeps; older ones are forgotten.
+pub const KEPT_AUDITS: usize = 4_096;
 /// Windows of usage that are kept: those that may still be reported, many times over.
 const KEPT_WINDOWS: usize = 64;
 /// How long a claim and its outcome are kept, in milliseconds of log time; after that the key may be used anew.
