Move streams with their KV cache before their engine is taken away

Streams that may run only once were lost, the others read their prompts again. Change: the list's time until the end reaches every stream of the engine; each decides by policy::rescue whether it ends in time or is copied, and goes on elsewhere from the copy in the same answer.

--- a/crates/contract/src/catalog.rs
+++ b/crates/contract/src/catalog.rs
@@ -91,6 +91,10 @@
     pub slots: u32,
     /// Tokens that the KV cache holds.
     pub kv_tokens: u64,
+    /// Tokens of one event of a stream.
+    pub event_tokens: u32,
+    /// Nanoseconds to copy the KV cache of one token to another engine of the same data centre; nothing where engines can't.
+    pub copy_ns: Option<u64>,
 }
 
 /// Bounds and prices of a service's upstreams.
--- a/crates/contract/src/listed.rs
+++ b/crates/contract/src/listed.rs
@@ -28,4 +28,6 @@
     pub reclaimable: bool,
     /// How much longer it is slow after its start.
     pub cold: Duration,
+    /// Time until it is taken away, as of when the list was read; unknown for most that leave.
+    pub left: Option<Duration>,
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,8 @@
 use crate::dialect::Attempt;
 use crate::exchange::{Fate, Opened, open};
 use crate::gate::Gate;
+use crate::moving::{Mover, Taken};
+use crate::notice::Notice;
 use crate::pool::connect;
 use crate::request::Request;
 use crate::upstreams::Chosen;
@@ -19,11 +21,13 @@
 #[derive(Debug)]
 pub struct Running {
     gate: Rc<Gate>,
-    upstream: String,
+    chosen: Chosen,
     /// Number under which it waits for its first event.
     number: u64,
     /// What is heard of the upstream's data centre.
     reach: Option<Rc<Reach>>,
+    /// The upstream's announced end.
+    notice: Rc<Notice>,
 }
 
 impl Running {
@@ -34,16 +38,21 @@
         }
     }
 
+    /// Makes what moves the stream when its upstream is taken away.
+    pub(crate) fn mover(&self) -> Mover {
+        Mover::new(self.chosen.clone(), Rc::clone(&self.notice))
+    }
+
     /// Notes the first event, or the whole answer.
     pub(crate) fn begun(&self) {
-        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
+        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.chosen.id) {
             upstream.begun(self.number);
         }
     }
 
     /// Notes that the upstream broke off.
     pub(crate) fn note_failed(&self, gate: &Gate) {
-        if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.upstream) {
+        if let Some(upstream) = gate.upstreams.borrow_mut().get(&self.chosen.id) {
             upstream.failed(gate.clock.now());
         }
     }
@@ -52,7 +61,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         let now = self.gate.clock.now();
-        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.upstream) {
+        if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.chosen.id) {
             upstream.ended(self.number, now);
         }
     }
@@ -65,6 +74,7 @@
         gate: &Rc<Gate>,
         chosen: &Chosen,
         after: Option<u64>,
+        copy: Option<&Taken>,
     ) -> Result<(Opened, Running), Fate> {
         let once = !self.is_idempotent();
         self.placed.replace(Some(chosen.clone()));
@@ -79,23 +89,14 @@
                 why: format!("connect to {}: {error}", chosen.address),
             })?
         };
-        let bytes = self.render(gate, chosen, after);
+        let bytes = self.render(gate, chosen, after, copy);
         let mut progress = self.progress.get();
         let ran_before = progress.may_run;
         progress.sends += 1;
         progress.may_run = true;
         self.progress.set(progress);
         let number = self.note_sent(gate, chosen);
-        let running = Running {
-            gate: Rc::clone(gate),
-            upstream: chosen.id.clone(),
-            number,
-            reach: gate
-                .upstreams
-                .borrow_mut()
-                .get(&chosen.id)
-                .map(|upstream| upstream.reach()),
-        };
+        let running = Self::running(gate, chosen, number);
         let opened = open(connection, &bytes, &self.asked.id, gate.dialect.as_ref()).await;
         if let Err(Fate::Refused { other, .. }) = &opened {
             let mut progress = self.progress.get();
@@ -116,6 +117,22 @@
         Ok((opened, running))
     }
 
+    fn running(gate: &Rc<Gate>, chosen: &Chosen, number: u64) -> Running {
+        let mut upstreams = gate.upstreams.borrow_mut();
+        let upstream = upstreams.get(&chosen.id);
+        let (reach, notice) = upstream.map_or_else(
+            || (None, Rc::default()),
+            |upstream| (Some(upstream.reach()), upstream.notice()),
+        );
+        Running {
+            gate: Rc::clone(gate),
+            chosen: chosen.clone(),
+            number,
+            reach,
+            notice,
+        }
+    }
+
     /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
     fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
         let now = gate.clock.now();
@@ -127,7 +144,7 @@
     }
 
     /// Writes the request as the upstream gets it.
-    fn render(&self, gate: &Gate, chosen: &Chosen, after: Option<u64>) -> Vec<u8> {
+    fn render(&self, gate: &Gate, chosen: &Chosen, after: Option<u64>, copy: Option<&Taken>) -> Vec<u8> {
         let mut out = Vec::with_capacity(ROOM + self.body.len());
         let start = &self.head.start;
         for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
@@ -144,6 +161,7 @@
             account: self.account.as_ref().map(|account| account.name.as_str()),
             after,
             priority: self.priority(),
+            copy,
         };
         gate.dialect.write(&mut out, &attempt);
         let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,11 +1,13 @@
 //! What the headers of callers and upstreams say; the platform's adapter knows their names.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use contract::KeyHash;
 use policy::place::Part;
 
 use crate::head::{Head, RequestLine, StatusLine};
+use crate::moving::Taken;
 
 /// What a request's head asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -46,6 +48,21 @@
     pub after: Option<u64>,
     /// Rank, 0 is the most urgent.
     pub priority: u8,
+    /// The copy of its KV cache with which the upstream goes on.
+    pub copy: Option<&'a Taken>,
+}
+
+/// A call that copies a stream's KV cache to another upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copying {
+    /// The upstream that runs the stream.
+    pub host: SocketAddr,
+    /// The request's id.
+    pub request: String,
+    /// The upstream that gets the copy.
+    pub to: SocketAddr,
+    /// Whether the stream stops first.
+    pub last: bool,
 }
 
 /// What an upstream's answer says in its head.
@@ -90,6 +107,12 @@
     /// Writes the header lines of an attempt.
     fn write(&self, out: &mut Vec<u8>, attempt: &Attempt<'_>);
 
+    /// Writes the whole request of a call that copies a KV cache.
+    fn write_copy(&self, out: &mut Vec<u8>, copying: &Copying);
+
+    /// Reads the name of a copy from the body of the answer to such a call.
+    fn copied(&self, body: &[u8]) -> Option<String>;
+
     /// Reads an answer's head.
     fn told(&self, head: &Head<StatusLine>) -> Told;
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -39,6 +39,8 @@
     last: Option<u64>,
     /// Distance of two ids, once two were seen.
     step: Option<u64>,
+    /// Events that were given out.
+    count: u64,
 }
 
 impl Events {
@@ -62,6 +64,12 @@
         self.last
     }
 
+    /// Gives the number of events that were given out.
+    #[must_use]
+    pub const fn count(&self) -> u64 {
+        self.count
+    }
+
     /// Tells whether an event is unfinished.
     #[must_use]
     pub fn is_torn(&self) -> bool {
@@ -90,6 +98,7 @@
         if let Some(id) = id {
             self.check(id)?;
         }
+        self.count += 1;
         Ok(Some(Event { bytes, id }))
     }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use contract::{ClientAccount, Listed, Quota, ServiceName, Zone};
+use contract::{ClientAccount, EngineSpec, Listed, Quota, ServiceName, Zone};
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
@@ -259,6 +259,14 @@
         self.shared.parts.load().map_or(UNTOLD, |parts| parts.floor)
     }
 
+    /// Gives what is known of a service's model engines, if it has some.
+    #[must_use]
+    pub fn engine(&self, service: &ServiceName) -> Option<EngineSpec> {
+        let table = self.shared.table.load();
+        let services = &table.as_ref()?.catalog().services;
+        services.iter().find(|one| one.name == *service)?.engine
+    }
+
     /// Gives the number of entry hosts that share limits, as far as known.
     #[must_use]
     pub fn entries(&self) -> u32 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod input;
 pub mod lender;
 pub mod link;
+pub mod moving;
+pub mod notice;
 pub mod pool;
 pub mod refusal;
 pub mod request;
--- /dev/null
+++ b/crates/gateway/src/moving.rs
@@ -0,0 +1,280 @@
+//! Moves a stream's KV cache to another upstream before its own is taken away.
+//!
+//! A whole data centre of reclaimable upstreams ends a second or two after its notice. Streams that end with their upstream
+//! are lost where they may run only once, and read their whole prompt again elsewhere where not. The cache is copied while
+//! the stream goes on; then the upstream stops it, hands over what has been added meanwhile, and the stream goes on there.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use contract::EngineSpec;
+use derive_more::{Display, Error};
+use metrics::counter;
+use policy::rescue::{How, MOST_FAILURES, Rates, Stream, plan};
+use slog::info;
+use tokio::time::{Sleep, sleep, timeout};
+
+use crate::dialect::Copying;
+use crate::events::Events;
+use crate::exchange::{Fate, open};
+use crate::gate::Gate;
+use crate::notice::Notice;
+use crate::pool::connect;
+use crate::request::Request;
+use crate::upstreams::Chosen;
+
+/// Longest wait for a copy: the time between a notice and the end that it announces is two seconds and a half.
+const COPY: Duration = Duration::from_millis(2_500);
+/// Factor on the copy of a token's cache between data centres, where the links are half as fast.
+const DISTANT: f64 = 2.0;
+/// Time in which an engine reads a token of a prompt, in microseconds; the deployments' sheets give 64 and 68 a millisecond.
+const PREFILL_US: u64 = 15;
+/// Time up to which a copy is made at once, with the stream stopped: callers notice no pause, and a second call would queue
+/// once more behind the other copies on the link.
+const SHORT: Duration = Duration::from_millis(25);
+/// Part of the time left by which streams that can begin anew elsewhere let the others go first: what may run only once is
+/// lost without a copy, and one link carries one copy after the other.
+const YIELD: f64 = 0.25;
+/// Time between two tokens until a stream has shown its own; four times that of an idle engine.
+const STEP: Duration = Duration::from_millis(16);
+
+/// A copy that came to nothing.
+#[derive(Clone, Debug, Display, Error)]
+pub enum MoveError {
+    /// The upstream was not reached, or its answer broke off.
+    #[display("copy from {peer}: {fate}")]
+    Broken {
+        /// Where the stream runs.
+        peer: SocketAddr,
+        /// What is known of the call.
+        fate: Fate,
+    },
+    /// No answer in time.
+    #[display("copy from {peer}: no answer in time")]
+    Late {
+        /// Where the stream runs.
+        peer: SocketAddr,
+    },
+    /// The upstream refused: no room at the other, or no such stream.
+    #[display("copy from {peer} to {to}: refused with {status}")]
+    Refused {
+        /// Where the stream runs.
+        peer: SocketAddr,
+        /// Where it was to go.
+        to: SocketAddr,
+        /// Status of the refusal.
+        status: u16,
+    },
+}
+
+/// A stream's cache at another upstream, for the request that goes on with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taken {
+    /// The upstream that holds the copy.
+    pub at: Chosen,
+    /// Where the copy came from.
+    pub source: SocketAddr,
+    /// Name of the copy there.
+    pub handle: String,
+}
+
+type Call = Pin<Box<dyn Future<Output = Result<String, MoveError>>>>;
+
+/// How far the move of a stream is.
+enum Step {
+    /// Nothing is announced, or nothing can be done about it.
+    Idle,
+    /// Streams that would be lost go first.
+    Yielding(Pin<Box<Sleep>>),
+    /// The cache is copied while the stream goes on.
+    Copying(Chosen, Call),
+    /// The upstream stops the stream and hands the rest over.
+    Stopping(Chosen, Call),
+    /// The copy is whole.
+    Ready(Taken),
+}
+
+/// Moves one stream away from an upstream that is taken away.
+pub(crate) struct Mover {
+    from: Chosen,
+    notice: Rc<Notice>,
+    step: Step,
+    /// Whether the end was looked at; streams that end in time, or can't be moved, stay.
+    decided: bool,
+    failed: u32,
+}
+
+impl Mover {
+    pub(crate) const fn new(from: Chosen, notice: Rc<Notice>) -> Self {
+        Self {
+            from,
+            notice,
+            step: Step::Idle,
+            decided: false,
+            failed: 0,
+        }
+    }
+
+    /// Waits until the move is one step further; ends never while there is nothing to do. It may be dropped and called again.
+    pub(crate) async fn advance(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) {
+        let ended = match &mut self.step {
+            Step::Idle if self.decided => std::future::pending().await,
+            Step::Idle => {
+                self.notice.told().await;
+                self.decided = true;
+                let left = self.notice.left(gate.clock.now()).unwrap_or_default();
+                let wait = if request.is_idempotent() {
+                    left.mul_f64(YIELD)
+                } else {
+                    Duration::ZERO
+                };
+                self.step = Step::Yielding(Box::pin(sleep(wait)));
+                return;
+            }
+            Step::Yielding(wait) => {
+                wait.await;
+                self.step = Step::Idle;
+                return self.begin(request, gate, events);
+            }
+            Step::Copying(_, call) | Step::Stopping(_, call) => call.await,
+            Step::Ready(_) => std::future::pending().await,
+        };
+        match (std::mem::replace(&mut self.step, Step::Idle), ended) {
+            (Step::Copying(to, _), Ok(_)) => {
+                let call = self.call(request, gate, &to, true);
+                self.step = Step::Stopping(to, call);
+            }
+            (Step::Stopping(to, _), Ok(handle)) => {
+                self.step = Step::Ready(Taken {
+                    at: to,
+                    source: self.from.address,
+                    handle,
+                });
+            }
+            (step, Err(error)) => {
+                counter!("gentian_gateway_moves_failed_total").increment(1);
+                info!(gate.logger, "stream not moved"; "request" => &request.asked.id, "upstream" => &self.from.id,
+                    "error" => %error, "failed" => self.failed + 1);
+                self.failed += 1;
+                if matches!(step, Step::Copying(..)) && self.failed < MOST_FAILURES {
+                    self.begin(request, gate, events);
+                }
+            }
+            (step, Ok(_)) => self.step = step,
+        }
+    }
+
+    /// Gives the copy once the stream has ended at its upstream; waits for it if the upstream is handing it over.
+    pub(crate) async fn taken(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) -> Option<Taken> {
+        if matches!(self.step, Step::Stopping(..)) {
+            self.advance(request, gate, events).await;
+        }
+        match std::mem::replace(&mut self.step, Step::Idle) {
+            Step::Ready(taken) => Some(taken),
+            _ => None,
+        }
+    }
+
+    /// Begins to copy the cache, unless the stream ends in time or the copy would not.
+    fn begin(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) {
+        let Some(left) = self.notice.left(gate.clock.now()) else {
+            return;
+        };
+        let stream = self.stream(request, gate, events, left);
+        let how = how(&stream, gate.engine(&request.service).unwrap_or_default());
+        let to = (how == How::Export).then(|| self.target(request, gate)).flatten();
+        let to_id = to.as_ref().map(|to| to.id.clone());
+        info!(gate.logger, "upstream ends"; "request" => &request.asked.id, "upstream" => &self.from.id,
+            "left_ms" => left.as_millis() as u64, "how" => %how, "to" => to_id, "events" => events.count());
+        let Some(to) = to else {
+            return;
+        };
+        let engine = gate.engine(&request.service).unwrap_or_default();
+        if copy_time(&engine, stream.tokens).is_some_and(|time| time <= SHORT) {
+            let call = self.call(request, gate, &to, true);
+            self.step = Step::Stopping(to, call);
+        } else {
+            let call = self.call(request, gate, &to, false);
+            self.step = Step::Copying(to, call);
+        }
+    }
+
+    /// Chooses where the stream goes on; a move is one more send of the request.
+    fn target(&self, request: &Request, gate: &Rc<Gate>) -> Option<Chosen> {
+        let tried = [self.from.id.clone()];
+        let chosen = request.choose(gate, &tried).ok()?;
+        // A copy takes a slot there at once.
+        if !chosen.predicted.free || !gate.may_repeat(&request.service) {
+            return None;
+        }
+        let whole = request.asked.parts.iter().map(|part| part.tokens).sum();
+        // The copy brings everything that was read.
+        Some(Chosen {
+            cached: whole,
+            ..chosen
+        })
+    }
+
+    fn stream(&self, request: &Request, gate: &Gate, events: &Events, left: Duration) -> Stream<()> {
+        let engine = gate.engine(&request.service).unwrap_or_default();
+        let made = events.count() * u64::from(engine.event_tokens);
+        let asked = request.asked.tokens.unwrap_or_default();
+        Stream {
+            source: (),
+            left,
+            tokens: asked.prompt + made,
+            remaining: asked.answer.saturating_sub(made),
+            step: request.pace(made).unwrap_or(STEP),
+            slack: Duration::ZERO,
+            failed: self.failed,
+        }
+    }
+
+    fn call(&self, request: &Request, gate: &Rc<Gate>, to: &Chosen, last: bool) -> Call {
+        let (peer, to) = (self.from.address, to.address);
+        let gate = Rc::clone(gate);
+        let copying = Copying {
+            host: peer,
+            request: request.asked.id.clone(),
+            to,
+            last,
+        };
+        Box::pin(async move {
+            let answer = timeout(COPY, copy(&gate, &copying)).await;
+            let (status, body) = answer
+                .map_err(|_late| MoveError::Late { peer })?
+                .map_err(|fate| MoveError::Broken { peer, fate })?;
+            let handle = gate.dialect.copied(&body).filter(|_| status == 200);
+            handle.ok_or(MoveError::Refused { peer, to, status })
+        })
+    }
+}
+
+/// Decides what becomes of a stream whose upstream ends.
+fn how(stream: &Stream<()>, engine: EngineSpec) -> How {
+    let rates = Rates {
+        export: copy_time(&engine, 1),
+        prefill: Duration::from_micros(PREFILL_US),
+    };
+    plan(&[*stream], &rates).first().map_or(How::Finish, |(_, how)| *how)
+}
+
+/// Gives the time to copy the cache of so many tokens to another data centre, if engines can.
+fn copy_time(engine: &EngineSpec, tokens: u64) -> Option<Duration> {
+    let one = Duration::from_nanos(engine.copy_ns?).mul_f64(DISTANT);
+    Some(one.mul_f64(tokens as f64))
+}
+
+/// Asks an upstream to copy a stream's cache; gives status and body of its answer.
+async fn copy(gate: &Gate, copying: &Copying) -> Result<(u16, bytes::Bytes), Fate> {
+    let connection = connect(copying.host, COPY).await.map_err(|error| Fate::NotSent {
+        why: format!("connect to {}: {error}", copying.host),
+    })?;
+    let mut bytes = Vec::new();
+    gate.dialect.write_copy(&mut bytes, copying);
+    let mut opened = open(connection, &bytes, &copying.request, gate.dialect.as_ref()).await?;
+    let status = opened.head.start.status;
+    Ok((status, opened.whole().await?))
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -154,7 +154,7 @@
                 break;
             }
             tried.push(chosen.id.clone());
-            let fate = match self.attempt(gate, &chosen, self.asked.after).await {
+            let fate = match self.attempt(gate, &chosen, self.asked.after, None).await {
                 Ok((opened, running)) => match self.answer(gate, out, opened, running, &mut tried).await {
                     Ok(end) => return end,
                     Err(fate) => fate,
@@ -281,6 +281,13 @@
         self.progress.set(progress);
     }
 
+    /// Gives the time between two tokens of the answer so far.
+    pub(crate) fn pace(&self, made: u64) -> Option<Duration> {
+        let first = Duration::from_millis(self.progress.get().first_ms?);
+        let passed = self.came.elapsed().saturating_sub(first);
+        Some(passed / u32::try_from(made).ok().filter(|made| *made > 0)?)
+    }
+
     fn note(&self, gate: &Gate, end: &End) {
         let took = self.came.elapsed();
         let outcome = match end {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::events::{Event, EventError, Events};
 use crate::exchange::{Fate, Opened, Piece};
 use crate::gate::Gate;
+use crate::moving::{Mover, Taken};
 use crate::request::{End, Request};
 
 /// Silence before the first event after which a stream that can go on elsewhere does; an engine with a long queue may
@@ -39,7 +40,7 @@
     let status = opened.head.start.status;
     let mut events = Events::after(request.asked.after);
     let head = answer_head(&opened.head, None, request.keep);
-    let mut source = Source { opened, running };
+    let mut source = Source::new(opened, running);
     let mut sink = Sink { out, head: Some(head) };
     loop {
         let broken = match forward(request, gate, &mut source, &mut events, &mut sink).await {
@@ -51,13 +52,24 @@
             Err(Stop::Caller(why)) => return Ok(End::Broken { why }),
             Err(Stop::Upstream(fate)) => fate,
         };
-        source.running.note_failed(gate);
+        let taken = source.mover.taken(request, gate, &events).await;
+        if taken.is_none() {
+            source.running.note_failed(gate);
+        }
         // The upstream stops when its connection closes; it must have before another goes on.
         drop(source);
         if !request.progress.get().begun {
             return Err(broken);
         }
-        match resume(request, gate, &events, tried).await {
+        let moved = match &taken {
+            Some(taken) => go_on(request, gate, &events, taken, tried).await,
+            None => None,
+        };
+        let next = match moved {
+            Some(next) => Some(next),
+            None => resume(request, gate, &events, tried).await,
+        };
+        match next {
             Some(next) => source = next,
             None => {
                 return Ok(End::Broken {
@@ -73,11 +85,17 @@
 struct Source {
     opened: Opened,
     running: Running,
+    mover: Mover,
 }
 
 impl Source {
+    fn new(opened: Opened, running: Running) -> Self {
+        let mover = running.mover();
+        Self { opened, running, mover }
+    }
+
     fn done(self, gate: &Gate) {
-        let Self { opened, running } = self;
+        let Self { opened, running, .. } = self;
         drop(running);
         let address = opened.connection.stream.peer_addr();
         if let (Ok(address), Some((connection, idle))) = (address, opened.reusable()) {
@@ -121,21 +139,22 @@
 /// Passes events on until the stream is whole.
 async fn forward(
     request: &Request,
-    gate: &Gate,
+    gate: &Rc<Gate>,
     source: &mut Source,
     events: &mut Events,
     sink: &mut Sink<'_>,
 ) -> Result<(), Stop> {
     let resumable = request.route.repeat == Repeatable::ResumableStream;
     loop {
-        let limit = if request.progress.get().begun { PAUSE } else { FIRST };
-        let piece = if resumable && request.progress.get().sends < request.route.attempts {
-            match timeout(limit, source.opened.next()).await {
-                Ok(piece) => piece,
-                Err(_silent) => Err(Fate::unknown("silent")),
-            }
+        let begun = request.progress.get().begun;
+        let patience = (resumable && request.progress.get().sends < request.route.attempts).then_some(if begun {
+            PAUSE
         } else {
-            source.opened.next().await
+            FIRST
+        });
+        let piece = tokio::select! {
+            piece = next_piece(&mut source.opened, patience) => piece,
+            () = source.mover.advance(request, gate, events), if begun => continue,
         };
         match piece.map_err(Stop::Upstream)? {
             Piece::Bytes(bytes) => events.push(&bytes),
@@ -159,6 +178,15 @@
     }
 }
 
+/// Reads on in a stream; silence beyond the patience counts as its end.
+async fn next_piece(opened: &mut Opened, patience: Option<Duration>) -> Result<Piece, Fate> {
+    let Some(patience) = patience else {
+        return opened.next().await;
+    };
+    let piece = timeout(patience, opened.next()).await;
+    piece.unwrap_or_else(|_silent| Err(Fate::unknown("silent")))
+}
+
 /// Takes the whole events that have come; what was good before a bad one is passed on.
 fn take_whole(events: &mut Events) -> (Vec<Event>, Option<EventError>) {
     let mut whole = Vec::new();
@@ -171,6 +199,34 @@
     }
 }
 
+/// Goes on where the stream's KV cache was moved to, after the last event that was passed on.
+async fn go_on(
+    request: &Request,
+    gate: &Rc<Gate>,
+    events: &Events,
+    taken: &Taken,
+    tried: &mut Vec<String>,
+) -> Option<Source> {
+    tried.push(taken.at.id.clone());
+    match request.attempt(gate, &taken.at, events.last(), Some(taken)).await {
+        Ok((opened, running)) if opened.is_sound() && opened.head.start.status == 200 => {
+            counter!("gentian_gateway_streams_moved_total").increment(1);
+            info!(gate.logger, "stream moved"; "request" => &request.asked.id, "upstream" => &taken.at.id,
+                "from" => %taken.source, "after" => events.last());
+            Some(Source::new(opened, running))
+        }
+        Ok((opened, _)) => {
+            let fate = Fate::unknown(format!("answered {}", opened.head.start.status));
+            request.note_fate(gate, &taken.at, &fate);
+            None
+        }
+        Err(fate) => {
+            request.note_fate(gate, &taken.at, &fate);
+            None
+        }
+    }
+}
+
 /// Goes on at another upstream after the last event that was passed on.
 async fn resume(request: &Request, gate: &Rc<Gate>, events: &Events, tried: &mut Vec<String>) -> Option<Source> {
     if request.route.repeat != Repeatable::ResumableStream {
@@ -185,12 +241,12 @@
             return None;
         }
         tried.push(chosen.id.clone());
-        match request.attempt(gate, &chosen, events.last()).await {
+        match request.attempt(gate, &chosen, events.last(), None).await {
             Ok((opened, running)) if opened.is_sound() && opened.head.start.status == 200 => {
                 counter!("gentian_gateway_streams_resumed_total").increment(1);
                 info!(gate.logger, "stream resumed"; "request" => &request.asked.id, "upstream" => &chosen.id,
                     "after" => events.last());
-                return Some(Source { opened, running });
+                return Some(Source::new(opened, running));
             }
             Ok((opened, _)) => {
                 let fate = Fate::unknown(format!("answered {}", opened.head.start.status));
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Load;
+use crate::notice::Notice;
 
 /// How long a load that an upstream told counts; afterwards own requests stand for those of all entry hosts. What others
 /// have seen takes two beats to come here.
@@ -48,6 +49,8 @@
     reach: Rc<Reach>,
     /// It said that it is another incarnation.
     gone: bool,
+    /// Its announced end.
+    notice: Rc<Notice>,
 }
 
 /// All upstreams.
@@ -125,6 +128,9 @@
                 }
                 None => Upstream::new(listed, reach),
             };
+            if let Some(left) = upstream.listed.left.filter(|_| upstream.listed.leaving) {
+                upstream.notice.tell(asked + left);
+            }
             self.all.insert(id, upstream);
         }
         ended.extend(before.into_keys());
@@ -220,6 +226,7 @@
             sight: None,
             others_until: Tick::default(),
             gone: false,
+            notice: Rc::default(),
         }
     }
 
@@ -265,6 +272,12 @@
         self.load.ended(now);
     }
 
+    /// Gives its announced end.
+    #[must_use]
+    pub fn notice(&self) -> Rc<Notice> {
+        Rc::clone(&self.notice)
+    }
+
     /// Gives what is heard of its data centre.
     #[must_use]
     pub fn reach(&self) -> Rc<Reach> {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use contract::{
     Catalog, ClientAccount, KeyHash, Listed, NodeId, Quota, Repeatable, Route, Service, ServiceName, Share, Zone,
 };
-use gateway::dialect::{Asked, Attempt, Dialect, Told};
+use gateway::dialect::{Asked, Attempt, Copying, Dialect, Tokens, Told};
 use gateway::gate::{Gate, Place, Shared};
 use gateway::head::{Head, RequestLine, StatusLine};
 use gateway::lender::Lender;
@@ -38,6 +38,9 @@
             patience: number("wait-ms").map(Duration::from_millis),
             key: head.get("key").map(KeyHash::of),
             after: number("after"),
+            tokens: number("prompt")
+                .zip(number("most"))
+                .map(|(prompt, answer)| Tokens { prompt, answer }),
             ..Asked::default()
         })
     }
@@ -54,10 +57,25 @@
             .map(|after| format!("After: {after}\r\n"))
             .unwrap_or_default();
         let (left, upstream) = (attempt.left.as_millis(), attempt.upstream);
-        let lines = format!("Wait-Ms: {left}\r\nMeant: {upstream}\r\n{after}");
+        let copy = attempt
+            .copy
+            .map(|copy| format!("Copy: {}/{}\r\n", copy.source, copy.handle));
+        let copy = copy.unwrap_or_default();
+        let lines = format!("Wait-Ms: {left}\r\nMeant: {upstream}\r\n{after}{copy}");
         out.extend_from_slice(lines.as_bytes());
     }
 
+    fn write_copy(&self, out: &mut Vec<u8>, copying: &Copying) {
+        let Copying { request, to, last, .. } = copying;
+        let text =
+            format!("POST /copy HTTP/1.1\r\nOf: {request}\r\nTo: {to}\r\nLast: {last}\r\nContent-Length: 0\r\n\r\n");
+        out.extend_from_slice(text.as_bytes());
+    }
+
+    fn copied(&self, body: &[u8]) -> Option<String> {
+        String::from_utf8(body.to_vec()).ok()
+    }
+
     fn told(&self, head: &Head<StatusLine>) -> Told {
         Told {
             id: head.get("id").map(str::to_owned),
@@ -186,6 +204,23 @@
     let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
 }
 
+/// Lists upstreams as ready, under the names `u0`, `u1` and so on.
+pub fn listed(upstreams: &[&Upstream]) -> Vec<Listed> {
+    let one = |(at, upstream): (usize, &&Upstream)| Listed {
+        id: format!("u{at}"),
+        start: 1,
+        service: ServiceName::from("till"),
+        address: upstream.address,
+        zone: Zone::from("z"),
+        slots: 4,
+        leaving: false,
+        reclaimable: false,
+        cold: Duration::ZERO,
+        left: None,
+    };
+    upstreams.iter().enumerate().map(one).collect()
+}
+
 /// A running entry host.
 pub struct Host {
     /// Where callers connect.
@@ -252,21 +287,10 @@
             }],
             ..Catalog::default()
         };
-        let listed = |(at, upstream): (usize, &&Upstream)| Listed {
-            id: format!("u{at}"),
-            start: 1,
-            service: service.clone(),
-            address: upstream.address,
-            zone: Zone::from("z"),
-            slots: 4,
-            leaving: false,
-            reclaimable: false,
-            cold: Duration::ZERO,
-        };
         let shared = Arc::new(Shared::default());
         shared.table.store(Some(Arc::new(Table::new(catalog))));
         shared.parts.store(Arc::new(Some(Parts { entries: 1, floor: 1.0 })));
-        *shared.list.lock() = Some((upstreams.iter().enumerate().map(listed).collect(), Tick::default()));
+        *shared.list.lock() = Some((listed(upstreams), Tick::default()));
         shared
     }
 
--- a/crates/state/src/lists.rs
+++ b/crates/state/src/lists.rs
@@ -14,9 +14,10 @@
 use crate::core::{Ask, Lead};
 use crate::registry::Registry;
 
-/// Pause between two reads: upstreams that leave must get no new work a few seconds after the list says so, and the news
-/// takes a beat to reach the entry hosts.
-const PAUSE: Duration = Duration::from_millis(900);
+/// Pause between two reads. A reclaim's notice comes two seconds and a half before its end; the list tells it up to a second
+/// late and the news takes a beat to reach the entry hosts, so that half a second more is a third of what streams have to
+/// move.
+const PAUSE: Duration = Duration::from_millis(450);
 
 /// The thread that reads the list while its process leads.
 #[derive(derive_more::Debug)]
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -56,8 +56,9 @@
         let first = term << TERM_BITS;
         if !same || self.number < first {
             self.number = first.max(self.number) + 1;
-            self.list = Arc::new(list);
         }
+        // Times in the list count from when it was asked for, so that both must be of the same read.
+        self.list = Arc::new(list);
         self.asked = Some(asked);
     }
 
@@ -71,13 +72,15 @@
     }
 }
 
-/// Tells whether two entries say the same; how long an upstream is still cold changes with every read.
+/// Tells whether two entries say the same; how long an upstream is still cold, and when it is taken away, changes with every
+/// read.
 fn is_same(a: &Listed, b: &Listed) -> bool {
-    let warm = |one: &Listed| Listed {
+    let timeless = |one: &Listed| Listed {
         cold: Duration::ZERO,
+        left: None,
         ..one.clone()
     };
-    warm(a) == warm(b)
+    timeless(a) == timeless(b) && a.left.is_some() == b.left.is_some()
 }
 
 /// What the log says of shared limits.
--- a/crates/state/tests/nodes/mod.rs
+++ b/crates/state/tests/nodes/mod.rs
@@ -15,6 +15,8 @@
 pub const KEY: &str = "test-operator-key-0001";
 /// Longest wait for anything; only a guard against hanging.
 const PATIENCE: Duration = Duration::from_mins(1);
+/// Wait from which a test says what it waited for.
+const SLOW: Duration = Duration::from_secs(5);
 
 /// The processes; they are killed when this goes away.
 #[derive(Debug)]
@@ -131,6 +133,9 @@
     let begin = Instant::now();
     loop {
         if let Some(answer) = ask() {
+            if begin.elapsed() > SLOW {
+                println!("{what} took {:?}", begin.elapsed());
+            }
             return answer;
         }
         assert!(begin.elapsed() < PATIENCE, "waited too long for {what}");
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -20,6 +20,7 @@
         leaving,
         reclaimable: false,
         cold: Duration::from_millis(cold_ms),
+        left: None,
     }
 }
 
