Plan for as many data centres as were called back while an upstream starts

At each notice on-demand engines were ordered as if one more would follow; they started when the next two were gone, requests piled up, and the pile raised the need to 9.8 engines of which 4 were needed.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -37,6 +37,8 @@
     pub reclaimable: u32,
     /// Whether reclaimable ones were refused lately, so that a wave of reclaims is likely under way.
     pub dry: bool,
+    /// Whether its reclaimable ones were called back a moment ago, within the time in which an upstream starts.
+    pub reclaimed: bool,
     /// Whether they were refused just now, so that asking again is of no use yet.
     pub closed: bool,
 }
@@ -78,10 +80,7 @@
     }
     let floor = (f64::from(needed) * FLOOR).ceil() as u32;
     let usable: u32 = present.values().map(|there| there.reclaimable).sum();
-    // Data centres are reclaimed one after the other. Once one is, the fullest of the others is taken for lost as well: an
-    // on-demand upstream that is ordered when it goes starts seconds too late.
-    let next = present.values().map(|there| there.reclaimable).max().unwrap_or(0);
-    let sure = if dry { usable - next } else { usable };
+    let sure = if dry { usable - soon_lost(present) } else { usable };
     let missing = needed.saturating_sub(sure).max(floor);
     let held: u32 = present.values().map(|there| there.on_demand).sum();
     // What is there already is kept first: an upstream that is drained and ordered anew elsewhere loses its cache.
@@ -103,6 +102,18 @@
     wanted
 }
 
+/// Gives the reclaimable upstreams that a wave of reclaims may take before on-demand ones that are ordered now have started: as
+/// many data centres as were called back in the last such time, the fullest ones.
+///
+/// What is ordered when one goes starts seconds too late for the next. Where data centres go three seconds after one another
+/// and an upstream starts in four, the next two are gone by then.
+fn soon_lost(present: &BTreeMap<Zone, Present>) -> u32 {
+    let mut counts: Vec<u32> = present.values().map(|there| there.reclaimable).collect();
+    counts.sort_unstable_by(|a, b| b.cmp(a));
+    let pace = present.values().filter(|there| there.reclaimed).count().max(1);
+    counts.iter().take(pace).sum()
+}
+
 fn by_price(present: &BTreeMap<Zone, Present>, scaling: &Scaling) -> Vec<Zone> {
     let known = present.keys().chain(scaling.prices.keys());
     let mut zones: Vec<Zone> = known.cloned().collect();
--- a/crates/policy/tests/fleet_plan.rs
+++ b/crates/policy/tests/fleet_plan.rs
@@ -26,6 +26,7 @@
         on_demand,
         reclaimable,
         dry,
+        reclaimed: false,
         closed: dry,
     });
     zones.zip(there).collect()
@@ -70,6 +71,21 @@
     assert!(sum(&wanted, |one| one.on_demand) >= 2, "{wanted:?}");
 }
 
+/// Three data centres are called back within nine seconds. An on-demand upstream that is ordered at the second starts when the
+/// third and the fourth are gone, so that the load has to be carried without both of them. One reclaim by itself does not ask
+/// for so many: they cost as much as the whole fleet.
+#[test]
+fn quick_wave() {
+    let mut wave = present([(0, 0, true), (1, 0, true), (0, 3, true), (0, 3, true)]);
+    let slow = plan(&wave, &scaling(0.16), 4.0);
+    assert_eq!(sum(&slow, |one| one.on_demand), 1, "{slow:?}");
+    for zone in ["a", "b"] {
+        wave.get_mut(&Zone::from(zone)).unwrap().reclaimed = true;
+    }
+    let quick = plan(&wave, &scaling(0.16), 4.0);
+    assert_eq!(sum(&quick, |one| one.on_demand), 4, "{quick:?}");
+}
+
 /// Engines differ in how many requests they run at once. Where it is twelve, sixteen for each would leave callers waiting for
 /// a slot all day.
 #[test]
--- a/crates/state/src/duties/orders.rs
+++ b/crates/state/src/duties/orders.rs
@@ -22,6 +22,10 @@
 const DRY: Duration = Duration::from_secs(3);
 /// Time for which a refusal counts as a sign that reclaims go on.
 const WAVE: Duration = Duration::from_secs(8);
+/// Time for which upstreams of a data centre that are called back belong to one reclaim; they are gone within three seconds.
+const ONE_RECLAIM: Duration = Duration::from_secs(8);
+/// Time beyond an upstream's start after which it takes requests: the list lags by as much.
+const SEEN: Duration = Duration::from_secs(1);
 /// Time over which the highest load counts, so that the fleet doesn't follow each wave.
 const BUSY: Duration = Duration::from_secs(15);
 /// Age up to which the load that entry hosts tell counts.
@@ -35,9 +39,22 @@
     peaks: BTreeMap<ServiceName, Peak>,
     /// When reclaimable upstreams were refused last.
     refused: BTreeMap<(ServiceName, Zone), Tick>,
+    /// When reclaimable upstreams were called back last.
+    reclaimed: BTreeMap<(ServiceName, Zone), Tick>,
 }
 
 impl Orders {
+    /// Notes which data centres' upstreams are called back.
+    fn note_reclaims(&mut self, list: &[Listed], now: Tick) {
+        for one in list.iter().filter(|one| one.leaving && one.left.is_some()) {
+            let place = (one.service.clone(), one.zone.clone());
+            let at = self.reclaimed.entry(place).or_insert(now);
+            if now.since(*at) > ONE_RECLAIM {
+                *at = now;
+            }
+        }
+    }
+
     /// Forgets what an earlier term ordered; what is there tells what came of it.
     pub(super) fn forget(&mut self) {
         self.given.clear();
@@ -79,6 +96,7 @@
         let Some(list) = self.registry.list(now, LIST_FRESH) else {
             return;
         };
+        self.orders.note_reclaims(&list, now);
         let loads = self.registry.loads(now, LOAD_FRESH);
         for (service, scaling, slots) in scaled {
             let load = loads.get(service.as_str()).copied().unwrap_or_default();
@@ -153,6 +171,9 @@
             there.closed = order(true).is_some_and(|given| given.dry && now.since(given.at) < DRY);
             let refused = self.orders.refused.get(&(service.clone(), zone.clone()));
             there.dry = refused.is_some_and(|at| now.since(*at) < WAVE);
+            let reclaimed = self.orders.reclaimed.get(&(service.clone(), zone.clone()));
+            let starts = Duration::from_millis(scaling.boot_ms) + SEEN;
+            there.reclaimed = reclaimed.is_some_and(|at| now.since(*at) < starts);
             // What was ordered a moment ago is still starting; an order that forgot it would take it back.
             let starting = order(false).filter(|given| !given.dry && now.since(given.at) < pause);
             there.on_demand = there.on_demand.max(starting.map_or(0, |given| given.count));
