Go on after a handover whose connection falls silent

Cause, found by reading: a stream that its engine has stopped and handed over was gone on with only when its connection ended; where that end is lost in a cut, a stream that may run only once waited until its route's time was over.

--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -34,6 +34,9 @@
 /// Time up to which a copy is made at once, with the stream stopped: callers notice no pause, and a second call would queue
 /// once more behind the other copies on the link.
 const SHORT: Duration = Duration::from_millis(25);
+/// Longest wait for the end of a stream that its upstream has handed over. Its last events are made anew from the copy, so
+/// that a connection which falls silent costs no more than this.
+const HANDED: Duration = Duration::from_millis(150);
 /// Part of the time left by which streams that can begin anew elsewhere let the others go first: what may run only once is
 /// lost without a copy, and one link carries one copy after the other.
 const YIELD: f64 = 0.25;
@@ -92,8 +95,8 @@
     Copying(Chosen, Call),
     /// The upstream stops the stream and hands the rest over.
     Stopping(Chosen, Call),
-    /// The copy is whole.
-    Ready(Taken),
+    /// The copy is whole, and the stream's connection ends.
+    Ready(Taken, Pin<Box<Sleep>>),
 }
 
 /// Moves one stream away from an upstream that is taken away.
@@ -117,8 +120,9 @@
         }
     }
 
-    /// Waits until the move is one step further; ends never while there is nothing to do. It may be dropped and called again.
-    pub(crate) async fn advance(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) {
+    /// Waits until the move is one step further, and tells whether the stream has been handed over long enough for its
+    /// connection to have ended; ends never while there is nothing to do. It may be dropped and called again.
+    pub(crate) async fn advance(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) -> bool {
         let ended = match &mut self.step {
             Step::Idle if self.decided => std::future::pending().await,
             Step::Idle => {
@@ -131,15 +135,19 @@
                     Duration::ZERO
                 };
                 self.step = Step::Yielding(Box::pin(sleep(wait)));
-                return;
+                return false;
             }
             Step::Yielding(wait) => {
                 wait.await;
                 self.step = Step::Idle;
-                return self.begin(request, gate, events);
+                self.begin(request, gate, events);
+                return false;
             }
             Step::Copying(_, call) | Step::Stopping(_, call) => call.await,
-            Step::Ready(_) => std::future::pending().await,
+            Step::Ready(_, wait) => {
+                wait.await;
+                return true;
+            }
         };
         match (std::mem::replace(&mut self.step, Step::Idle), ended) {
             (Step::Copying(to, _), Ok(_)) => {
@@ -147,11 +155,12 @@
                 self.step = Step::Stopping(to, call);
             }
             (Step::Stopping(to, _), Ok(handle)) => {
-                self.step = Step::Ready(Taken {
+                let taken = Taken {
                     at: to,
                     source: self.from.address,
                     handle,
-                });
+                };
+                self.step = Step::Ready(taken, Box::pin(sleep(HANDED)));
             }
             (step, Err(error)) => {
                 counter!("gentian_gateway_moves_failed_total").increment(1);
@@ -164,6 +173,7 @@
             }
             (step, Ok(_)) => self.step = step,
         }
+        false
     }
 
     /// Gives the copy once the stream has ended at its upstream; waits for it if the upstream is handing it over.
@@ -172,7 +182,7 @@
             self.advance(request, gate, events).await;
         }
         match std::mem::replace(&mut self.step, Step::Idle) {
-            Step::Ready(taken) => Some(taken),
+            Step::Ready(taken, _) => Some(taken),
             _ => None,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -154,7 +154,12 @@
         });
         let piece = tokio::select! {
             piece = next_piece(&mut source.opened, patience) => piece,
-            () = source.mover.advance(request, gate, events), if begun => continue,
+            handed = source.mover.advance(request, gate, events), if begun => {
+                if handed {
+                    return Err(Stop::Upstream(Fate::unknown("handed over, and silent since")));
+                }
+                continue;
+            }
         };
         match piece.map_err(Stop::Upstream)? {
             Piece::Bytes(bytes) => events.push(&bytes),
--- a/crates/gateway/tests/moved_streams.rs
+++ b/crates/gateway/tests/moved_streams.rs
@@ -57,6 +57,10 @@
 /// An upstream whose streams stop, in the middle of an event, when it is told to hand the last part of a copy over. Copies
 /// get the status.
 fn leaving(status: &'static str) -> Upstream {
+    ending(status, true)
+}
+
+fn ending(status: &'static str, closes: bool) -> Upstream {
     let stopped = AtomicBool::new(false);
     Upstream::start(Box::new(move |seen, stream| {
         if seen.head.starts_with("POST /copy") {
@@ -72,6 +76,9 @@
             thread::sleep(Duration::from_millis(5));
         }
         let _ = stream.write_all(b"20\r\nid: 4\ndata: pie");
+        if !closes {
+            thread::sleep(Duration::from_secs(4));
+        }
         false
     }))
 }
@@ -152,6 +159,25 @@
     assert_eq!(copies(&leaving), ["true"]);
 }
 
+/// The engine has handed the stream over, but the end of its connection gets lost. Nothing more will come from there; waiting
+/// for it would hold up a caller who has begun to read.
+#[test]
+fn silent_end() {
+    let (leaving, other) = (ending("200 OK", false), taking());
+    let shared = engines(QUICK, &[&leaving]);
+    let host = Host::run(Arc::clone(&shared));
+    let mut caller = begin(&host);
+    wait_for(&leaving);
+    announce(&shared, &leaving, &other);
+    caller
+        .0
+        .get_mut()
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
+    let reply = caller.reply();
+    assert_eq!((reply.body, reply.whole), (events(1..=EVENTS), true));
+}
+
 /// No engine has room for the copy. The stream is left where it is until it ends with its engine; it must not begin anew
 /// elsewhere, since it may run only once, and its answer must not look complete.
 #[test]
