--- a/crates/gateway/tests/moved_streams.rs
+++ b/crates/gateway/tests/moved_streams.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Caller, Host, Seen, Upstream, answer, begin_stream, listed, send_event};
+use common::{Host, Reply, Seen, Upstream, answer, begin_stream, listed, send_event};
 use contract::{EngineSpec, Repeatable};
 use gateway::gate::Shared;
 use gateway::table::Table;
@@ -24,6 +24,8 @@
 /// Copies of the prompt that take a millisecond, and a tenth of a second.
 const QUICK: u64 = 1_000;
 const SLOW: u64 = 100_000;
+/// Longest silence that a caller bears.
+const SILENCE: Duration = Duration::from_secs(3);
 /// A prompt and an answer that last longer than the notice leaves.
 const LONG: &str = "Prompt: 500\r\nMost: 100000\r\n";
 
@@ -96,11 +98,16 @@
     }))
 }
 
-/// Reads until the first events are there.
-fn begin(host: &Host) -> Caller {
+/// Asks for a long stream, calls its upstream back, and reads what the caller gets.
+fn called_back(copy_ns: u64, leaving: &Upstream, other: &Upstream) -> Reply {
+    let shared = engines(copy_ns, &[leaving]);
+    let host = Host::run(Arc::clone(&shared));
     let mut caller = host.connect();
     caller.send(LONG, "prompt");
-    caller
+    wait_for(leaving);
+    announce(&shared, leaving, other);
+    caller.0.get_mut().set_read_timeout(Some(SILENCE)).unwrap();
+    caller.reply()
 }
 
 /// Gives for each copy that the upstream was asked for whether it stopped the stream.
@@ -126,12 +133,7 @@
 #[test]
 fn moved_once() {
     let (leaving, other) = (leaving("200 OK"), taking());
-    let shared = engines(SLOW, &[&leaving]);
-    let host = Host::run(Arc::clone(&shared));
-    let mut caller = begin(&host);
-    wait_for(&leaving);
-    announce(&shared, &leaving, &other);
-    let reply = caller.reply();
+    let reply = called_back(SLOW, &leaving, &other);
     assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}");
     assert_eq!(reply.body, events(1..=EVENTS));
     let went_on = other.seen.lock()[0].clone();
@@ -149,12 +151,7 @@
 #[test]
 fn short_copy() {
     let (leaving, other) = (leaving("200 OK"), taking());
-    let shared = engines(QUICK, &[&leaving]);
-    let host = Host::run(Arc::clone(&shared));
-    let mut caller = begin(&host);
-    wait_for(&leaving);
-    announce(&shared, &leaving, &other);
-    let reply = caller.reply();
+    let reply = called_back(QUICK, &leaving, &other);
     assert_eq!((reply.body, reply.whole), (events(1..=EVENTS), true));
     assert_eq!(copies(&leaving), ["true"]);
 }
@@ -164,17 +161,7 @@
 #[test]
 fn silent_end() {
     let (leaving, other) = (ending("200 OK", false), taking());
-    let shared = engines(QUICK, &[&leaving]);
-    let host = Host::run(Arc::clone(&shared));
-    let mut caller = begin(&host);
-    wait_for(&leaving);
-    announce(&shared, &leaving, &other);
-    caller
-        .0
-        .get_mut()
-        .set_read_timeout(Some(Duration::from_secs(3)))
-        .unwrap();
-    let reply = caller.reply();
+    let reply = called_back(QUICK, &leaving, &other);
     assert_eq!((reply.body, reply.whole), (events(1..=EVENTS), true));
 }
 
@@ -183,12 +170,7 @@
 #[test]
 fn no_room() {
     let (leaving, other) = (leaving("503 Full"), taking());
-    let shared = engines(QUICK, &[&leaving]);
-    let host = Host::run(Arc::clone(&shared));
-    let mut caller = begin(&host);
-    wait_for(&leaving);
-    announce(&shared, &leaving, &other);
-    let reply = caller.reply();
+    let reply = called_back(QUICK, &leaving, &other);
     assert_eq!(reply.body, events(1..=BEFORE));
     assert!(!reply.whole);
     assert_eq!(other.count(), 0);
