Let the gateway's test hosts listen on ports that the system doesn't give out

The test asked the system for a port, released it, and the system gave it to one of the soak's processes before the host listened. Ruled out: the move itself; no request reached any upstream of the test.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use gateway::lender::Lender;
 use gateway::server::{self, Listen};
 use gateway::table::Table;
+use load::trial::process::free_address;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::retries::Bounds;
@@ -296,8 +297,8 @@
 
     /// Starts one that knows nothing yet.
     pub fn run(shared: Arc<Shared>) -> Self {
-        let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let (callers, ready) = (free(), free());
+        // Not a port that the system gives out: another test or process would be given it before the host listens there.
+        let (callers, ready) = (free_address(), free_address());
         let stop = Arc::new(AtomicBool::new(false));
         let flag = Arc::clone(&stop);
         let work = move || {
