--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -7,6 +7,7 @@
 
 use contract::settings::{self, Sheet};
 use crossbeam_channel::Sender;
+use policy::parts::Slack;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
 use state::admin::Admin;
@@ -44,7 +45,7 @@
         peers: settings.peers.clone(),
         membership: Membership::Operators,
     };
-    let program = Program::start(me, &settings.data, 0.0, logger, &stop)?;
+    let program = Program::start(me, &settings.data, Slack::default(), logger, &stop)?;
     let admin = start_admin(settings, program.ring.clone(), scrape)?;
     info!(logger, "serving"; "inner" => %settings.listen, "admin" => %admin.server_addr());
     while !stop.load(Ordering::Relaxed) {
