Ask engines for reclaims before the list tells of them

Ruled out: copies that fail (one of 44), the order among streams. Change: the leader asks one reclaimable engine of each data centre five times a second for its own report; when that says that it is taken away, a second one must say the same. The list then counts as showing the whole group as leaving, until 1.6 s later. Conclusion: kept for all sites: a notice may be short anywhere.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod prefix;
 pub mod quota;
 pub mod reach;
+pub mod reclaim;
 pub mod rescue;
 pub mod retries;
 pub mod room;
--- /dev/null
+++ b/crates/policy/tests/early_reclaim.rs
@@ -0,0 +1,58 @@
+//! Who is asked for reclaims, and what follows from the answers.
+
+use std::time::Duration;
+
+use contract::{Listed, ServiceName, Zone};
+use policy::Tick;
+use policy::reclaim::{Reclaims, witnesses};
+
+fn listed(id: &str, zone: &str, reclaimable: bool) -> Listed {
+    Listed {
+        id: id.to_owned(),
+        start: 1,
+        service: ServiceName::from("m"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: Zone::from(zone),
+        slots: 4,
+        leaving: false,
+        reclaimable,
+        cold: Duration::ZERO,
+        left: None,
+    }
+}
+
+/// One engine of a data centre hangs. If it were the one that is always asked, nobody would hear of a reclaim there.
+#[test]
+fn taking_turns() {
+    let list = [
+        listed("a", "y", true),
+        listed("b", "z", true),
+        listed("c", "z", true),
+        listed("d", "z", true),
+        listed("e", "z", false),
+    ];
+    let asked = |turn| -> Vec<Vec<String>> {
+        let groups = witnesses(&list, turn).into_iter();
+        groups
+            .map(|(_, two)| two.iter().map(|one| one.id.clone()).collect())
+            .collect()
+    };
+    assert_eq!(asked(0), [vec!["a"], vec!["b", "c"]]);
+    assert_eq!(asked(2), [vec!["a"], vec!["d", "b"]]);
+}
+
+/// The data centre gets new reclaimable engines seconds after it lost the old ones. The reclaim that was told of then says
+/// nothing of them.
+#[test]
+fn newcomers_stay() {
+    let mut reclaims = Reclaims::default();
+    let group = (ServiceName::from("m"), Zone::from("z"));
+    reclaims.note(group.clone(), Tick::from_millis(2_000), Tick::from_millis(1_000));
+    let mut list = [listed("b", "z", true), listed("e", "z", false)];
+    reclaims.apply(&mut list, Tick::from_millis(1_500));
+    assert_eq!(list[0].left, Some(Duration::from_millis(500)));
+    assert!(!list[1].leaving && reclaims.knows(&group, Tick::from_millis(1_500)));
+    let mut list = [listed("n", "z", true)];
+    reclaims.apply(&mut list, Tick::from_millis(6_000));
+    assert!(!list[0].leaving && !reclaims.knows(&group, Tick::from_millis(6_000)));
+}
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::parts::{Sharers, Slack};
+use policy::reclaim::{Group, Reclaims};
 use wire::registry::{Beat, ListNews, News, Parts, ServiceLoad};
 
 use crate::signs::Signs;
@@ -32,6 +33,7 @@
 struct Inner {
     term: u64,
     list: Numbered,
+    reclaims: Reclaims,
     signs: Signs,
     /// Number of sharers that the log holds.
     counted: u32,
@@ -140,8 +142,21 @@
     }
 
     /// Takes over a list of upstreams that was asked for at a time, in a term.
-    pub fn set_list(&self, term: u64, list: Vec<Listed>, asked: Tick) {
-        self.inner.lock().list.set(term, list, asked);
+    pub fn set_list(&self, term: u64, mut list: Vec<Listed>, asked: Tick) {
+        let mut inner = self.inner.lock();
+        inner.reclaims.apply(&mut list, asked);
+        inner.list.set(term, list, asked);
+    }
+
+    /// Notes a reclaim that engines told of in a term; the list names their group as leaving at once.
+    pub fn note_reclaim(&self, term: u64, group: Group, ends: Tick, now: Tick) {
+        let mut inner = self.inner.lock();
+        inner.reclaims.note(group, ends, now);
+        if let Some(asked) = inner.list.asked {
+            let mut list = (*inner.list.list).clone();
+            inner.reclaims.apply(&mut list, asked);
+            inner.list.set(term, list, asked);
+        }
     }
 
     /// Gives the newest list, if it was asked for within a time.
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -120,3 +120,30 @@
     let number = |registry: &Registry| beat(registry, "e1", Beat::default(), 1_100).list.number;
     assert!(number(&new) > number(&old));
 }
+
+/// A data centre is reclaimed with a notice of 1.1 s. Its engines say so at once, the list 0.8 s later, when callers' streams
+/// can no longer be moved. Entry hosts hear of it with the next beat, and the lagging list does not take it back.
+#[test]
+fn engines_tell_first() {
+    let registry = Registry::default();
+    let spot = |id: &str, zone: &str, leaving| Listed {
+        zone: Zone::from(zone),
+        reclaimable: true,
+        ..listed(id, leaving, 0)
+    };
+    let ready = || vec![spot("u", "z", false), spot("v", "y", false), listed("w", false, 0)];
+    let leaving = |now_ms| -> Vec<String> {
+        let list = beat(&registry, "e1", Beat::default(), now_ms).list.list.unwrap();
+        let leaving = list.into_iter().filter(|one| one.leaving && one.left.is_some());
+        leaving.map(|one| one.id).collect()
+    };
+    registry.set_list(TERM, ready(), Tick::from_millis(1_000));
+    let group = (ServiceName::from("m"), Zone::from("z"));
+    registry.note_reclaim(TERM, group, Tick::from_millis(2_100), Tick::from_millis(1_300));
+    assert_eq!(leaving(1_310), ["u"]);
+    registry.set_list(TERM, ready(), Tick::from_millis(1_500));
+    assert_eq!(leaving(1_510), ["u"]);
+    // What the list still shows as ready long afterwards is ready: the engines told of something else.
+    registry.set_list(TERM, ready(), Tick::from_millis(3_500));
+    assert_eq!(leaving(3_510), [""; 0]);
+}
--- a/crates/upstream/src/directory.rs
+++ b/crates/upstream/src/directory.rs
@@ -1,4 +1,7 @@
-//! Reading the list of upstreams.
+//! Reading the list of upstreams, and what engines tell of themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use contract::Listed;
 
@@ -13,3 +16,12 @@
     /// Gives the reads a second that all processes together may make.
     fn rate(&self) -> f64;
 }
+
+/// Asks model engines about themselves.
+pub trait Engines: Send {
+    /// Gives the time that is left to an engine, if it is taken away.
+    ///
+    /// # Errors
+    /// Tells what failed.
+    fn left(&self, address: SocketAddr) -> Result<Option<Duration>, String>;
+}
