--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -123,32 +123,41 @@
     /// Waits until the move is one step further, and tells whether the stream has been handed over long enough for its
     /// connection to have ended; ends never while there is nothing to do. It may be dropped and called again.
     pub(crate) async fn advance(&mut self, request: &Request, gate: &Rc<Gate>, events: &Events) -> bool {
-        let ended = match &mut self.step {
+        match &mut self.step {
             Step::Idle if self.decided => std::future::pending().await,
             Step::Idle => {
                 self.notice.told().await;
                 self.decided = true;
-                let left = self.notice.left(gate.clock.now()).unwrap_or_default();
-                let wait = if request.is_idempotent() {
-                    left.mul_f64(YIELD)
-                } else {
-                    Duration::ZERO
-                };
-                self.step = Step::Yielding(Box::pin(sleep(wait)));
-                return false;
+                self.step = Step::Yielding(Box::pin(sleep(self.yields(request, gate))));
             }
             Step::Yielding(wait) => {
                 wait.await;
                 self.step = Step::Idle;
                 self.begin(request, gate, events);
-                return false;
             }
-            Step::Copying(_, call) | Step::Stopping(_, call) => call.await,
+            Step::Copying(_, call) | Step::Stopping(_, call) => {
+                let ended = call.await;
+                self.copied(ended, request, gate, events);
+            }
             Step::Ready(_, wait) => {
                 wait.await;
                 return true;
             }
-        };
+        }
+        false
+    }
+
+    /// Gives the time for which a stream lets others go first.
+    fn yields(&self, request: &Request, gate: &Gate) -> Duration {
+        if !request.is_idempotent() {
+            return Duration::ZERO;
+        }
+        let left = self.notice.left(gate.clock.now());
+        left.unwrap_or_default().mul_f64(YIELD)
+    }
+
+    /// Takes the next step after a call for a copy has ended.
+    fn copied(&mut self, ended: Result<String, MoveError>, request: &Request, gate: &Rc<Gate>, events: &Events) {
         match (std::mem::replace(&mut self.step, Step::Idle), ended) {
             (Step::Copying(to, _), Ok(_)) => {
                 let call = self.call(request, gate, &to, true);
@@ -162,18 +171,20 @@
                 };
                 self.step = Step::Ready(taken, Box::pin(sleep(HANDED)));
             }
-            (step, Err(error)) => {
-                counter!("gentian_gateway_moves_failed_total").increment(1);
-                info!(gate.logger, "stream not moved"; "request" => &request.asked.id, "upstream" => &self.from.id,
-                    "error" => %error, "failed" => self.failed + 1);
-                self.failed += 1;
-                if matches!(step, Step::Copying(..)) && self.failed < MOST_FAILURES {
-                    self.begin(request, gate, events);
-                }
-            }
+            (step, Err(error)) => self.fail(&step, &error, request, gate, events),
             (step, Ok(_)) => self.step = step,
         }
-        false
+    }
+
+    /// Notes a copy that came to nothing; one that did not stop the stream is made once more.
+    fn fail(&mut self, step: &Step, error: &MoveError, request: &Request, gate: &Rc<Gate>, events: &Events) {
+        counter!("gentian_gateway_moves_failed_total").increment(1);
+        self.failed += 1;
+        info!(gate.logger, "stream not moved"; "request" => &request.asked.id, "upstream" => &self.from.id,
+            "error" => %error, "failed" => self.failed);
+        if matches!(step, Step::Copying(..)) && self.failed < MOST_FAILURES {
+            self.begin(request, gate, events);
+        }
     }
 
     /// Gives the copy once the stream has ended at its upstream; waits for it if the upstream is handing it over.
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -80,6 +80,24 @@
     pub entries: u32,
 }
 
+impl Need<'_> {
+    /// Gives the tokens of the prompt.
+    fn tokens(&self) -> u64 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Gives the tokens that other prompts may share; the last part belongs to the request alone.
+    fn shared_tokens(&self) -> u64 {
+        self.parts.iter().rev().skip(1).map(|part| part.tokens).sum()
+    }
+
+    /// Gives the key of the innermost part that others share, by which the home is found.
+    fn lead(&self) -> u64 {
+        let at = self.parts.len().saturating_sub(2);
+        self.parts.get(at).map_or(0, |part| part.key)
+    }
+}
+
 /// The upstream that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chosen {
@@ -144,13 +162,40 @@
     /// # Errors
     /// Tells why there is none.
     pub fn choose(&self, need: &Need<'_>, now: Tick) -> Result<Chosen, NoUpstream> {
-        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
-        let all: Vec<&Upstream> = self.all.values().filter(serves).collect();
+        self.judge_reach(now);
+        let open = self.open(need, now)?;
+        let lead = need.lead();
+        let all = open.iter().enumerate();
+        let candidates = all.map(|(at, upstream)| upstream.candidate(at, lead, need, now));
+        let mut candidates: Vec<Candidate> = candidates.filter(|one| one.load < one.slots * QUEUE).collect();
+        believe_home(&mut candidates, need.shared_tokens());
+        // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
+        let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
+        let predicted = choose(&candidates, need.tokens(), close_ms).ok_or(NoUpstream::Full)?;
+        let chosen = open[predicted.at];
+        let candidate = candidates.iter().find(|one| one.at == predicted.at);
+        Ok(Chosen {
+            id: chosen.listed.id.clone(),
+            address: chosen.listed.address,
+            predicted,
+            load: candidate.map_or(0.0, |one| one.load),
+            cached: candidate.map_or(0, |one| one.cached),
+        })
+    }
+
+    /// Judges data centres by the requests that wait there.
+    fn judge_reach(&self, now: Tick) {
         for upstream in self.all.values() {
             if let Some(sent) = upstream.backlog.oldest() {
                 upstream.reach.waits(sent, now);
             }
         }
+    }
+
+    /// Gives the upstreams of a service that may take a request, in the order of their names.
+    fn open(&self, need: &Need<'_>, now: Tick) -> Result<Vec<&Upstream>, NoUpstream> {
+        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
+        let all: Vec<&Upstream> = self.all.values().filter(serves).collect();
         if all.is_empty() {
             return Err(NoUpstream::None);
         }
@@ -167,27 +212,7 @@
             open.retain(|upstream| reached(upstream));
         }
         open.sort_by(|a, b| a.listed.id.cmp(&b.listed.id));
-        // The last part belongs to the request alone; the one before it is the largest that others share.
-        let shared = need.parts.len().saturating_sub(2);
-        let lead = need.parts.get(shared).map_or(0, |part| part.key);
-        let all = open.iter().enumerate();
-        let candidates = all.map(|(at, upstream)| upstream.candidate(at, lead, need, now));
-        let mut candidates: Vec<Candidate> = candidates.filter(|one| one.load < one.slots * QUEUE).collect();
-        let tokens = need.parts.iter().map(|part| part.tokens).sum();
-        let shared_tokens = need.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
-        believe_home(&mut candidates, shared_tokens);
-        // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
-        let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
-        let predicted = choose(&candidates, tokens, close_ms).ok_or(NoUpstream::Full)?;
-        let chosen = open[predicted.at];
-        let candidate = candidates.iter().find(|one| one.at == predicted.at);
-        Ok(Chosen {
-            id: chosen.listed.id.clone(),
-            address: chosen.listed.address,
-            predicted,
-            load: candidate.map_or(0.0, |one| one.load),
-            cached: candidate.map_or(0, |one| one.cached),
-        })
+        Ok(open)
     }
 
     /// Gives what the others should know.
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -47,7 +47,7 @@
 fn reclaim_wave() {
     let report = replay(&grown(), 1);
     println!("{report:?}");
-    let [plans, questions, notices] = &report.kinds[..] else {
+    let [plans, questions, notices] = &*report.kinds else {
         panic!("three kinds were asked for");
     };
     assert!(part(|one| one.paused, plans) < 0.12, "{plans:?}");
