--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -14,6 +14,8 @@
 const HOST_S: f64 = 10.0;
 /// Time before a request's end in which news of its upstream count, in seconds: what drains may take as long.
 const UPSTREAM_S: f64 = 30.0;
+/// Time after a request's end in which they do, in seconds: hosts learn that an upstream is taken away up to 1.5 s late.
+const UPSTREAM_LATE_S: f64 = 2.0;
 /// Messages about a host that explain what happens to its requests.
 const HOST_NEWS: [&str; 7] = [
     "serving",
@@ -88,14 +90,15 @@
         .map(|line| text(line, "upstream"))
         .filter(|id| !id.is_empty())
         .collect();
-    let before = |line: &Value, window: f64| (0.0..=window).contains(&(end - time(line)));
-    let of_host =
-        |line: &&Value| text(line, "node") == host && HOST_NEWS.contains(&text(line, "msg")) && before(line, HOST_S);
+    let within = |line: &Value, before: f64, after: f64| (-after..=before).contains(&(end - time(line)));
+    let of_host = |line: &&Value| {
+        text(line, "node") == host && HOST_NEWS.contains(&text(line, "msg")) && within(line, HOST_S, 0.0)
+    };
     let of_upstream = |line: &&Value| {
         let named = text(line, "upstreams")
             .split(',')
             .any(|named| upstreams.contains(named));
-        text(line, "node") == host && named && before(line, UPSTREAM_S)
+        text(line, "node") == host && named && within(line, UPSTREAM_S, UPSTREAM_LATE_S)
     };
     let mut found: Vec<&Value> = own.clone();
     found.extend(lines.iter().filter(|line| of_host(line) || of_upstream(line)));
@@ -133,6 +136,10 @@
     if told("attempt failed") || why.contains("broke off") || why.contains("may have run") {
         return format!("the upstream failed: {why}");
     }
+    if text(last, "outcome") == "broken" && why.contains("time is over") {
+        let (first, took) = (&last["first_ms"], &last["took_ms"]);
+        return format!("the answer began after {first} ms and was not whole in its time, {took} ms");
+    }
     if last.get("late") == Some(&Value::Bool(true)) {
         let (load, predicted) = (&last["load"], &last["predicted_ms"]);
         return format!("late at the upstream: {load} requests there, {predicted} ms were predicted");
--- a/crates/ctl/tests/log_trace.rs
+++ b/crates/ctl/tests/log_trace.rs
@@ -33,6 +33,43 @@
     assert!(found.cause.contains("taken away"), "{}", found.cause);
 }
 
+/// The notice of a reclaim is shorter than the list lags: the stream ends first, and its host hears why a second later.
+#[test]
+fn reclaim_heard_late() {
+    let lines = [
+        line(
+            12,
+            "e1",
+            "request ended",
+            json!({"request": "q", "upstream": "i-2", "outcome": "broken",
+            "why": "stream broke off: unknown: closed within the answer"}),
+        ),
+        line(13, "e1", "upstreams leave", json!({"upstreams": "i-1,i-2"})),
+    ];
+    let told = cause("q", &lines);
+    assert!(told.contains("taken away"), "{told}");
+    let much_later = line(25, "e1", "upstreams leave", json!({"upstreams": "i-2"}));
+    let told = cause("q", &[lines[0].clone(), much_later]);
+    assert!(told.contains("upstream failed"), "{told}");
+}
+
+/// A long answer is still under way when its time is over. That its first event was late besides is not why it broke off.
+#[test]
+fn out_of_time() {
+    let ended = line(
+        12,
+        "e1",
+        "request ended",
+        json!({"request": "q", "upstream": "i-2", "outcome": "broken", "late": true, "first_ms": 2_031, "took_ms": 2_693,
+        "why": "the time is over"}),
+    );
+    let told = cause("q", &[ended]);
+    assert!(
+        told.contains("2031 ms") && told.contains("not whole in its time"),
+        "{told}"
+    );
+}
+
 #[test]
 fn quota_causes() {
     let refused = line(
