--- /dev/null
+++ b/crates/gateway/tests/common/words.rs
@@ -0,0 +1,72 @@
+//! Headers of the tests' own.
+
+use std::time::Duration;
+
+use contract::KeyHash;
+use gateway::dialect::{Asked, Attempt, Copying, Dialect, Tokens, Told};
+use gateway::head::{Head, RequestLine, StatusLine};
+
+/// Headers of the tests' own.
+pub(super) struct Words;
+
+impl Dialect for Words {
+    fn asked(&self, head: &Head<RequestLine>) -> Result<Asked, String> {
+        let number = |name| head.get(name).and_then(|text| text.parse().ok());
+        Ok(Asked {
+            id: head.get("id").unwrap_or_default().to_owned(),
+            patience: number("wait-ms").map(Duration::from_millis),
+            key: head.get("key").map(KeyHash::of),
+            after: number("after"),
+            tokens: number("prompt")
+                .zip(number("most"))
+                .map(|(prompt, answer)| Tokens { prompt, answer }),
+            ..Asked::default()
+        })
+    }
+
+    fn passes(&self, name: &[u8]) -> bool {
+        !["key", "after", "wait-ms", "account"]
+            .iter()
+            .any(|own| name.eq_ignore_ascii_case(own.as_bytes()))
+    }
+
+    fn write(&self, out: &mut Vec<u8>, attempt: &Attempt<'_>) {
+        let after = attempt
+            .after
+            .map(|after| format!("After: {after}\r\n"))
+            .unwrap_or_default();
+        let (left, upstream) = (attempt.left.as_millis(), attempt.upstream);
+        let copy = attempt
+            .copy
+            .map(|copy| format!("Copy: {}/{}\r\n", copy.source, copy.handle));
+        let copy = copy.unwrap_or_default();
+        let lines = format!("Wait-Ms: {left}\r\nMeant: {upstream}\r\n{after}{copy}");
+        out.extend_from_slice(lines.as_bytes());
+    }
+
+    fn write_copy(&self, out: &mut Vec<u8>, copying: &Copying) {
+        let Copying { request, to, last, .. } = copying;
+        let text =
+            format!("POST /copy HTTP/1.1\r\nOf: {request}\r\nTo: {to}\r\nLast: {last}\r\nContent-Length: 0\r\n\r\n");
+        out.extend_from_slice(text.as_bytes());
+    }
+
+    fn copied(&self, body: &[u8]) -> Option<String> {
+        String::from_utf8(body.to_vec()).ok()
+    }
+
+    fn told(&self, head: &Head<StatusLine>) -> Told {
+        Told {
+            id: head.get("id").map(str::to_owned),
+            refused: head.get("not-run").is_some(),
+            other: head.start.status == 421,
+            signed: head.get("signed").is_some(),
+            load: None,
+            idle: None,
+        }
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+}
