Correct a figure in a comment

330 refused plans within their quota was an estimate that took in the account set below its use; the logs show 157 tries of the other accounts before and 1 after. A comment only.

--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -6,7 +6,7 @@
 //! everything would refuse some at one host while another has room. What a full part gains goes back to the leader's pool.
 //!
 //! With eighty entry hosts a part holds fewer tokens than one long prompt asks for. If it kept what it can't use, three
-//! fifths of the quota would be there for short prompts only: 330 of 4,360 plans of a calm day were refused within the quota.
+//! fifths of the quota would be there for short prompts only: on a calm day 157 tries of accounts within theirs were refused, 1 since.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
