Believe homes to hold shared parts only as far as others can have had them read

Cause: the home of a prompt counted as holding its shared parts always.

Change: an entry host counts how often it sends prompts of a part; with the other hosts' number and the time for which the upstream has been listed this gives how likely one of them has had the part read, and by so much the home is believed.

Tests: prompt_place::{new_home_empty, seldom_used} call the new function, so that they can't be run on the old code; there the home held everything from the first moment.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -139,6 +139,7 @@
         let tokens: u64 = self.asked.parts.iter().map(|part| part.tokens).sum();
         gate.note_prompt(&self.service, tokens.saturating_sub(chosen.cached));
         let mut upstreams = gate.upstreams.borrow_mut();
+        upstreams.note_use(&self.asked.parts, now);
         let upstream = upstreams.get(&chosen.id);
         upstream.map_or(0, |upstream| upstream.sent(&self.asked.parts, chosen, now))
     }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -8,8 +8,9 @@
 use contract::{Listed, ServiceName, Zone};
 use policy::Tick;
 use policy::breaker::Breaker;
+use policy::homes::{Uses, believe_home};
 use policy::load::{LoadEstimate, Report};
-use policy::place::{Backlog, Cached, Candidate, Part, Predicted, believe_home, choose};
+use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
 use policy::reach::Reach;
 use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,6 +42,8 @@
     own: u32,
     /// Hash of its name, for the homes of prompts.
     hash: u64,
+    /// When it was listed first.
+    since: Tick,
     backlog: Backlog,
     /// Load that it told this entry host, and when.
     sight: Option<(Load, Tick)>,
@@ -59,6 +62,8 @@
 pub struct Upstreams {
     all: HashMap<String, Upstream>,
     zones: HashMap<Zone, Rc<Reach>>,
+    /// How often prompts share their parts.
+    uses: Uses,
     /// When the newest list was asked for.
     pub listed: Option<Tick>,
 }
@@ -90,12 +95,12 @@
     fn shared_tokens(&self) -> u64 {
         self.parts.iter().rev().skip(1).map(|part| part.tokens).sum()
     }
+}
 
-    /// Gives the key of the innermost part that others share, by which the home is found.
-    fn lead(&self) -> u64 {
-        let at = self.parts.len().saturating_sub(2);
-        self.parts.get(at).map_or(0, |part| part.key)
-    }
+/// Gives the key of the innermost part that others share, by which the home of a prompt is found.
+fn lead(parts: &[Part]) -> u64 {
+    let at = parts.len().saturating_sub(2);
+    parts.get(at).map_or(0, |part| part.key)
 }
 
 /// The upstream that was chosen.
@@ -136,7 +141,7 @@
             let id = listed.id.clone();
             let reach = Rc::clone(self.zones.entry(listed.zone.clone()).or_default());
             let upstream = match before.remove(&id) {
-                Some(known) if known.listed.start != listed.start => Upstream::new(listed, reach),
+                Some(known) if known.listed.start != listed.start => Upstream::new(listed, reach, asked),
                 Some(mut known) => {
                     if listed.leaving && !known.listed.leaving {
                         ended.push(id.clone());
@@ -145,7 +150,7 @@
                     known.listed = listed;
                     known
                 }
-                None => Upstream::new(listed, reach),
+                None => Upstream::new(listed, reach, asked),
             };
             if let Some(left) = upstream.listed.left.filter(|_| upstream.listed.leaving) {
                 upstream.notice.tell(asked + left);
@@ -164,11 +169,15 @@
     pub fn choose(&self, need: &Need<'_>, now: Tick) -> Result<Chosen, NoUpstream> {
         self.judge_reach(now);
         let open = self.open(need, now)?;
-        let lead = need.lead();
+        let lead = lead(need.parts);
         let all = open.iter().enumerate();
         let candidates = all.map(|(at, upstream)| upstream.candidate(at, lead, need, now));
         let mut candidates: Vec<Candidate> = candidates.filter(|one| one.load < one.slots * QUEUE).collect();
-        believe_home(&mut candidates, need.shared_tokens());
+        let others = need.entries.saturating_sub(1);
+        believe_home(&mut candidates, need.shared_tokens(), |home| {
+            let there = now.since(open[home.at].since).min(self.uses.span(now));
+            self.uses.read_by_others(lead, others, there, now)
+        });
         // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
         let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
         let predicted = choose(&candidates, need.tokens(), close_ms).ok_or(NoUpstream::Full)?;
@@ -234,6 +243,13 @@
         }
     }
 
+    /// Notes that a prompt is sent.
+    pub fn note_use(&mut self, parts: &[Part], now: Tick) {
+        if parts.len() > 1 {
+            self.uses.note(lead(parts), now);
+        }
+    }
+
     /// Gives an upstream.
     pub fn get(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
@@ -241,9 +257,10 @@
 }
 
 impl Upstream {
-    fn new(listed: Listed, reach: Rc<Reach>) -> Self {
+    fn new(listed: Listed, reach: Rc<Reach>, since: Tick) -> Self {
         Self {
             reach,
+            since,
             hash: xxh3_64(listed.id.as_bytes()),
             listed,
             load: LoadEstimate::default(),
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -194,6 +194,7 @@
             self.report.kinds[kind].refused += 1;
             return;
         };
+        self.hosts[host].note_use(&parts, now);
         let upstream = self.hosts[host].get(&chosen.id).expect("the choice is listed");
         let number = upstream.sent(&parts, &chosen, now);
         let at: usize = chosen.id[1..].parse().expect("a number");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod divide;
 pub mod fair;
 pub mod fleet;
+pub mod homes;
 pub mod lane;
 pub mod life;
 pub mod limits;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -179,18 +179,6 @@
     pub free: bool,
 }
 
-/// Takes the home of a prompt to hold its shared parts, so many tokens.
-///
-/// With eighty entry hosts each has sent one in eighty of the prompts that share parts, so that what it remembers says nothing.
-/// If only that counted, all would leave a home that is busy for a moment, read the parts at many engines, and make these busy.
-/// Replayed with 75 engines, answers that begin late fall from 9 to 5 in 100 and shared tokens that are read again from 0.65 to
-/// 0.5 of all.
-pub fn believe_home(options: &mut [Candidate], shared: u64) {
-    if let Some(home) = options.iter_mut().max_by_key(|option| option.weight) {
-        home.cached = home.cached.max(shared);
-    }
-}
-
 /// Predicts the time until an upstream answers a prompt of so many tokens.
 #[must_use]
 pub fn predict(option: &Candidate, tokens: u64) -> Predicted {
--- a/crates/policy/tests/prompt_place.rs
+++ b/crates/policy/tests/prompt_place.rs
@@ -1,7 +1,10 @@
 //! Where prompts go: to what holds their beginning, unless waiting there costs more.
 
+use std::time::Duration;
+
 use policy::Tick;
-use policy::place::{Backlog, Cached, Candidate, Part, believe_home, choose, reading_ms};
+use policy::homes::{Uses, believe_home};
+use policy::place::{Backlog, Cached, Candidate, Part, choose, reading_ms};
 
 fn candidate(at: usize, load: f64) -> Candidate {
     Candidate {
@@ -59,10 +62,45 @@
     let mut two = [candidate(0, 2.0), candidate(1, 2.0)];
     two[1].backlog_ms = 60.0;
     assert_eq!(chosen(&two, 9_000), 0);
-    believe_home(&mut two, 6_000);
+    believe_home(&mut two, 6_000, |_| 1.0);
     assert_eq!(chosen(&two, 9_000), 1);
 }
 
+/// Everything has just started, or an upstream has: nobody can have read the parts of forty thousand tokens there yet. Counted
+/// as held, the next requests would be sent behind a second of reading, all of them late.
+#[test]
+fn new_home_empty() {
+    let mut uses = Uses::default();
+    let at = Tick::from_millis;
+    for ms in (0..20_000).step_by(500) {
+        uses.note(ms / 500 % 4, at(ms));
+    }
+    let now = at(20_000);
+    let held = |age_ms| uses.read_by_others(1, 7, Duration::from_millis(age_ms), now);
+    assert!(held(0) < 0.01);
+    assert!((0.2..0.8).contains(&held(200)), "{}", held(200));
+    assert!(held(5_000) > 0.99);
+    let first = Uses::default();
+    assert!(first.read_by_others(1, 7, Duration::from_mins(1), now) < 0.01);
+    let mut home = [candidate(0, 0.0)];
+    believe_home(&mut home, 40_000, |_| held(0));
+    assert!(home[0].cached < 400);
+}
+
+/// Some parts are asked for all the time, others once a minute. What is asked for seldom is not taken for read where the others
+/// would be.
+#[test]
+fn seldom_used() {
+    let mut uses = Uses::default();
+    for ms in (0..20_000).step_by(100) {
+        uses.note(1, Tick::from_millis(ms));
+    }
+    uses.note(2, Tick::from_millis(1_000));
+    let held = |key| uses.read_by_others(key, 7, Duration::from_millis(300), Tick::from_millis(20_000));
+    assert!(held(1) > 0.99);
+    assert!(held(2) < 0.5, "{}", held(2));
+}
+
 /// Each token of a prompt looks at all before it. Counted by tokens alone, an engine that reads fifty thousand would seem to
 /// be free again after half of the time, and others would be sent behind them.
 #[test]
@@ -77,7 +115,7 @@
 #[test]
 fn long_prompt_apart() {
     let mut two = [candidate(0, 0.0), candidate(1, 8.0)];
-    believe_home(&mut two, 5_000);
+    believe_home(&mut two, 5_000, |_| 1.0);
     assert_eq!(chosen(&two, 40_000), 0);
     assert_eq!(chosen(&two, 6_000), 1);
 }
