Learn how fast engines read prompts, and size the fleet by the time that reading takes

Cause: place and fleet held 64 tokens a millisecond and 0.65 ms a million pairs.

Change: policy::pace learns from the time to the first event of prompts that nothing known goes before: a quantile for each of base, token and pair rates, moved by the side on which an answer errs and not by its distance, so that a tenth of answers that come fifty times later don't matter; each upstream has a factor of its own. Predictions, backlogs, moves and the load that the leader sizes the fleet by (upstreams kept busy with reading, in place of tokens a second) ask it.

Tests: policy/learnt_pace (500 fixed seeds of engines over a factor of eight each, a tenth of the answers spoiled; a change to engines four times slower within 60 answers).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -46,7 +46,7 @@
     /// Notes the first event, or the whole answer.
     pub(crate) fn begun(&self) {
         if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.chosen.id) {
-            upstream.begun(self.number);
+            upstream.begun(self.number, self.gate.clock.now());
         }
     }
 
@@ -136,8 +136,7 @@
     /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
     fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
         let now = gate.clock.now();
-        let tokens: u64 = self.asked.parts.iter().map(|part| part.tokens).sum();
-        gate.note_prompt(&self.service, tokens.saturating_sub(chosen.cached));
+        gate.note_reading(&self.service, chosen.predicted.reading_ms, self.route.target_ms);
         let mut upstreams = gate.upstreams.borrow_mut();
         upstreams.note_use(&self.asked.parts, now);
         let upstream = upstreams.get(&chosen.id);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -16,7 +16,7 @@
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Beat, Parts, ServiceLoad, Sign};
+use wire::registry::{Beat, Parts, ReadingLoad, ServiceLoad, Sign};
 
 use crate::dialect::{Asked, Dialect};
 use crate::lender::Lender;
@@ -30,8 +30,10 @@
 /// Log lines a second for requests that were served as they should be. An entry host serves a tenth of that at the rates
 /// of the users' sheets; refused, failed and late requests are always logged.
 const LINES_PER_S: f64 = 100.0;
-/// Time over which the rate of prompt tokens is averaged: longer than the gaps between long prompts at one entry host.
+/// Time over which prompts are averaged: longer than the gaps between long prompts at one entry host.
 const AVERAGED: Duration = Duration::from_secs(4);
+/// Shortest time that the average is taken to cover; over less, one prompt would look like a flood.
+const SHORTEST: Duration = Duration::from_secs(1);
 /// Entry hosts that are assumed before their number was told.
 const UNTOLD_ENTRIES: u32 = 32;
 
@@ -90,28 +92,40 @@
     buckets: RefCell<HashMap<String, Bucket>>,
     repeats: RefCell<HashMap<ServiceName, Repeats>>,
     loads: RefCell<BTreeMap<String, ServiceLoad>>,
-    rates: RefCell<BTreeMap<String, Rate>>,
+    readings: RefCell<BTreeMap<String, Average>>,
     lines: RefCell<Bucket>,
 }
 
-/// An average of what comes a second.
+/// An average of the prompts that come.
 #[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_s: f64,
+struct Average {
+    reading: ReadingLoad,
     at: Tick,
+    /// When the first came.
+    since: Option<Tick>,
 }
 
-impl Rate {
-    fn add(&mut self, units: f64, now: Tick) {
+impl Average {
+    fn add(&mut self, one: &ReadingLoad, now: Tick) {
+        self.since.get_or_insert(now);
         self.fade(now);
-        self.per_s += units / AVERAGED.as_secs_f64();
+        self.reading.add(&one.times(1.0 / AVERAGED.as_secs_f64()));
     }
 
     fn fade(&mut self, now: Tick) {
         let passed = now.since(self.at).as_secs_f64();
-        self.per_s *= (-passed / AVERAGED.as_secs_f64()).exp();
+        self.reading = self.reading.times((-passed / AVERAGED.as_secs_f64()).exp());
         self.at = now;
     }
+
+    /// Gives what comes a second. In the first seconds the average covers less than its time, and would tell of a small part of
+    /// the load.
+    fn get(&mut self, now: Tick) -> ReadingLoad {
+        self.fade(now);
+        let span = now.since(self.since.unwrap_or(now)).max(SHORTEST);
+        let covered = 1.0 - (-span.as_secs_f64() / AVERAGED.as_secs_f64()).exp();
+        self.reading.times(1.0 / covered)
+    }
 }
 
 impl std::fmt::Debug for Gate {
@@ -154,7 +168,7 @@
             buckets: RefCell::default(),
             repeats: RefCell::default(),
             loads: RefCell::default(),
-            rates: RefCell::default(),
+            readings: RefCell::default(),
             lines: RefCell::new(Bucket::new(LINES_PER_S, Tick::default())),
         }
     }
@@ -177,9 +191,8 @@
         beat.spare = self.spare();
         beat.load.clone_from(&self.loads.borrow());
         let now = self.clock.now();
-        for (service, rate) in self.rates.borrow_mut().iter_mut() {
-            rate.fade(now);
-            beat.load.entry(service.clone()).or_default().prompt_per_s = rate.per_s;
+        for (service, average) in self.readings.borrow_mut().iter_mut() {
+            beat.load.entry(service.clone()).or_default().reading = average.get(now);
         }
     }
 
@@ -316,11 +329,18 @@
         repeats.take(now, &self.place.repeats, self.entries())
     }
 
-    /// Notes prompt tokens that were sent to an upstream to be read.
-    pub fn note_prompt(&self, service: &ServiceName, tokens: u64) {
+    /// Notes a prompt that was sent to an upstream, which reads for so many milliseconds, and whose answer should begin in so
+    /// many.
+    pub fn note_reading(&self, service: &ServiceName, ms: f64, target_ms: u64) {
         let now = self.clock.now();
-        let mut rates = self.rates.borrow_mut();
-        rates.entry(service.to_string()).or_default().add(tokens as f64, now);
+        let seconds = ms / 1_000.0;
+        let one = ReadingLoad {
+            busy: seconds,
+            squares: seconds * seconds,
+            targets: seconds * target_ms as f64 / 1_000.0,
+        };
+        let mut readings = self.readings.borrow_mut();
+        readings.entry(service.to_string()).or_default().add(&one, now);
     }
 
     /// Notes that a service's own running requests change in number.
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -12,6 +12,8 @@
 use contract::EngineSpec;
 use derive_more::{Display, Error};
 use metrics::counter;
+use policy::pace::{self, Reading};
+use policy::place::Predicted;
 use policy::rescue::{How, MOST_FAILURES, Rates, Stream, plan};
 use slog::info;
 use tokio::time::{Sleep, sleep, timeout};
@@ -29,8 +31,6 @@
 const COPY: Duration = Duration::from_millis(2_500);
 /// Factor on the copy of a token's cache between data centres, where the links are half as fast.
 const DISTANT: f64 = 2.0;
-/// Time in which an engine reads a token of a prompt, in microseconds; the deployments' sheets give 64 and 68 a millisecond.
-const PREFILL_US: u64 = 15;
 /// Time up to which a copy is made at once, with the stream stopped: callers notice no pause, and a second call would queue
 /// once more behind the other copies on the link.
 const SHORT: Duration = Duration::from_millis(25);
@@ -204,7 +204,8 @@
             return;
         };
         let stream = self.stream(request, gate, events, left);
-        let how = how(&stream, gate.engine(&request.service).unwrap_or_default());
+        let engine = gate.engine(&request.service).unwrap_or_default();
+        let how = how(&stream, engine, gate.upstreams.borrow().rates(&request.service));
         let to = (how == How::Export).then(|| self.target(request, gate)).flatten();
         let to_id = to.as_ref().map(|to| to.id.clone());
         info!(gate.logger, "upstream ends"; "request" => &request.asked.id, "upstream" => &self.from.id,
@@ -212,7 +213,6 @@
         let Some(to) = to else {
             return;
         };
-        let engine = gate.engine(&request.service).unwrap_or_default();
         if copy_time(&engine, stream.tokens).is_some_and(|time| time <= SHORT) {
             let call = self.call(request, gate, &to, true);
             self.step = Step::Stopping(to, call);
@@ -230,10 +230,19 @@
         if !chosen.predicted.free || !gate.may_repeat(&request.service) {
             return None;
         }
-        let whole = request.asked.parts.iter().map(|part| part.tokens).sum();
         // The copy brings everything that was read.
-        Some(Chosen {
+        let whole = request.asked.parts.iter().map(|part| part.tokens).sum();
+        let reading = Reading {
             cached: whole,
+            fresh: 0,
+        };
+        let predicted = Predicted {
+            reading_ms: 0.0,
+            ..chosen.predicted
+        };
+        Some(Chosen {
+            predicted,
+            reading,
             ..chosen
         })
     }
@@ -274,10 +283,10 @@
 }
 
 /// Decides what becomes of a stream whose upstream ends.
-fn how(stream: &Stream<()>, engine: EngineSpec) -> How {
+fn how(stream: &Stream<()>, engine: EngineSpec, learnt: pace::Rates) -> How {
     let rates = Rates {
         export: copy_time(&engine, 1),
-        prefill: Duration::from_micros(PREFILL_US),
+        prefill: Duration::from_secs_f64(learnt.token_ms / 1_000.0),
     };
     plan(&[*stream], &rates).first().map_or(How::Finish, |(_, how)| *how)
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -319,7 +319,7 @@
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
             "upstream" => placed.map(|placed| placed.id.as_str()), "load" => placed.map(|placed| placed.load),
             "predicted_ms" => placed.map(|placed| placed.predicted.ms as u64),
-            "cached" => placed.map(|placed| placed.cached), "parts" => self.asked.parts.len(),
+            "cached" => placed.map(|placed| placed.reading.cached), "parts" => self.asked.parts.len(),
             "prompt" => self.asked.tokens.map(|tokens| tokens.prompt), "version" => version);
     }
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! The upstreams of the list, with what is known of each: load, failures, cached parts of prompts.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,10 +8,12 @@
 
 use contract::{Listed, ServiceName, Zone};
 use policy::Tick;
+use policy::backlog::{Backlog, Sent};
 use policy::breaker::Breaker;
 use policy::homes::{Uses, believe_home};
 use policy::load::{LoadEstimate, Report};
-use policy::place::{Backlog, Cached, Candidate, Part, Predicted, choose};
+use policy::pace::{Own, Pace, Rates, Reading};
+use policy::place::{Cached, Candidate, Part, Predicted, choose};
 use policy::reach::Reach;
 use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,6 +30,10 @@
 /// prompt's parts instead of spreading them over all. Replayed with 75 engines, 0.49 of the shared tokens are read again at 25,
 /// 0.42 at 60 and 0.37 at 120, and no more answers are late.
 const CLOSE_MS: f64 = 100.0;
+/// Milliseconds of work before a request that don't show in the time to its first event.
+const LITTLE_MS: f64 = 5.0;
+/// Part of an upstream's slots up to which the other requests there don't hold up the reading of a prompt.
+const ALONE: f64 = 0.5;
 /// Queue places behind the slots that may be filled; an upstream refuses what comes on top.
 const QUEUE: f64 = 2.0;
 
@@ -49,6 +56,9 @@
     sight: Option<(Load, Tick)>,
     /// Until when it reads what other entry hosts have sent.
     others_until: Tick,
+    /// What is learnt of its service's upstreams, and how it differs from them.
+    pace: Rc<RefCell<Pace>>,
+    relative: Own,
     /// What is heard of its data centre.
     reach: Rc<Reach>,
     /// It said that it is another incarnation.
@@ -62,6 +72,8 @@
 pub struct Upstreams {
     all: HashMap<String, Upstream>,
     zones: HashMap<Zone, Rc<Reach>>,
+    /// How fast the upstreams of a service read prompts.
+    paces: HashMap<ServiceName, Rc<RefCell<Pace>>>,
     /// How often prompts share their parts.
     uses: Uses,
     /// When the newest list was asked for.
@@ -114,8 +126,8 @@
     pub predicted: Predicted,
     /// Load that the prediction rests on.
     pub load: f64,
-    /// Prompt tokens that are believed to be cached there.
-    pub cached: u64,
+    /// What the prompt is believed to ask of it.
+    pub reading: Reading,
 }
 
 /// Why no upstream was chosen.
@@ -140,8 +152,9 @@
         for listed in list {
             let id = listed.id.clone();
             let reach = Rc::clone(self.zones.entry(listed.zone.clone()).or_default());
+            let pace = Rc::clone(self.paces.entry(listed.service.clone()).or_default());
             let upstream = match before.remove(&id) {
-                Some(known) if known.listed.start != listed.start => Upstream::new(listed, reach, asked),
+                Some(known) if known.listed.start != listed.start => Upstream::new(listed, (reach, pace), asked),
                 Some(mut known) => {
                     if listed.leaving && !known.listed.leaving {
                         ended.push(id.clone());
@@ -150,7 +163,7 @@
                     known.listed = listed;
                     known
                 }
-                None => Upstream::new(listed, reach, asked),
+                None => Upstream::new(listed, (reach, pace), asked),
             };
             if let Some(left) = upstream.listed.left.filter(|_| upstream.listed.leaving) {
                 upstream.notice.tell(asked + left);
@@ -188,7 +201,7 @@
             address: chosen.listed.address,
             predicted,
             load: candidate.map_or(0.0, |one| one.load),
-            cached: candidate.map_or(0, |one| one.cached),
+            reading: candidate.map_or_else(Reading::default, |one| one.reading(need.tokens())),
         })
     }
 
@@ -250,6 +263,13 @@
         }
     }
 
+    /// Gives what has been learnt of the upstreams of a service.
+    #[must_use]
+    pub fn rates(&self, service: &ServiceName) -> Rates {
+        let pace = self.paces.get(service);
+        pace.map_or_else(Rates::default, |pace| pace.borrow().rates())
+    }
+
     /// Gives an upstream.
     pub fn get(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
@@ -257,9 +277,11 @@
 }
 
 impl Upstream {
-    fn new(listed: Listed, reach: Rc<Reach>, since: Tick) -> Self {
+    fn new(listed: Listed, (reach, pace): (Rc<Reach>, Rc<RefCell<Pace>>), since: Tick) -> Self {
         Self {
             reach,
+            pace,
+            relative: Own::default(),
             since,
             hash: xxh3_64(listed.id.as_bytes()),
             listed,
@@ -286,16 +308,27 @@
             cached: self.cached.tokens(need.parts, now),
             weight: xxh3_64(&(self.hash ^ lead).to_le_bytes()),
             near: self.listed.zone == *need.zone,
-            backlog_ms: self.backlog.ms(now) + self.others_until.since(now).as_secs_f64() * 1_000.0,
+            backlog_ms: self.before_ms(now),
+            rates: self.pace.borrow().rates().scaled(self.relative.factor()),
         }
     }
 
+    /// Gives the milliseconds of work that goes before a request that is sent now.
+    fn before_ms(&self, now: Tick) -> f64 {
+        self.backlog.ms(now) + self.others_until.since(now).as_secs_f64() * 1_000.0
+    }
+
     /// Notes that a request is sent; with a prompt, its parts will be cached. Gives the number under which it waits for
     /// its first event.
     pub fn sent(&mut self, parts: &[Part], chosen: &Chosen, now: Tick) -> u64 {
-        let tokens: u64 = parts.iter().map(|part| part.tokens).sum();
-        let fresh = tokens.saturating_sub(chosen.cached);
-        let number = self.backlog.sent(fresh, chosen.predicted.ms, now);
+        let alone = self.before_ms(now) < LITTLE_MS && chosen.load < f64::from(self.listed.slots) * ALONE;
+        let sent = Sent {
+            reading: chosen.reading,
+            reading_ms: chosen.predicted.reading_ms,
+            predicted_ms: chosen.predicted.ms,
+            alone: alone && !parts.is_empty(),
+        };
+        let number = self.backlog.sent(sent, now);
         self.own += 1;
         self.load.sent(now);
         self.cached.store(parts, now);
@@ -305,14 +338,21 @@
     }
 
     /// Notes that a request got its first event, or its whole answer.
-    pub fn begun(&mut self, number: u64) {
-        self.backlog.begun(number);
+    pub fn begun(&mut self, number: u64, now: Tick) {
         self.breaker.succeeded();
+        let Some(begun) = self.backlog.begun(number, now).filter(|begun| begun.sent.alone) else {
+            return;
+        };
+        let mut pace = self.pace.borrow_mut();
+        let (reading, rates) = (begun.sent.reading, pace.rates());
+        self.relative
+            .learn(begun.seen_ms, rates.base_ms + rates.reading_ms(reading));
+        pace.learn(reading, begun.seen_ms, self.relative.factor());
     }
 
     /// Notes that a request has ended there.
     pub fn ended(&mut self, number: u64, now: Tick) {
-        self.backlog.begun(number);
+        self.backlog.ended(number);
         self.own = self.own.saturating_sub(1);
         self.load.ended(now);
     }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,8 +8,6 @@
 
 use contract::{Scaling, Zone};
 
-use crate::place::PREFILL_PER_MS;
-
 /// Requests that one upstream runs at once while first events are on time. Measured on the users' sheets: at sixteen
 /// running requests an engine reads prompts half of the time.
 const PER_UPSTREAM: f64 = 16.0;
@@ -56,12 +54,12 @@
     pub reclaimable: u32,
 }
 
-/// Gives the upstreams that are needed for so many requests at once, which bring so many prompt tokens a second.
+/// Gives the upstreams that are needed for so many requests at once, whose prompts keep so many busy with reading.
 ///
 /// The count of requests alone says too little: with long prompts an upstream is full while few run there.
 #[must_use]
-pub fn needed(running: f64, prompt_per_s: f64, slots: u32) -> f64 {
-    let reading = prompt_per_s / (PREFILL_PER_MS * 1_000.0 * READING);
+pub fn needed(running: f64, busy: f64, slots: u32) -> f64 {
+    let reading = busy / READING;
     // Under too much load requests pile up. Upstreams that are ordered for the pile start when it is gone.
     let piled = BACKLOG.0 * reading + BACKLOG.1;
     let each = PER_UPSTREAM.min(f64::from(slots.max(2)) * FILLED);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock; the time comes in as a [`Tick`], so that every decision can be tested and
 //! replayed.
 
+pub mod backlog;
 pub mod breaker;
 pub mod budget;
 pub mod cache;
@@ -14,6 +15,7 @@
 pub mod life;
 pub mod limits;
 pub mod load;
+pub mod pace;
 pub mod parts;
 pub mod place;
 pub mod plan;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -5,14 +5,8 @@
 use std::time::Duration;
 
 use crate::Tick;
+use crate::pace::{Rates, Reading};
 
-/// Prompt tokens that an engine reads in a millisecond until something better is known; the deployments' sheets give 64
-/// and 68.
-pub const PREFILL_PER_MS: f64 = 64.0;
-/// Milliseconds that an engine takes for a million pairs of tokens: each token of a prompt looks at all before it. On calm days
-/// answers to prompts of more than 40,000 tokens begin after 1.3 to 1.7 s where nothing goes before them (the quickest tenth);
-/// without the pairs 0.85 s were predicted in the median, with them 1.8.
-const PAIRS_MS: f64 = 0.65;
 /// Milliseconds for which an engine may read without a pause: callers count an answer as late from 600 ms between two events,
 /// and one event holds the tokens of eight steps.
 const PAUSE_MS: f64 = 400.0;
@@ -31,20 +25,11 @@
 const QUEUED_MS: f64 = 30.0;
 /// Milliseconds that another data centre is taken to be farther; it breaks ties and saves traffic between them.
 const DISTANCE_MS: f64 = 2.0;
-/// Longest that a request without a first event is taken for a sign of a backlog; one that waits longer has got lost.
-const LONGEST_WAIT: Duration = Duration::from_secs(3);
 /// How long a part of a prompt is believed to stay cached after its last use.
 const CACHED: Duration = Duration::from_mins(1);
 /// Parts of prompts that are remembered for one upstream; more than its cache holds at common sizes.
 const MAX_PARTS: usize = 4_096;
 
-/// Gives the milliseconds in which an engine reads the rest of a prompt of which it holds the beginning.
-#[must_use]
-pub fn reading_ms(cached: u64, fresh: u64) -> f64 {
-    let (cached, fresh) = (cached as f64, fresh as f64);
-    fresh / PREFILL_PER_MS + fresh * (cached + fresh / 2.0) / 1e6 * PAIRS_MS
-}
-
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -89,64 +74,6 @@
     }
 }
 
-/// What an upstream still has to read, as far as an entry host can tell.
-///
-/// Prompts are read one after the other. One of fifty thousand tokens takes most of a second, and whatever is sent to the
-/// same upstream meanwhile is late, although the count of its requests is low.
-#[derive(Clone, Debug, Default)]
-pub struct Backlog {
-    /// When the prompts that were sent will have been read.
-    read_at: Tick,
-    /// Requests without a first event: when they were sent, and what was predicted.
-    waiting: HashMap<u64, (Tick, f64)>,
-    next: u64,
-}
-
-impl Backlog {
-    /// Notes a request with so many tokens to read; gives the number under which it waits.
-    pub fn sent(&mut self, fresh: u64, predicted_ms: f64, now: Tick) -> u64 {
-        self.note(fresh, now);
-        self.next += 1;
-        self.waiting.insert(self.next, (now, predicted_ms));
-        self.next
-    }
-
-    /// Notes tokens that somebody has sent.
-    pub fn note(&mut self, fresh: u64, now: Tick) {
-        let ms = reading_ms(0, fresh);
-        self.read_at = self.read_at.max(now) + Duration::from_secs_f64(ms / 1_000.0);
-    }
-
-    /// Notes that a request got its first event, or ended.
-    pub fn begun(&mut self, number: u64) {
-        self.waiting.remove(&number);
-    }
-
-    /// Gives the milliseconds of own prompts that are not read yet.
-    #[must_use]
-    pub fn unread_ms(&self, now: Tick) -> f64 {
-        self.read_at.since(now).as_secs_f64() * 1_000.0
-    }
-
-    /// Gives when the request was sent that has waited longest for its first event.
-    #[must_use]
-    pub fn oldest(&self) -> Option<Tick> {
-        self.waiting.values().map(|(sent, _)| *sent).min()
-    }
-
-    /// Gives the milliseconds of work that goes before a new request: what is not read yet, or by how much requests wait
-    /// longer than was predicted because of what others sent.
-    #[must_use]
-    pub fn ms(&self, now: Tick) -> f64 {
-        let own = self.unread_ms(now);
-        let longer = |(sent, predicted): &(Tick, f64)| {
-            let waited = now.since(*sent);
-            (waited < LONGEST_WAIT).then(|| waited.as_secs_f64() * 1_000.0 - predicted)
-        };
-        self.waiting.values().filter_map(longer).fold(own, f64::max)
-    }
-}
-
 /// An upstream that may take the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -164,6 +91,19 @@
     pub near: bool,
     /// Milliseconds of work that goes before, as far as known: prompts that were sent there and are not read yet.
     pub backlog_ms: f64,
+    /// What it takes to read a prompt.
+    pub rates: Rates,
+}
+
+impl Candidate {
+    /// Gives what a prompt of so many tokens asks of it.
+    #[must_use]
+    pub fn reading(&self, tokens: u64) -> Reading {
+        Reading {
+            cached: self.cached,
+            fresh: tokens.saturating_sub(self.cached),
+        }
+    }
 }
 
 /// What is predicted for one upstream.
@@ -173,6 +113,8 @@
     pub at: usize,
     /// Milliseconds until the answer begins.
     pub ms: f64,
+    /// Milliseconds of them in which the prompt is read.
+    pub reading_ms: f64,
     /// Milliseconds that weigh against it besides: requests that run there get no tokens while a long prompt is read.
     pub harm_ms: f64,
     /// Whether it takes the request without queueing it.
@@ -192,16 +134,17 @@
     } else {
         ((filled - CROWDED) / (1.0 - CROWDED)).max(0.0)
     };
-    let fresh = tokens.saturating_sub(option.cached);
-    let ms = reading_ms(option.cached, fresh) * (1.0 + crowd)
+    let reading_ms = option.rates.reading_ms(option.reading(tokens));
+    let ms = reading_ms * (1.0 + crowd)
         + crowd * crowd * CROWD_MS
         + queued * QUEUED_MS
         + if option.near { 0.0 } else { DISTANCE_MS }
         + option.backlog_ms;
-    let held_up = (option.backlog_ms + reading_ms(option.cached, fresh) - PAUSE_MS).max(0.0);
+    let held_up = (option.backlog_ms + reading_ms - PAUSE_MS).max(0.0);
     Predicted {
         at: option.at,
         ms,
+        reading_ms,
         harm_ms: held_up * option.load * HARM,
         free: queued == 0.0,
     }
--- /dev/null
+++ b/crates/policy/tests/learnt_pace.rs
@@ -0,0 +1,128 @@
+//! The speed of engines is learnt from answers, whatever it was taken for before.
+
+use policy::pace::{Own, Pace, Rates, Reading};
+use quickcheck::quickcheck;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Answers of half a minute at one entry host.
+const ANSWERS: usize = 200;
+
+fn prompt(rng: &mut StdRng) -> Reading {
+    // Short questions, and plans whose shared part is cached most of the time.
+    let long = rng.random_bool(0.5);
+    Reading {
+        cached: if long { rng.random_range(0..20_000) } else { 0 },
+        fresh: if long {
+            rng.random_range(1_000..30_000)
+        } else {
+            rng.random_range(300..3_000)
+        },
+    }
+}
+
+/// Draws rates over a factor of eight each.
+fn engine(rng: &mut StdRng) -> Rates {
+    let mut draw = |middle: f64| middle * (rng.random_range(-1.04..1.04f64)).exp();
+    Rates {
+        base_ms: draw(15.0),
+        token_ms: draw(0.02),
+        pairs_ms: draw(0.3),
+    }
+}
+
+fn seen(rates: &Rates, reading: Reading, rng: &mut StdRng) -> f64 {
+    (rates.base_ms + rates.reading_ms(reading)) * rng.random_range(0.95..1.1)
+}
+
+/// Gives by which factor what is learnt differs from what a prompt takes, at most, over prompts of common sizes.
+fn error(learnt: &Rates, real: &Rates) -> f64 {
+    let sizes = [(0, 1_500), (0, 8_000), (12_000, 4_000), (0, 25_000)];
+    let ratio = |(cached, fresh)| {
+        let reading = Reading { cached, fresh };
+        (learnt.reading_ms(reading) / real.reading_ms(reading)).ln().abs()
+    };
+    sizes.into_iter().map(ratio).fold(0.0, f64::max).exp()
+}
+
+/// Gives by how much a speed is still off that was learnt from answers of which one in ten came much later, since the prompts of
+/// other entry hosts went before it.
+fn learnt_error(seed: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let real = engine(&mut rng);
+    let mut pace = Pace::default();
+    for _ in 0..ANSWERS {
+        let reading = prompt(&mut rng);
+        let spoiled = if rng.random_bool(0.1) {
+            rng.random_range(2.0..50.0)
+        } else {
+            1.0
+        };
+        let ms = seen(&real, reading, &mut rng) * spoiled;
+        pace.learn(reading, ms, 1.0);
+    }
+    error(&pace.rates(), &real)
+}
+
+/// Engines may be eight times as fast as others. A speed that is off by two would make half of the fleet too much, or leave half
+/// of it away.
+#[test]
+fn finds_speed() {
+    let mut errors: Vec<f64> = (0..500).map(learnt_error).collect();
+    errors.sort_by(f64::total_cmp);
+    let (median, worst) = (errors[250], errors[499]);
+    assert!(median < 1.15 && worst < 2.0, "median {median}, worst {worst}");
+}
+
+quickcheck! {
+    /// Whatever comes, a rate stays a rate: one that became nothing or endless would send all prompts to one engine.
+    fn stays_finite(answers: Vec<(u32, u32, u32)>) -> bool {
+        let mut pace = Pace::default();
+        let mut own = Own::default();
+        for (cached, fresh, ms) in answers {
+            let reading = Reading { cached: u64::from(cached), fresh: u64::from(fresh) };
+            pace.learn(reading, f64::from(ms), own.factor());
+            own.learn(f64::from(ms), pace.rates().reading_ms(reading));
+        }
+        let Rates { base_ms, token_ms, pairs_ms } = pace.rates();
+        [base_ms, token_ms, pairs_ms, own.factor()].iter().all(|rate| rate.is_finite() && *rate > 0.0)
+    }
+}
+
+/// New engines take the places of others, and read a quarter as fast. For as long as they are taken for the old ones,
+/// everything is late.
+#[test]
+fn speed_changes() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut pace = Pace::default();
+    let mut real = Rates {
+        base_ms: 14.0,
+        token_ms: 0.01,
+        pairs_ms: 0.2,
+    };
+    for round in 0..2 {
+        // Sixty answers: what one entry host gets in some eight seconds.
+        for _ in 0..60 {
+            let reading = prompt(&mut rng);
+            let ms = seen(&real, reading, &mut rng);
+            pace.learn(reading, ms, 1.0);
+        }
+        assert!(error(&pace.rates(), &real) < 1.6, "round {round}: {:?}", pace.rates());
+        real = real.scaled(4.0);
+    }
+}
+
+/// One engine of a service takes three times as long as the others; prompts that were sent there as if it didn't would be late.
+#[test]
+fn one_slower() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut own = Own::default();
+    for _ in 0..40 {
+        own.learn(300.0 * rng.random_range(0.9..1.1), 100.0);
+    }
+    assert!((2.2..3.5).contains(&own.factor()), "{}", own.factor());
+    for _ in 0..40 {
+        own.learn(100.0 * rng.random_range(0.9..1.1), 100.0);
+    }
+    assert!((0.7..1.3).contains(&own.factor()), "{}", own.factor());
+}
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -220,7 +220,7 @@
             for (service, load) in loads {
                 let all = sum.entry(service.clone()).or_default();
                 all.running += load.running;
-                all.prompt_per_s += load.prompt_per_s;
+                all.reading.add(&load.reading);
             }
         }
         sum
