Tell with the signs by how much requests are overdue; learn how long slots are kept

Each entry host knew by its own requests that they waited there, and told only what it had sent itself. The wait for a slot held 30 ms a request and 120 ms for a full upstream, figures of two deployments, and 400 ms for which an engine may read without a pause.

Change: a sign carries by how many milliseconds requests wait longer than was predicted; the leader passes the most of the others on, as all of them wait in one queue; what goes before a request is the larger of the known backlog and of what is overdue. A free slot is expected after the learnt time of a whole request by the number of slots; pauses come from the route. The line of a request has the parts of its prediction and its longest pause.

Tests: worst_load::overdue_elsewhere and shared_news::overdue_told ask for a field that the code before hasn't.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use metrics::counter;
+use policy::Tick;
 use policy::reach::Reach;
 use slog::info;
 use tokio::time::Instant;
@@ -24,6 +25,8 @@
     chosen: Chosen,
     /// Number under which it waits for its first event.
     number: u64,
+    /// When it was sent.
+    sent: Tick,
     /// What is heard of the upstream's data centre.
     reach: Option<Rc<Reach>>,
     /// The upstream's announced end.
@@ -62,7 +65,7 @@
     fn drop(&mut self) {
         let now = self.gate.clock.now();
         if let Some(upstream) = self.gate.upstreams.borrow_mut().get(&self.chosen.id) {
-            upstream.ended(self.number, now);
+            upstream.ended(self.number, self.sent, now);
         }
     }
 }
@@ -128,6 +131,7 @@
             gate: Rc::clone(gate),
             chosen: chosen.clone(),
             number,
+            sent: gate.clock.now(),
             reach,
             notice,
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -73,6 +73,10 @@
     pub sends: u32,
     /// Milliseconds until the first part of the answer left.
     pub first_ms: Option<u64>,
+    /// Milliseconds of the longest pause between two parts.
+    pub pause_ms: u64,
+    /// Milliseconds until the last part left.
+    pub last_ms: u64,
 }
 
 /// How a request ended.
@@ -190,6 +194,7 @@
             zone: &gate.place.zone,
             entries: gate.entries(),
             once: !self.is_idempotent(),
+            pause_ms: self.route.pause_ms,
         };
         gate.upstreams.borrow().choose(&need, gate.clock.now())
     }
@@ -265,9 +270,13 @@
     /// Notes that a part of the answer leaves.
     pub(crate) fn begin(&self) {
         let mut progress = self.progress.get();
+        let now_ms = self.came.elapsed().as_millis() as u64;
+        if progress.begun {
+            progress.pause_ms = progress.pause_ms.max(now_ms.saturating_sub(progress.last_ms));
+        }
         progress.begun = true;
-        let first_ms = || self.came.elapsed().as_millis() as u64;
-        progress.first_ms = progress.first_ms.or_else(|| Some(first_ms()));
+        progress.first_ms = progress.first_ms.or(Some(now_ms));
+        progress.last_ms = now_ms;
         self.progress.set(progress);
     }
 
@@ -298,9 +307,9 @@
         };
         counter!("gentian_gateway_requests_total", "outcome" => outcome).increment(1);
         histogram!("gentian_gateway_request_seconds").record(took.as_secs_f64());
-        let target = Duration::from_millis(self.route.target_ms);
-        let first_ms = self.progress.get().first_ms;
-        let late = first_ms.is_some_and(|ms| u128::from(ms) > target.as_millis());
+        let Progress { first_ms, pause_ms, .. } = self.progress.get();
+        let paused = self.route.pause_ms > 0 && pause_ms > self.route.pause_ms;
+        let late = paused || first_ms.is_some_and(|ms| ms > self.route.target_ms);
         let ordinary = outcome == "passed" && !late;
         if ordinary && !gate.may_log() {
             return;
@@ -319,6 +328,9 @@
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
             "upstream" => placed.map(|placed| placed.id.as_str()), "load" => placed.map(|placed| placed.load),
             "predicted_ms" => placed.map(|placed| placed.predicted.ms as u64),
+            "reading_ms" => placed.map(|placed| placed.predicted.reading_ms as u64),
+            "before_ms" => placed.map(|placed| placed.predicted.before_ms as u64),
+            "target_ms" => self.route.target_ms, "pause_ms" => pause_ms, "longest_ms" => self.route.pause_ms,
             "cached" => placed.map(|placed| placed.reading.cached), "parts" => self.asked.parts.len(),
             "prompt" => self.asked.tokens.map(|tokens| tokens.prompt), "version" => version);
     }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -13,7 +13,7 @@
 use policy::homes::{Uses, believe_home};
 use policy::load::{LoadEstimate, Report};
 use policy::pace::{Own, Pace, Rates, Reading};
-use policy::place::{Cached, Candidate, Part, Predicted, choose};
+use policy::place::{Cached, Candidate, Part, Predicted, Wish, choose};
 use policy::reach::Reach;
 use wire::registry::Sign;
 use xxhash_rust::xxh3::xxh3_64;
@@ -56,6 +56,8 @@
     sight: Option<(Load, Tick)>,
     /// Until when it reads what other entry hosts have sent.
     others_until: Tick,
+    /// Until when requests of other entry hosts are taken to be overdue there.
+    overdue_until: Tick,
     /// What is learnt of its service's upstreams, and how it differs from them.
     pace: Rc<RefCell<Pace>>,
     relative: Own,
@@ -93,11 +95,21 @@
     pub zone: &'a Zone,
     /// Whether the request may run only once.
     pub once: bool,
+    /// Milliseconds of the longest pause of an answer in time; zero where it comes whole.
+    pub pause_ms: u64,
     /// Entry hosts that share the upstreams.
     pub entries: u32,
 }
 
 impl Need<'_> {
+    fn wish(&self) -> Wish {
+        let paced = (self.pause_ms > 0).then_some(self.pause_ms as f64);
+        Wish {
+            tokens: self.tokens(),
+            pause_ms: paced.unwrap_or(f64::INFINITY),
+        }
+    }
+
     /// Gives the tokens of the prompt.
     fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| part.tokens).sum()
@@ -193,7 +205,7 @@
         });
         // Without a prompt there is nothing that entry hosts could agree on: the least loaded one is taken.
         let close_ms = if need.parts.is_empty() { 0.0 } else { CLOSE_MS };
-        let predicted = choose(&candidates, need.tokens(), close_ms).ok_or(NoUpstream::Full)?;
+        let predicted = choose(&candidates, need.wish(), close_ms).ok_or(NoUpstream::Full)?;
         let chosen = open[predicted.at];
         let candidate = candidates.iter().find(|one| one.at == predicted.at);
         Ok(Chosen {
@@ -253,6 +265,7 @@
                 upstream.note_load(running, waiting, told - Duration::from_millis(u64::from(age_ms)));
             }
             upstream.others_until = told + Duration::from_millis(u64::from(sign.backlog_ms));
+            upstream.overdue_until = told + Duration::from_millis(u64::from(sign.overdue_ms));
         }
     }
 
@@ -292,6 +305,7 @@
             backlog: Backlog::default(),
             sight: None,
             others_until: Tick::default(),
+            overdue_until: Tick::default(),
             gone: false,
             notice: Rc::default(),
         }
@@ -313,9 +327,12 @@
         }
     }
 
-    /// Gives the milliseconds of work that goes before a request that is sent now.
+    /// Gives the milliseconds of work that goes before a request that is sent now: what is known to be unread, or by how much
+    /// requests are seen to wait longer, here or at another entry host.
     fn before_ms(&self, now: Tick) -> f64 {
-        self.backlog.ms(now) + self.others_until.since(now).as_secs_f64() * 1_000.0
+        let ms = |until: Tick| until.since(now).as_secs_f64() * 1_000.0;
+        let unread = self.backlog.unread_ms(now) + ms(self.others_until);
+        unread.max(self.backlog.overdue_ms(now)).max(ms(self.overdue_until))
     }
 
     /// Notes that a request is sent; with a prompt, its parts will be cached. Gives the number under which it waits for
@@ -351,7 +368,10 @@
     }
 
     /// Notes that a request has ended there.
-    pub fn ended(&mut self, number: u64, now: Tick) {
+    pub fn ended(&mut self, number: u64, sent: Tick, now: Tick) {
+        self.pace
+            .borrow_mut()
+            .learn_run(now.since(sent).as_secs_f64() * 1_000.0);
         self.backlog.ended(number);
         self.own = self.own.saturating_sub(1);
         self.load.ended(now);
@@ -408,10 +428,12 @@
         let fresh = self.sight.filter(|(_, at)| now.since(*at) < SIGHT_FRESH);
         let load = fresh.map(|(load, at)| (load.running, load.waiting, now.since(at).as_millis() as u32));
         let backlog_ms = self.backlog.unread_ms(now) as u32;
-        (load.is_some() || backlog_ms > 0).then(|| Sign {
+        let overdue_ms = self.backlog.overdue_ms(now) as u32;
+        (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| Sign {
             id: self.listed.id.clone(),
             load,
             backlog_ms,
+            overdue_ms,
         })
     }
 }
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -126,7 +126,8 @@
     replay.report
 }
 
-fn listed(at: usize) -> Listed {
+/// Gives an upstream by its number.
+pub fn listed(at: usize) -> Listed {
     Listed {
         id: format!("u{at:03}"),
         start: 1,
@@ -188,6 +189,7 @@
             zone: &zone,
             once: false,
             entries: self.load.hosts as u32,
+            pause_ms: 600,
         };
         self.report.kinds[kind].all += 1;
         let Ok(chosen) = self.hosts[host].choose(&need, now) else {
@@ -241,7 +243,7 @@
                     let asked = &self.asked[number];
                     self.report.kinds[asked.kind].paused += u32::from(paused && !asked.begun_late);
                     if let Some(upstream) = self.hosts[asked.host].get(&asked.chosen.id) {
-                        upstream.ended(asked.number, now);
+                        upstream.ended(asked.number, tick(asked.came_ms), now);
                     }
                 }
             }
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -2,7 +2,12 @@
 
 mod fleet;
 
+use contract::{ServiceName, Zone};
 use fleet::{Kind, Load, Outcome, replay};
+use gateway::upstreams::{Need, Upstreams};
+use policy::Tick;
+use policy::place::Part;
+use wire::registry::Sign;
 
 /// Two fifths of a large deployment in a wave of reclaims: long plans, questions and notices.
 fn grown() -> Load {
@@ -56,3 +61,50 @@
     assert!(part(|one| one.late + one.refused, notices) < 0.1, "{notices:?}");
     assert!(report.read_again < 0.55, "{} read again", report.read_again);
 }
+
+/// An upstream that is nobody's home reads a prompt which no entry host has predicted right, and another host's requests wait there
+/// for nine tenths of a second. A caller who is sent there would wait as long, although all that this host knows itself is that
+/// nothing runs.
+#[test]
+fn overdue_elsewhere() {
+    let mut host = two_upstreams();
+    let parts = [Part { key: 1, tokens: 400 }];
+    let first = choose(&host, &parts);
+    let sign = Sign {
+        id: first.clone(),
+        load: None,
+        backlog_ms: 0,
+        overdue_ms: 900,
+    };
+    host.take_signs(&[sign], at(1_000));
+    assert_ne!(choose(&host, &parts), first);
+    host.take_signs(&[], at(2_000));
+    assert_eq!(choose_at(&host, &parts, at(2_500)), first, "it passes with time");
+}
+
+fn at(ms: u64) -> Tick {
+    Tick::from_millis(ms)
+}
+
+fn two_upstreams() -> Upstreams {
+    let mut host = Upstreams::default();
+    host.update((0..2).map(fleet::listed).collect(), at(0));
+    host
+}
+
+fn choose(host: &Upstreams, parts: &[Part]) -> String {
+    choose_at(host, parts, at(1_000))
+}
+
+fn choose_at(host: &Upstreams, parts: &[Part], now: Tick) -> String {
+    let need = Need {
+        service: &ServiceName::from("m"),
+        parts,
+        tried: &[],
+        zone: &Zone::from("z"),
+        once: false,
+        pause_ms: 600,
+        entries: 8,
+    };
+    host.choose(&need, now).expect("both are free").id
+}
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -4,12 +4,18 @@
 //! is taken for twice what it is, prompts are sent behind one another until all of them are late, and half of the engines that
 //! the load needs are ordered.
 
+/// Milliseconds that a request keeps a slot until something has been learnt: a plain call, and little of a stream, so that a
+/// service that nobody knows is not taken for full.
+const START_RUN_MS: f64 = 100.0;
+/// Part by which one answer moves the time that requests keep a slot: an average over some thirty.
+const RUN_SHARE: f64 = 0.03;
 /// Rates until something has been learnt: those of a slow engine. Too low a speed costs some engines for a few seconds, too high
 /// a one makes everything late.
 const START: Rates = Rates {
     base_ms: 15.0,
     token_ms: 0.025,
     pairs_ms: 0.3,
+    run_ms: START_RUN_MS,
 };
 /// Least and most of each rate, as factors on the start; beyond them lie no engines but faults.
 const RANGE: (f64, f64) = (1.0 / 64.0, 64.0);
@@ -54,6 +60,8 @@
     pub token_ms: f64,
     /// For a million pairs of tokens.
     pub pairs_ms: f64,
+    /// For a whole request, from when it is sent to the end of its answer.
+    pub run_ms: f64,
 }
 
 impl Default for Rates {
@@ -76,6 +84,7 @@
             base_ms: self.base_ms * factor,
             token_ms: self.token_ms * factor,
             pairs_ms: self.pairs_ms * factor,
+            run_ms: self.run_ms * factor,
         }
     }
 }
@@ -144,8 +153,15 @@
             base_ms: moved(self.rates.base_ms, parts[0], START.base_ms),
             token_ms: moved(self.rates.token_ms, parts[1], START.token_ms),
             pairs_ms: moved(self.rates.pairs_ms, parts[2], START.pairs_ms),
+            ..self.rates
         };
     }
+
+    /// Learns how long a request kept its slot.
+    pub fn learn_run(&mut self, ms: f64) {
+        let run_ms = self.rates.run_ms + RUN_SHARE * (ms - self.rates.run_ms);
+        self.rates.run_ms = run_ms.max(f64::MIN_POSITIVE);
+    }
 }
 
 /// The time that one upstream takes, relative to its kin.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -7,22 +7,17 @@
 use crate::Tick;
 use crate::pace::{Rates, Reading};
 
-/// Milliseconds for which an engine may read without a pause: callers count an answer as late from 600 ms between two events,
-/// and one event holds the tokens of eight steps.
-const PAUSE_MS: f64 = 400.0;
+/// Part of the longest pause of an answer in time for which an engine may read without making tokens: one event holds the
+/// tokens of several steps, and these come on top.
+const PAUSE: f64 = 0.67;
 /// Milliseconds of the caller's own wait that one millisecond beyond it weighs for each request that runs there. Replayed with
 /// 65 engines, plans that pause too long fall from 16 to 8 in 100 and questions from 13 to 5, while plans that begin late rise
 /// from 6.8 to 7.7; with half as much they are 9, 7 and 6.7.
 const HARM: f64 = 0.25;
-/// Milliseconds that an upstream with all slots taken answers later than an idle one. Prefill and decoding share the
-/// engine, so each running request slows the others; twice the token time of a full batch.
-const CROWD_MS: f64 = 120.0;
 /// Part of the slots up to which an engine counts as not crowded. Beyond it a prompt may find no slot. With a half, hosts that
 /// read the same old reports left busy homes together and met elsewhere: of the consultations and plans of ninety and a
 /// hundred and twelve engines 79 and 63 in 100 began in time, with three quarters 82 and 67.
 const CROWDED: f64 = 0.75;
-/// Milliseconds that a request waits for each one that is queued before it.
-const QUEUED_MS: f64 = 30.0;
 /// Milliseconds that another data centre is taken to be farther; it breaks ties and saves traffic between them.
 const DISTANCE_MS: f64 = 2.0;
 /// How long a part of a prompt is believed to stay cached after its last use.
@@ -115,15 +110,27 @@
     pub ms: f64,
     /// Milliseconds of them in which the prompt is read.
     pub reading_ms: f64,
+    /// Milliseconds of them for what goes before.
+    pub before_ms: f64,
     /// Milliseconds that weigh against it besides: requests that run there get no tokens while a long prompt is read.
     pub harm_ms: f64,
     /// Whether it takes the request without queueing it.
     pub free: bool,
 }
 
-/// Predicts the time until an upstream answers a prompt of so many tokens.
+/// What is asked of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wish {
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Milliseconds of the longest pause of an answer in time; endless where the answer comes whole.
+    pub pause_ms: f64,
+}
+
+/// Predicts the time until an upstream answers.
 #[must_use]
-pub fn predict(option: &Candidate, tokens: u64) -> Predicted {
+pub fn predict(option: &Candidate, wish: Wish) -> Predicted {
+    let Wish { tokens, pause_ms } = wish;
     let slots = option.slots.max(1.0);
     let queued = (option.load + 1.0 - slots).max(0.0);
     let filled = (option.load / slots).min(1.0);
@@ -135,16 +142,18 @@
         ((filled - CROWDED) / (1.0 - CROWDED)).max(0.0)
     };
     let reading_ms = option.rates.reading_ms(option.reading(tokens));
+    // Until one of the slots is free; a crowded upstream may be full when the request comes.
+    let slot_ms = option.rates.run_ms / slots;
     let ms = reading_ms * (1.0 + crowd)
-        + crowd * crowd * CROWD_MS
-        + queued * QUEUED_MS
+        + (crowd * crowd + queued) * slot_ms
         + if option.near { 0.0 } else { DISTANCE_MS }
         + option.backlog_ms;
-    let held_up = (option.backlog_ms + reading_ms - PAUSE_MS).max(0.0);
+    let held_up = (option.backlog_ms + reading_ms - pause_ms * PAUSE).max(0.0);
     Predicted {
         at: option.at,
         ms,
         reading_ms,
+        before_ms: option.backlog_ms,
         harm_ms: held_up * option.load * HARM,
         free: queued == 0.0,
     }
@@ -152,10 +161,10 @@
 
 /// Gives the upstream with the lowest predicted time and harm; of those that differ by little, the one with the highest weight.
 #[must_use]
-pub fn choose(options: &[Candidate], tokens: u64, close_ms: f64) -> Option<Predicted> {
+pub fn choose(options: &[Candidate], wish: Wish, close_ms: f64) -> Option<Predicted> {
     let predicted: Vec<(Predicted, u64)> = options
         .iter()
-        .map(|option| (predict(option, tokens), option.weight))
+        .map(|option| (predict(option, wish), option.weight))
         .collect();
     let cost = |one: &Predicted| one.ms + one.harm_ms;
     let least = predicted.iter().map(|(one, _)| cost(one)).min_by(f64::total_cmp)?;
--- a/crates/policy/tests/prompt_place.rs
+++ b/crates/policy/tests/prompt_place.rs
@@ -6,7 +6,7 @@
 use policy::backlog::{Backlog, Sent};
 use policy::homes::{Uses, believe_home};
 use policy::pace::{Rates, Reading};
-use policy::place::{Cached, Candidate, Part, choose};
+use policy::place::{Cached, Candidate, Part, Wish, choose};
 
 fn candidate(at: usize, load: f64) -> Candidate {
     Candidate {
@@ -26,8 +26,16 @@
     base_ms: 0.0,
     token_ms: 1.0 / 64.0,
     pairs_ms: 0.65,
+    run_ms: 1_000.0,
 };
 
+fn wish(tokens: u64) -> Wish {
+    Wish {
+        tokens,
+        pause_ms: 600.0,
+    }
+}
+
 fn reading_ms(cached: u64, fresh: u64) -> f64 {
     RATES.reading_ms(Reading { cached, fresh })
 }
@@ -43,7 +51,7 @@
 }
 
 fn chosen(candidates: &[Candidate], tokens: u64) -> usize {
-    choose(candidates, tokens, 12.0).unwrap().at
+    choose(candidates, wish(tokens), 12.0).unwrap().at
 }
 
 #[test]
@@ -74,9 +82,13 @@
         ..candidate(at, load)
     };
     let options = [engine(0, 0.0), engine(1, 11.0)];
-    assert_eq!(choose(&options, 2_000, 25.0).unwrap().at, 1);
+    assert_eq!(choose(&options, wish(2_000), 25.0).unwrap().at, 1);
     let options = [engine(0, 0.0), engine(1, 15.0)];
-    assert_eq!(choose(&options, 2_000, 25.0).unwrap().at, 0, "no slot may be free");
+    assert_eq!(
+        choose(&options, wish(2_000), 25.0).unwrap().at,
+        0,
+        "no slot may be free"
+    );
 }
 
 /// An entry host has not sent the shared parts of this prompt itself; others have, to the home on which all agree. The home
--- a/crates/state/src/signs.rs
+++ b/crates/state/src/signs.rs
@@ -26,7 +26,15 @@
 #[derive(Debug, Default)]
 struct Known {
     load: Option<(u32, u32, Tick)>,
-    backlogs: BTreeMap<NodeId, (Duration, Tick)>,
+    backlogs: BTreeMap<NodeId, Backlog>,
+}
+
+/// What one entry host has told of its own requests at an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    unread: Duration,
+    overdue: Duration,
+    at: Tick,
 }
 
 impl Signs {
@@ -40,8 +48,12 @@
                     known.load = Some((running, waiting, at));
                 }
             }
-            let backlog = Duration::from_millis(u64::from(sign.backlog_ms));
-            known.backlogs.insert(from.clone(), (backlog, now));
+            let backlog = Backlog {
+                unread: Duration::from_millis(u64::from(sign.backlog_ms)),
+                overdue: Duration::from_millis(u64::from(sign.overdue_ms)),
+                at: now,
+            };
+            known.backlogs.insert(from.clone(), backlog);
         }
         self.0.retain(|_, known| known.is_fresh(now));
     }
@@ -51,11 +63,12 @@
         let sign = |(id, known): (&String, &Known)| {
             let load = known.load.filter(|(_, _, at)| now.since(*at) < LOAD_FRESH);
             let load = load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32));
-            let backlog_ms = known.backlog_without(to, now);
-            (load.is_some() || backlog_ms > 0).then(|| Sign {
+            let (backlog_ms, overdue_ms) = known.backlog_without(to, now);
+            (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| Sign {
                 id: id.clone(),
                 load,
                 backlog_ms,
+                overdue_ms,
             })
         };
         let mut signs: Vec<Sign> = self.0.iter().filter_map(sign).collect();
@@ -69,20 +82,29 @@
 fn weight(sign: &Sign) -> u32 {
     let (running, waiting, _) = sign.load.unwrap_or_default();
     sign.backlog_ms
+        .max(sign.overdue_ms)
         .saturating_add((running + waiting).saturating_mul(REQUEST_MS))
 }
 
 impl Known {
     fn is_fresh(&self, now: Tick) -> bool {
         let seen = self.load.is_some_and(|(_, _, at)| now.since(at) < LOAD_FRESH);
-        seen || self.backlogs.values().any(|(_, at)| now.since(*at) < BACKLOG_FRESH)
+        seen || self.backlogs.values().any(|told| now.since(told.at) < BACKLOG_FRESH)
     }
 
-    /// Adds up what others have sent and is not read yet; it is read as time passes.
-    fn backlog_without(&self, node: &NodeId, now: Tick) -> u32 {
-        let others = self.backlogs.iter().filter(|(other, _)| *other != node);
-        let left = others.map(|(_, (backlog, at))| backlog.saturating_sub(now.since(*at)));
-        let ms = left.sum::<Duration>().as_millis() as u64;
-        if ms < LITTLE_MS { 0 } else { ms as u32 }
+    /// Gives the milliseconds that others have sent and are not read yet, added up, and by which their requests are overdue at
+    /// most: all of them wait in one queue. Both pass with time.
+    fn backlog_without(&self, node: &NodeId, now: Tick) -> (u32, u32) {
+        let others = || {
+            self.backlogs
+                .iter()
+                .filter(|(other, _)| *other != node)
+                .map(|(_, told)| told)
+        };
+        let left = |told: &Backlog, span: Duration| span.saturating_sub(now.since(told.at)).as_millis() as u64;
+        let unread: u64 = others().map(|told| left(told, told.unread)).sum();
+        let overdue = others().map(|told| left(told, told.overdue)).max().unwrap_or_default();
+        let told = |ms: u64| if ms < LITTLE_MS { 0 } else { ms as u32 };
+        (told(unread), told(overdue))
     }
 }
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -40,6 +40,7 @@
             id: id.to_owned(),
             load,
             backlog_ms,
+            overdue_ms: 0,
         }],
         ..Beat::default()
     }
@@ -62,6 +63,31 @@
     assert!(beat(&registry, "e2", Beat::default(), 1_900).signs.is_empty());
 }
 
+fn overdue(id: &str, overdue_ms: u32) -> Beat {
+    Beat {
+        signs: vec![Sign {
+            id: id.to_owned(),
+            load: None,
+            backlog_ms: 0,
+            overdue_ms,
+        }],
+        ..Beat::default()
+    }
+}
+
+/// An upstream has fallen silent, or reads a prompt that nobody knows of. The requests of two entry hosts wait there longer than
+/// was predicted. Every other one would find out by itself, with a request of its own that is late; it is told by how much they
+/// wait, and not the sum, since all of them wait in one queue.
+#[test]
+fn overdue_told() {
+    let registry = Registry::default();
+    beat(&registry, "e1", overdue("u", 700), 1_000);
+    beat(&registry, "e2", overdue("u", 900), 1_100);
+    let news = beat(&registry, "e3", Beat::default(), 1_200);
+    assert_eq!((news.signs[0].backlog_ms, news.signs[0].overdue_ms), (0, 800));
+    assert!(beat(&registry, "e3", Beat::default(), 2_100).signs.is_empty());
+}
+
 /// Two entry hosts saw an upstream's load at different times. The newest sight counts, whichever came last.
 #[test]
 fn newest_load() {
@@ -81,6 +107,7 @@
         id: format!("u{at}"),
         load: Some((at, 0, 10)),
         backlog_ms: 0,
+        overdue_ms: 0,
     });
     let all = Beat {
         signs: signs.collect(),
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -97,6 +97,8 @@
     pub load: Option<(u32, u32, u32)>,
     /// Milliseconds of prompts that were sent there and are not read yet.
     pub backlog_ms: u32,
+    /// Milliseconds by which requests there wait longer than was predicted.
+    pub overdue_ms: u32,
 }
 
 /// What the leader knows of the list of upstreams.
