Count the requests of logs by the cause of what they lost

gentianctl losses FILE… reads the lines of entry hosts and counts late, failed and refused requests by cause and route, and by time: own prompt too long, behind known prompts, waited longer than predicted, paused, broken off and so on. Reading logs is shared with trace.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -6,6 +6,7 @@
 
 use crate::capacity::CapacityOptions;
 use crate::host::HostOptions;
+use crate::losses::LossesOptions;
 use crate::state::StateOptions;
 use crate::trace::TraceOptions;
 
@@ -62,6 +63,8 @@
     Host(HostOptions),
     /// Logs.
     Trace(TraceOptions),
+    /// What logs say of all requests.
+    Losses(LossesOptions),
 }
 
 /// Show state nodes and entry hosts with the revision that each has in force.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod exit;
 pub mod host;
 pub mod keys;
+pub mod logs;
+pub mod losses;
 pub mod requests;
 pub mod state;
 pub mod status;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,7 +6,7 @@
 use ctl::cli::{Command, KeyCommand, Options};
 use ctl::entries::Entries;
 use ctl::exit::{Output, code};
-use ctl::{burn, capacity, contracts, host, keys, requests, state, status, trace, upstreams};
+use ctl::{burn, capacity, contracts, host, keys, losses, requests, state, status, trace, upstreams};
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -37,6 +37,7 @@
         Command::Capacity(of) => capacity::run(|| admin(options), &operator_key()?, of, json).map(Output::from),
         Command::Host(of) => host::run(|| admin(options), &operator_key()?, of, json).map(Output::from),
         Command::Trace(of) => trace::run(of, json),
+        Command::Losses(of) => losses::run(of, json),
         Command::Key(of) => match &of.command {
             KeyCommand::Hash(_) => keys::hash(std::io::stdin()).map(Output::from),
         },
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -1,14 +1,13 @@
 //! What the logs of the entry hosts say of one request, and what befell its host and upstream before.
 
 use std::collections::BTreeSet;
-use std::io::BufRead;
 use std::path::PathBuf;
 
-use anyhow::Context;
 use argh::FromArgs;
 use serde_json::Value;
 
 use crate::exit::{Absent, Output};
+use crate::logs::{read, text, time};
 
 /// Time before a request's end in which news of its host count, in seconds.
 const HOST_S: f64 = 10.0;
@@ -57,15 +56,7 @@
 /// # Errors
 /// Fails when a file can't be read, or none says anything of the request.
 pub fn run(options: &TraceOptions, json: bool) -> anyhow::Result<Output> {
-    let mut lines = Vec::new();
-    for path in &options.files {
-        let file = std::fs::File::open(path).with_context(|| format!("open {}", path.display()))?;
-        for line in std::io::BufReader::new(file).lines() {
-            let line = line.with_context(|| format!("read {}", path.display()))?;
-            // A line that a process could not finish, or one that is no JSON, says nothing of the request.
-            lines.extend(serde_json::from_str::<Value>(&line).ok());
-        }
-    }
+    let lines = read(&options.files)?;
     let trace = trace(&options.id, &lines).ok_or_else(|| Absent {
         what: format!("request {}", options.id),
         next: "name the logs of all entry hosts, and of the hour in which it came",
@@ -150,16 +141,3 @@
         why.to_owned()
     }
 }
-
-fn text<'a>(line: &'a Value, name: &str) -> &'a str {
-    line.get(name).and_then(Value::as_str).unwrap_or_default()
-}
-
-/// Gives the time of a line in seconds of its day; logs of one incident lie within hours.
-fn time(line: &Value) -> f64 {
-    let stamp = text(line, "ts");
-    let clock = stamp.split('T').nth(1).unwrap_or_default().trim_end_matches('Z');
-    clock
-        .split(':')
-        .fold(0.0, |sum, part| sum * 60.0 + part.parse::<f64>().unwrap_or(0.0))
-}
