--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod head;
 pub mod input;
+mod learnt;
 pub mod lender;
 pub mod link;
 pub mod moving;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,7 @@
 
 use crate::gate::Gate;
 use crate::head::{self, Head, RequestLine};
+use crate::learnt::Learnt;
 
 /// Pause between two looks at what other threads have brought.
 pub(crate) const EXCHANGE: Duration = Duration::from_millis(100);
@@ -89,10 +90,12 @@
         spawn_local(Rc::clone(&self).accept(callers, Kind::Caller));
         info!(self.gate.logger, "serving"; "callers" => %listen.callers, "ready" => %listen.ready);
         let mut told_ready = false;
+        let learnt = Learnt::default();
         loop {
             sleep(EXCHANGE).await;
             self.gate.exchange();
             self.gate.fill_buckets();
+            learnt.tell(&self.gate.upstreams.borrow(), &self.gate.logger, self.gate.clock.now());
             if self.stop.load(Ordering::Relaxed) && self.stopping.get().is_none() {
                 self.stopping.set(Some(Instant::now()));
                 info!(self.gate.logger, "stopping"; "active" => self.active.get());
