--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -140,7 +140,7 @@
     /// Notes that the request leaves for an upstream; gives the number under which it waits for its first event there.
     fn note_sent(&self, gate: &Gate, chosen: &Chosen) -> u64 {
         let now = gate.clock.now();
-        gate.note_reading(&self.service, chosen.predicted.reading_ms, self.route.target_ms);
+        gate.note_reading(&self.service, chosen.predicted.reading_ms);
         let mut upstreams = gate.upstreams.borrow_mut();
         upstreams.note_use(&self.asked.parts, now);
         let upstream = upstreams.get(&chosen.id);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -16,7 +16,7 @@
 use policy::retries::{Bounds, Repeats};
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Beat, Parts, ReadingLoad, ServiceLoad, Sign};
+use wire::registry::{Beat, Parts, ServiceLoad, Sign};
 
 use crate::dialect::{Asked, Dialect};
 use crate::lender::Lender;
@@ -96,35 +96,35 @@
     lines: RefCell<Bucket>,
 }
 
-/// An average of the prompts that come.
+/// An average of what comes a second.
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
-    reading: ReadingLoad,
+    per_s: f64,
     at: Tick,
     /// When the first came.
     since: Option<Tick>,
 }
 
 impl Average {
-    fn add(&mut self, one: &ReadingLoad, now: Tick) {
+    fn add(&mut self, units: f64, now: Tick) {
         self.since.get_or_insert(now);
         self.fade(now);
-        self.reading.add(&one.times(1.0 / AVERAGED.as_secs_f64()));
+        self.per_s += units / AVERAGED.as_secs_f64();
     }
 
     fn fade(&mut self, now: Tick) {
         let passed = now.since(self.at).as_secs_f64();
-        self.reading = self.reading.times((-passed / AVERAGED.as_secs_f64()).exp());
+        self.per_s *= (-passed / AVERAGED.as_secs_f64()).exp();
         self.at = now;
     }
 
     /// Gives what comes a second. In the first seconds the average covers less than its time, and would tell of a small part of
     /// the load.
-    fn get(&mut self, now: Tick) -> ReadingLoad {
+    fn get(&mut self, now: Tick) -> f64 {
         self.fade(now);
         let span = now.since(self.since.unwrap_or(now)).max(SHORTEST);
         let covered = 1.0 - (-span.as_secs_f64() / AVERAGED.as_secs_f64()).exp();
-        self.reading.times(1.0 / covered)
+        self.per_s / covered
     }
 }
 
@@ -329,18 +329,11 @@
         repeats.take(now, &self.place.repeats, self.entries())
     }
 
-    /// Notes a prompt that was sent to an upstream, which reads for so many milliseconds, and whose answer should begin in so
-    /// many.
-    pub fn note_reading(&self, service: &ServiceName, ms: f64, target_ms: u64) {
+    /// Notes a prompt that was sent to an upstream, which reads for so many milliseconds.
+    pub fn note_reading(&self, service: &ServiceName, ms: f64) {
         let now = self.clock.now();
-        let seconds = ms / 1_000.0;
-        let one = ReadingLoad {
-            busy: seconds,
-            squares: seconds * seconds,
-            targets: seconds * target_ms as f64 / 1_000.0,
-        };
         let mut readings = self.readings.borrow_mut();
-        readings.entry(service.to_string()).or_default().add(&one, now);
+        readings.entry(service.to_string()).or_default().add(ms / 1_000.0, now);
     }
 
     /// Notes that a service's own running requests change in number.
--- a/crates/state/src/duties/orders.rs
+++ b/crates/state/src/duties/orders.rs
@@ -106,7 +106,7 @@
         for (service, scaling, slots) in scaled {
             let load = loads.get(service.as_str()).copied().unwrap_or_default();
             let present = self.present(&service, &scaling, &list, now);
-            let told = needed(load.running, load.reading.busy, slots);
+            let told = needed(load.running, load.reading, slots);
             let Some(needed) = self.peak(&service, told, &list, now) else {
                 continue;
             };
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -220,7 +220,7 @@
             for (service, load) in loads {
                 let all = sum.entry(service.clone()).or_default();
                 all.running += load.running;
-                all.reading.add(&load.reading);
+                all.reading += load.reading;
             }
         }
         sum
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -31,38 +31,8 @@
 pub struct ServiceLoad {
     /// Own requests that are at upstreams or wait for one.
     pub running: f64,
-    /// Prompts that were sent to be read.
-    pub reading: ReadingLoad,
-}
-
-/// Prompts that were sent to upstreams to be read, by the time that this takes there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ReadingLoad {
-    /// Upstreams that they keep busy: seconds of reading in a second.
-    pub busy: f64,
-    /// Squares of the seconds of each prompt, a second; with the seconds they tell how long one waits behind another.
-    pub squares: f64,
-    /// Seconds of each prompt times those in which its answer should begin, a second.
-    pub targets: f64,
-}
-
-impl ReadingLoad {
-    /// Adds another entry host's.
-    pub fn add(&mut self, other: &Self) {
-        self.busy += other.busy;
-        self.squares += other.squares;
-        self.targets += other.targets;
-    }
-
-    /// Gives it times a factor.
-    #[must_use]
-    pub fn times(&self, factor: f64) -> Self {
-        Self {
-            busy: self.busy * factor,
-            squares: self.squares * factor,
-            targets: self.targets * factor,
-        }
-    }
+    /// Upstreams that own prompts keep busy with reading: seconds of reading in a second.
+    pub reading: f64,
 }
 
 /// The answer to [`Beat`].
