Tell how long a catalog takes to reach entry hosts, and which ones lag

The timeline of the late configuration leaves four hypotheses that logs and metrics could not tell apart. Entry hosts now log each try that fails after 100 ms or more with its time, the version held and what was brought; the leader counts the hosts that lack the newest version, names those that lag by a second and tells when a version is in force on all of them; state nodes measure the turns of the state's thread.

No decision changes. Tests: policy/rollout_lag (new functions).

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use contract::{NodeId, Revision};
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
@@ -26,6 +26,8 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// Longest wait for an answer beyond that.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// Time from which each try that fails is logged.
+const TELLING: Duration = Duration::from_millis(100);
 /// Pause after a node that did not answer.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Age from which a state node's news are too old: it may be cut off from the leader.
@@ -94,7 +96,7 @@
     fn follow(&self, calls: &Calls, known: &Mutex<Known>) {
         let mut at = self.run as usize;
         let mut client = None;
-        let mut failed = 0;
+        let mut failed = 0_u32;
         loop {
             let Some(peer) = self.peer(known, at) else {
                 thread::sleep(PAUSE);
@@ -112,21 +114,29 @@
                 after: version,
                 wait_ms: WAIT.as_millis() as u64,
             };
+            let asked = self.clock.now();
             let answer = calls.wait(open.follow(Envelope::new(&self.node, Revision(version), ask)));
+            let took = self.clock.now().since(asked);
+            histogram!("gentian_gateway_follow_seconds").record(took.as_secs_f64());
             let error = match answer {
                 Ok(answer) if answer.body.age_ms <= STALE.as_millis() as u64 => {
                     if failed > 0 {
                         info!(self.logger, "state group answers again"; "peer" => %peer, "tries" => failed);
                     }
+                    self.take_news(peer, answer.body, known, (took, failed));
                     failed = 0;
-                    self.take_news(peer, answer.body, known);
                     continue;
                 }
-                Ok(answer) => format!("its news are {} ms old", answer.body.age_ms),
+                Ok(answer) => {
+                    let brought = answer.body.catalog.map_or(0, |catalog| catalog.version);
+                    format!("its news are {} ms old and hold version {brought}", answer.body.age_ms)
+                }
                 Err(error) => error.to_string(),
             };
-            if failed == 0 {
-                warn!(self.logger, "state node lost"; "peer" => %peer, "step" => "follow", "error" => error);
+            // A node that refuses connections fails twenty times a second; the first of these tries tells it all.
+            if failed == 0 || took >= TELLING {
+                warn!(self.logger, "state node lost"; "peer" => %peer, "step" => "follow", "error" => error,
+                    "held" => version, "took_ms" => took.as_millis() as u64, "tries" => failed + 1);
             }
             counter!("gentian_gateway_follow_failed_total").increment(1);
             failed += 1;
@@ -148,7 +158,7 @@
         table.as_ref().map_or(0, |table| table.catalog().version)
     }
 
-    fn take_news(&self, peer: SocketAddr, news: Followed, known: &Mutex<Known>) {
+    fn take_news(&self, peer: SocketAddr, news: Followed, known: &Mutex<Known>, (took, failed): (Duration, u32)) {
         {
             let mut known = known.lock();
             known.members = news.members.into_iter().collect();
@@ -161,7 +171,7 @@
         let newer = self.shared.table.load().is_none() || catalog.version > self.version();
         if newer {
             info!(self.logger, "configuration in force"; "version" => catalog.version, "peer" => %peer,
-                "age_ms" => news.age_ms, "routes" => catalog.routes.len(), "accounts" => catalog.accounts.len());
+                "age_ms" => news.age_ms, "took_ms" => took.as_millis() as u64, "failed" => failed, "routes" => catalog.routes.len(), "accounts" => catalog.accounts.len());
             gauge!("gentian_gateway_config_revision").set(catalog.version as f64);
             self.shared.table.store(Some(Arc::new(Table::new(catalog))));
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reclaim;
 pub mod rescue;
 pub mod retries;
+pub mod rollout;
 pub mod room;
 pub mod route;
 mod time;
--- /dev/null
+++ b/crates/policy/src/rollout.rs
@@ -0,0 +1,124 @@
+//! How far entry hosts have got with the newest catalog, as they tell it with their beats.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use contract::NodeId;
+
+use crate::Tick;
+
+/// Versions whose times are remembered.
+const REMEMBERED: usize = 64;
+/// Time after which a host that has not beaten no longer counts: it is stopped or cut off.
+const HEARD: Duration = Duration::from_secs(2);
+/// Lag from which a host is late.
+pub const LATE: Duration = Duration::from_secs(1);
+/// Shortest pause between two reports of late hosts.
+const REPORT: Duration = Duration::from_secs(1);
+
+/// What a leader knows of the versions that entry hosts hold.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    /// Versions in ascending order, with the time at which they were published.
+    published: VecDeque<(u64, Tick)>,
+    hosts: BTreeMap<NodeId, (u64, Tick)>,
+    /// Newest version that is in force on every host.
+    complete: u64,
+    reported: Option<Tick>,
+}
+
+/// What is worth telling of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// A version is in force on every host that beats.
+    Complete {
+        /// The version.
+        version: u64,
+        /// Time since it was published.
+        took: Duration,
+        /// Number of hosts.
+        hosts: usize,
+    },
+    /// Hosts have been behind for too long.
+    Late {
+        /// The newest version.
+        version: u64,
+        /// The longest lag.
+        lag: Duration,
+        /// The hosts with the versions they hold.
+        hosts: Vec<(NodeId, u64)>,
+    },
+}
+
+impl Rollout {
+    /// Notes the newest version.
+    pub fn publish(&mut self, version: u64, now: Tick) {
+        if self.published.back().is_some_and(|(newest, _)| *newest >= version) {
+            return;
+        }
+        self.published.push_back((version, now));
+        if self.published.len() > REMEMBERED {
+            self.published.pop_front();
+        }
+    }
+
+    /// Notes the version that a host holds.
+    pub fn note(&mut self, host: &NodeId, version: u64, now: Tick) {
+        self.hosts.insert(host.clone(), (version, now));
+    }
+
+    /// Gives the number of hosts that don't hold the newest version.
+    #[must_use]
+    pub fn behind(&self, now: Tick) -> usize {
+        let newest = self.newest();
+        self.live(now).filter(|(_, version)| *version < newest).count()
+    }
+
+    /// Gives what has become worth telling since the last call.
+    pub fn report(&mut self, now: Tick) -> Option<Progress> {
+        self.hosts.retain(|_, (_, heard)| now.since(*heard) <= HEARD);
+        let (version, published) = *self.published.back()?;
+        if self.hosts.is_empty() || self.complete == version {
+            return None;
+        }
+        if self.behind(now) == 0 {
+            self.complete = version;
+            return Some(Progress::Complete {
+                version,
+                took: now.since(published),
+                hosts: self.hosts.len(),
+            });
+        }
+        self.report_late(version, now)
+    }
+
+    fn report_late(&mut self, version: u64, now: Tick) -> Option<Progress> {
+        if self.reported.is_some_and(|at| now.since(at) < REPORT) {
+            return None;
+        }
+        let lags = self.live(now).map(|(host, held)| (host, held, self.lag(held, now)));
+        let late: Vec<_> = lags.filter(|(_, _, lag)| *lag >= LATE).collect();
+        let lag = late.iter().map(|(_, _, lag)| *lag).max()?;
+        let hosts = late.into_iter().map(|(host, held, _)| (host.clone(), held)).collect();
+        self.reported = Some(now);
+        Some(Progress::Late { version, lag, hosts })
+    }
+
+    /// Gives the time since the first version that a holder of another one lacks was published.
+    fn lag(&self, held: u64, now: Tick) -> Duration {
+        let missing = self.published.iter().find(|(version, _)| *version > held);
+        missing.map_or(Duration::ZERO, |(_, published)| now.since(*published))
+    }
+
+    fn newest(&self) -> u64 {
+        self.published.back().map_or(0, |(version, _)| *version)
+    }
+
+    fn live(&self, now: Tick) -> impl Iterator<Item = (&NodeId, u64)> {
+        let live = self
+            .hosts
+            .iter()
+            .filter(move |(_, (_, heard))| now.since(*heard) <= HEARD);
+        live.map(|(host, (version, _))| (host, *version))
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/rollout_lag.rs
@@ -0,0 +1,60 @@
+//! Which entry hosts the leader knows to lack the newest catalog, and for how long.
+
+use std::time::Duration;
+
+use contract::NodeId;
+use policy::Tick;
+use policy::rollout::{Progress, Rollout};
+
+fn host(name: &str) -> NodeId {
+    NodeId::from(name)
+}
+
+/// Guards against a rollout that is called complete while a host still serves an older version.
+#[test]
+fn late_named() {
+    let mut rollout = Rollout::default();
+    rollout.publish(14, Tick::from_millis(0));
+    rollout.publish(17, Tick::from_millis(500));
+    rollout.note(&host("a"), 17, Tick::from_millis(1_400));
+    rollout.note(&host("b"), 9, Tick::from_millis(1_400));
+    assert_eq!(rollout.behind(Tick::from_millis(1_500)), 1);
+    let late = rollout.report(Tick::from_millis(1_500));
+    let expected = Progress::Late {
+        version: 17,
+        lag: Duration::from_millis(1_500),
+        hosts: vec![(host("b"), 9)],
+    };
+    assert_eq!(
+        late,
+        Some(expected),
+        "the lag runs from version 14, the first that the host lacks"
+    );
+    assert_eq!(
+        rollout.report(Tick::from_millis(1_600)),
+        None,
+        "late hosts are told once a second"
+    );
+    rollout.note(&host("b"), 17, Tick::from_millis(1_700));
+    let complete = rollout.report(Tick::from_millis(1_700));
+    let expected = Progress::Complete {
+        version: 17,
+        took: Duration::from_millis(1_200),
+        hosts: 2,
+    };
+    assert_eq!(complete, Some(expected));
+    assert_eq!(rollout.report(Tick::from_millis(1_800)), None);
+}
+
+/// Guards against a stopped host that keeps a rollout from ever being complete.
+#[test]
+fn stopped_host() {
+    let mut rollout = Rollout::default();
+    rollout.publish(2, Tick::from_millis(0));
+    rollout.note(&host("stopped"), 1, Tick::from_millis(0));
+    rollout.note(&host("a"), 2, Tick::from_millis(3_000));
+    assert!(matches!(
+        rollout.report(Tick::from_millis(3_000)),
+        Some(Progress::Complete { hosts: 1, .. })
+    ));
+}
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
 use policy::Tick;
 use slog::{Logger, error, info, warn};
 use telemetry::Clock;
@@ -35,6 +35,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Age of what a node has that heard nothing since its start: it may be of any age.
 const UNHEARD: Duration = Duration::from_hours(24);
+/// Length from which a turn of the thread is logged: beats and elections wait for it.
+const SLOW_TURN: Duration = Duration::from_millis(100);
 /// Pause before a write is tried again on a full disk.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -115,13 +117,26 @@
                 Err(RecvTimeoutError::Timeout) => Vec::new(),
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             };
-            if let Err(error) = self.turn(batch) {
+            let (begun, asks) = (self.clock.now(), batch.len());
+            let done = self.turn(batch);
+            self.note_turn(begun, asks);
+            if let Err(error) = done {
                 error!(self.logger, "data folder cannot be written"; "error" => %error);
                 return Err(error);
             }
         }
     }
 
+    /// Tells of turns that kept everybody else waiting.
+    fn note_turn(&self, begun: Tick, asks: usize) {
+        let took = self.clock.now().since(begun);
+        histogram!("gentian_state_turn_seconds").record(took.as_secs_f64());
+        if took >= SLOW_TURN {
+            warn!(self.logger, "slow turn"; "took_ms" => took.as_millis() as u64, "asks" => asks,
+                "followers" => self.watchers.follower_count(), "index" => self.applied.index, "role" => self.role);
+        }
+    }
+
     fn turn(&mut self, batch: Vec<Ask>) -> Result<(), DiskError> {
         self.retry()?;
         let written = self.folder.finish();
--- a/crates/state/src/core/watchers.rs
+++ b/crates/state/src/core/watchers.rs
@@ -30,6 +30,10 @@
         self.following.push((now + wait, follow, reply));
     }
 
+    pub(super) fn follower_count(&self) -> usize {
+        self.following.len()
+    }
+
     /// Answers who has news of the catalog or has waited long enough; `told` holds what all of them are told.
     pub(super) fn answer_followers(&mut self, applied: &Applied, told: impl Fn() -> Followed, now: Tick) {
         self.following.retain(|(_, _, reply)| !reply.is_closed());
--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -62,7 +62,13 @@
         let calls = Calls::start(2, TIMEOUT)?;
         let (ring, asks) = ring();
         let registry = Arc::new(Registry::new(slack));
-        let rpc = Rpc::new(me.node.clone(), ring.clone(), Arc::clone(&registry), clock.clone());
+        let rpc = Rpc::new(
+            me.node.clone(),
+            ring.clone(),
+            Arc::clone(&registry),
+            clock.clone(),
+            logger.clone(),
+        );
         let listen = me.address;
         let owner = start_owner(me, data, &calls, asks, clock.clone(), logger, stop)?;
         let mut methods = StateRpcServer::into_rpc(rpc.clone());
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use contract::{Listed, NodeId, Quota};
+use metrics::gauge;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::parts::{Sharers, Slack};
 use policy::reclaim::{Group, Reclaims};
+use policy::rollout::{Progress, Rollout};
 use wire::registry::{Beat, ListNews, News, Parts, ServiceLoad};
 
 use crate::signs::Signs;
@@ -35,6 +37,7 @@
     list: Numbered,
     reclaims: Reclaims,
     signs: Signs,
+    rollout: Rollout,
     /// Number of sharers that the log holds.
     counted: u32,
     sharers: Option<Sharers>,
@@ -92,6 +95,8 @@
     pub quotas: Vec<(String, Quota)>,
     /// Entry hosts that share, as last counted.
     pub sharers: u32,
+    /// Version of the newest catalog.
+    pub version: u64,
 }
 
 /// Requests by client account.
@@ -113,6 +118,7 @@
         if inner.term != term {
             // Another led in between, and may have given other parts.
             inner.sharers = None;
+            inner.rollout = Rollout::default();
             inner.term = term;
             inner.counted = shared.sharers;
         }
@@ -141,6 +147,15 @@
         })
     }
 
+    /// Notes the version that an entry host holds; gives what has become worth telling of the rollout.
+    pub fn note_version(&self, from: &NodeId, held: u64, newest: u64, now: Tick) -> Option<Progress> {
+        let mut inner = self.inner.lock();
+        inner.rollout.publish(newest, now);
+        inner.rollout.note(from, held, now);
+        gauge!("gentian_state_hosts_behind_count").set(inner.rollout.behind(now) as f64);
+        inner.rollout.report(now)
+    }
+
     /// Takes over a list of upstreams that was asked for at a time, in a term.
     pub fn set_list(&self, term: u64, mut list: Vec<Listed>, asked: Tick) {
         let mut inner = self.inner.lock();
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -7,6 +7,8 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
 use metrics::counter;
+use policy::rollout::Progress;
+use slog::{Logger, info, warn};
 use telemetry::Clock;
 use tokio::sync::oneshot;
 use wire::Envelope;
@@ -28,6 +30,9 @@
 /// JSON-RPC code for messages of another version.
 const UNREADABLE: i32 = -32_002;
 
+/// Late entry hosts that a log line names.
+const NAMED: usize = 8;
+
 /// Answers the calls of the inner protocol.
 #[derive(Clone, Debug)]
 pub struct Rpc {
@@ -35,17 +40,19 @@
     ring: Sender<Ask>,
     registry: Arc<Registry>,
     clock: Clock,
+    logger: Logger,
 }
 
 impl Rpc {
     /// Makes the server side for a ring.
     #[must_use]
-    pub const fn new(me: NodeId, ring: Sender<Ask>, registry: Arc<Registry>, clock: Clock) -> Self {
+    pub const fn new(me: NodeId, ring: Sender<Ask>, registry: Arc<Registry>, clock: Clock, logger: Logger) -> Self {
         Self {
             me,
             ring,
             registry,
             clock,
+            logger,
         }
     }
 
@@ -75,12 +82,28 @@
                 let _ = reply.send(Sharing {
                     quotas: quotas.collect(),
                     sharers: applied.sharers,
+                    version: applied.catalog().map_or(0, |catalog| catalog.version),
                 });
             }))
         };
         Ok(self.ask(read).await?.body)
     }
 
+    fn tell_rollout(&self, progress: &Progress) {
+        match progress {
+            Progress::Complete { version, took, hosts } => {
+                info!(self.logger, "configuration in force on all entry hosts"; "version" => version,
+                    "took_ms" => took.as_millis() as u64, "hosts" => hosts);
+            }
+            Progress::Late { version, lag, hosts } => {
+                let named = hosts.iter().take(NAMED).map(|(host, held)| format!("{host}:{held}"));
+                let named: Vec<String> = named.collect();
+                warn!(self.logger, "entry hosts lag behind the configuration"; "version" => version,
+                    "lag_ms" => lag.as_millis() as u64, "late" => hosts.len(), "held" => named.join(" "));
+            }
+        }
+    }
+
     async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> RpcResult<Envelope<T>> {
         let (reply, answer) = oneshot::channel();
         self.ring.try_send(ask(reply)).map_err(|_full| stopping())?;
@@ -148,6 +171,13 @@
             return Ok(self.wrap(Beaten::Unavailable(Unavailable::NotLeader { leader })));
         }
         let sharing = self.sharing().await?;
+        let held = request.revision.0;
+        let progress = self
+            .registry
+            .note_version(&request.from, held, sharing.version, self.clock.now());
+        if let Some(progress) = progress {
+            self.tell_rollout(&progress);
+        }
         let beat = (&request.from, request.body);
         let parts = self.registry.beat(lead.term, beat, &sharing, self.clock.now());
         if let Some(count) = self.registry.changed_count(self.clock.now()) {
