Send entry hosts what changed in the catalog, in pages that are resumed

What callers saw: 404 and 401 for routes and keys that had been acknowledged, and answers of services that a route had left, for seconds or for good.

Cause: each change sent the whole catalog to each entry host in one answer, which the host gave up 0.9 s after it had asked. What had arrived was thrown away, the node was called lost, and the next one was asked for the same. No turn of a state thread took 100 ms, so the nodes did not stand still.

Now a state node encodes each change once, and a host fetches the chain of changes from its version on, page by page. A page that does not arrive is asked for again, smaller, at any node, from the byte on that is missing. Hosts without a version, or too far behind, get the whole catalog the same way. A transfer that has begun is completed although newer versions appear. News are taken whatever the age of a node's word, which only decides which node is asked next. Beats tell the newest version; a host that lacks it after asking a node turns to the leader. Tables of two versions share what they have in common.

Table::new borrows its catalog and hosts no longer keep the catalog beside the table, so three test files make theirs themselves; their checks are unchanged.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,6 +7,7 @@
 mod class;
 mod config;
 mod customer;
+mod delta;
 mod error;
 mod listed;
 mod name;
@@ -20,6 +21,7 @@
 pub use class::{Class, Matcher, Repeat, Request, Targets};
 pub use config::{Change, ChangeRecord, Config};
 pub use customer::{Account, Contract, KeyHash, Limits, MAX_ACCOUNTS, MAX_CLASSES};
+pub use delta::{Changes, Delta, Keyed, RouteKey};
 pub use error::{FieldError, Problems};
 pub use listed::Listed;
 pub use name::{
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -60,13 +60,7 @@
 
     /// Waits for the next request; tells whether it came.
     async fn wait(&self, input: &mut Input) -> bool {
-        let limits = self
-            .gate
-            .shared
-            .table
-            .load()
-            .as_ref()
-            .map(|table| table.catalog().limits);
+        let limits = self.gate.shared.table.load().as_ref().map(|table| table.limits());
         let idle = Duration::from_millis(limits.unwrap_or_default().idle_ms);
         tokio::select! {
             begun = timeout(idle, input.begins()) => begun.unwrap_or(false),
@@ -148,7 +142,7 @@
             .table
             .load()
             .as_ref()
-            .map(|table| table.catalog().limits)
+            .map(|table| table.limits())
             .unwrap_or_default();
         let came = Instant::now();
         let head = input
@@ -243,13 +237,7 @@
 
     fn refused(&self, refusal: Refusal, id: &str, keep: bool) -> NoService {
         counter!("gentian_gateway_refused_total", "status" => refusal.status.to_string()).increment(1);
-        let version = self
-            .gate
-            .shared
-            .table
-            .load()
-            .as_ref()
-            .map(|table| table.catalog().version);
+        let version = self.gate.shared.table.load().as_ref().map(|table| table.version());
         info!(self.gate.logger, "request refused"; "request" => id, "status" => refusal.status, "why" => &refusal.why,
             "retry_ms" => refusal.retry.map(|after| after.as_millis() as u64), "version" => version);
         NoService::Refused(refusal, keep)
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -42,6 +43,8 @@
 pub struct Shared {
     /// The catalog in force here.
     pub table: ArcSwapOption<Table>,
+    /// The newest version of the catalog that is known of; the one in force here may be older.
+    pub newest: AtomicU64,
     /// The parts that were told last. They go on holding without news: the parts of all entry hosts that were heard of in
     /// the last half minute add up to the whole.
     pub parts: ArcSwap<Option<Parts>>,
@@ -252,7 +255,7 @@
         };
         let now = self.clock.now();
         let mut buckets = self.buckets.borrow_mut();
-        for account in &table.catalog().accounts {
+        for account in table.accounts() {
             let Some(quota) = account.quota else {
                 continue;
             };
@@ -285,9 +288,7 @@
     /// Gives what is known of a service's model engines, if it has some.
     #[must_use]
     pub fn engine(&self, service: &ServiceName) -> Option<EngineSpec> {
-        let table = self.shared.table.load();
-        let services = &table.as_ref()?.catalog().services;
-        services.iter().find(|one| one.name == *service)?.engine
+        self.shared.table.load().as_ref()?.service(service)?.engine
     }
 
     /// Gives the number of entry hosts that share limits, as far as known.
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,35 +3,28 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use contract::{NodeId, Revision};
-use metrics::{counter, gauge, histogram};
+use metrics::counter;
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use upstream::directory::Directory;
 use wire::Envelope;
-use wire::catalog::{CatalogRpcClient, Follow, Followed};
+use wire::catalog::CatalogRpcClient;
 use wire::client::Calls;
 use wire::registry::{Beaten, ListNews};
 use wire::state::Unavailable;
 
+use crate::follow::Follower;
 use crate::gate::Shared;
-use crate::table::Table;
 
-/// Longest that a state node holds a question for news. Together with [`PATIENCE`] it is how soon a silent node is noticed.
-const WAIT: Duration = Duration::from_millis(500);
-/// Longest wait for an answer beyond that.
+/// Longest wait for an answer; a question for changes of the catalog may be held for a while before it.
 const PATIENCE: Duration = Duration::from_millis(400);
-/// Time from which each try that fails is logged.
-const TELLING: Duration = Duration::from_millis(100);
-/// Pause after a node that did not answer.
-const PAUSE: Duration = Duration::from_millis(50);
-/// Age from which a state node's news are too old: it may be cut off from the leader.
-const STALE: Duration = Duration::from_millis(1_200);
 /// Shortest pause between two beats; news of upstreams come with them. A long prompt is read in 0.2 to 1.6 s, and what others
 /// have sent must be known before it is over: in the replay of `worst_load` 157 answers are late or pause at 0.2 s, 190 at 0.4.
 const BEAT: Duration = Duration::from_millis(150);
@@ -68,9 +61,11 @@
 
 /// The state nodes that are known.
 #[derive(Debug, Default)]
-struct Known {
-    members: BTreeSet<SocketAddr>,
-    leader: Option<SocketAddr>,
+pub(crate) struct Known {
+    /// Those that state nodes name.
+    pub(crate) members: BTreeSet<SocketAddr>,
+    /// The leader, as it was told last.
+    pub(crate) leader: Option<SocketAddr>,
 }
 
 impl Link {
@@ -84,97 +79,31 @@
         let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
             thread::Builder::new().name(name.to_owned()).spawn(work).map(drop)
         };
-        let (link, runtime, group) = (self.clone(), calls.clone(), Arc::clone(&known));
-        spawn("follow", Box::new(move || link.follow(&runtime, &group)))?;
+        let follower = Follower::new(self.clone(), calls.clone(), Arc::clone(&known));
+        spawn("follow", Box::new(move || follower.run()))?;
         let link = self.clone();
         spawn("beat", Box::new(move || link.beat(&calls, &known)))?;
         let link = self.clone();
         spawn("list", Box::new(move || link.list(directory)))
     }
 
-    /// Waits for newer catalogs, at one state node after the other.
-    fn follow(&self, calls: &Calls, known: &Mutex<Known>) {
-        let mut at = self.run as usize;
-        let mut client = None;
-        let mut failed = 0_u32;
-        loop {
-            let Some(peer) = self.peer(known, at) else {
-                thread::sleep(PAUSE);
-                continue;
-            };
-            if client.as_ref().is_none_or(|(open, _)| *open != peer) {
-                client = calls.client(peer, WAIT).ok().map(|opened| (peer, opened));
-            }
-            let Some((_, open)) = &client else {
-                at += 1;
-                continue;
-            };
-            let version = self.version();
-            let ask = Follow {
-                after: version,
-                wait_ms: WAIT.as_millis() as u64,
-            };
-            let asked = self.clock.now();
-            let answer = calls.wait(open.follow(Envelope::new(&self.node, Revision(version), ask)));
-            let took = self.clock.now().since(asked);
-            histogram!("gentian_gateway_follow_seconds").record(took.as_secs_f64());
-            let error = match answer {
-                Ok(answer) if answer.body.age_ms <= STALE.as_millis() as u64 => {
-                    if failed > 0 {
-                        info!(self.logger, "state group answers again"; "peer" => %peer, "tries" => failed);
-                    }
-                    self.take_news(peer, answer.body, known, (took, failed));
-                    failed = 0;
-                    continue;
-                }
-                Ok(answer) => {
-                    let brought = answer.body.catalog.map_or(0, |catalog| catalog.version);
-                    format!("its news are {} ms old and hold version {brought}", answer.body.age_ms)
-                }
-                Err(error) => error.to_string(),
-            };
-            // A node that refuses connections fails twenty times a second; the first of these tries tells it all.
-            if failed == 0 || took >= TELLING {
-                warn!(self.logger, "state node lost"; "peer" => %peer, "step" => "follow", "error" => error,
-                    "held" => version, "took_ms" => took.as_millis() as u64, "tries" => failed + 1);
-            }
-            counter!("gentian_gateway_follow_failed_total").increment(1);
-            failed += 1;
-            client = None;
-            at += 1;
-            thread::sleep(PAUSE);
-        }
+    /// Gives the addresses of all state nodes that are known.
+    pub(crate) fn nodes(&self, known: &Mutex<Known>) -> BTreeSet<SocketAddr> {
+        let mut nodes = known.lock().members.clone();
+        nodes.extend(self.seeds.load().iter().copied());
+        nodes
     }
 
     fn peer(&self, known: &Mutex<Known>, at: usize) -> Option<SocketAddr> {
-        let mut peers = known.lock().members.clone();
-        peers.extend(self.seeds.load().iter().copied());
+        let peers = self.nodes(known);
         let count = peers.len();
         peers.into_iter().nth(at.checked_rem(count)?)
     }
 
-    fn version(&self) -> u64 {
+    /// Gives the version in force; zero for none.
+    pub(crate) fn version(&self) -> u64 {
         let table = self.shared.table.load();
-        table.as_ref().map_or(0, |table| table.catalog().version)
-    }
-
-    fn take_news(&self, peer: SocketAddr, news: Followed, known: &Mutex<Known>, (took, failed): (Duration, u32)) {
-        {
-            let mut known = known.lock();
-            known.members = news.members.into_iter().collect();
-            known.leader = news.leader.or(known.leader);
-        }
-        let Some(catalog) = news.catalog else {
-            return;
-        };
-        // What is in force here never goes back, whichever node is asked.
-        let newer = self.shared.table.load().is_none() || catalog.version > self.version();
-        if newer {
-            info!(self.logger, "configuration in force"; "version" => catalog.version, "peer" => %peer,
-                "age_ms" => news.age_ms, "took_ms" => took.as_millis() as u64, "failed" => failed, "routes" => catalog.routes.len(), "accounts" => catalog.accounts.len());
-            gauge!("gentian_gateway_config_revision").set(catalog.version as f64);
-            self.shared.table.store(Some(Arc::new(Table::new(catalog))));
-        }
+        table.as_ref().map_or(0, |table| table.version())
     }
 
     /// Tells the leader what this entry host has seen, and learns its parts of the limits.
@@ -202,6 +131,7 @@
                 Ok(answer) => match answer.body {
                     Beaten::News(news) => {
                         let parts = news.parts;
+                        self.shared.newest.fetch_max(news.version, Ordering::Relaxed);
                         *self.shared.signs.lock() = Some((news.signs, self.clock.now()));
                         number = self.take_list(news.list, number);
                         self.shared.leader.store(Arc::new(Some(peer)));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -319,7 +319,7 @@
             End::Refused(refusal) => refusal.to_string(),
             End::Broken { why } => why.clone(),
         };
-        let version = gate.shared.table.load().as_ref().map(|table| table.catalog().version);
+        let version = gate.shared.table.load().as_ref().map(|table| table.version());
         let placed = self.placed.borrow();
         let placed = placed.as_ref();
         info!(gate.logger, "request ended"; "request" => &self.asked.id, "outcome" => outcome, "why" => why,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,39 +1,137 @@
 //! The catalog in the form in which requests look things up.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
-use contract::{Catalog, ClientAccount, KeyHash, Route, ServiceName};
+use contract::{CallerLimits, Catalog, Changes, ClientAccount, Delta, KeyHash, Route, RouteKey, Service, ServiceName};
 
-/// A catalog with its indexes.
-#[derive(Debug)]
+/// A version of the catalog.
+///
+/// Versions share what they have in common, so that the next one costs as much as it changes.
+#[derive(Clone, Debug, Default)]
 pub struct Table {
-    catalog: Catalog,
-    /// Routes of each host, those with the longest prefix first.
-    hosts: HashMap<String, Vec<usize>>,
-    keys: HashMap<KeyHash, usize>,
+    version: u64,
+    limits: CallerLimits,
+    routes: Routes,
+    services: Arc<BTreeMap<ServiceName, Service>>,
+    accounts: Arc<Accounts>,
+}
+
+/// Routes by host in lower case, those with the longest prefix first.
+type Routes = Arc<HashMap<Arc<str>, Arc<Vec<Arc<Route>>>>>;
+
+#[derive(Clone, Debug, Default)]
+struct Accounts {
+    named: BTreeMap<String, Vec<Arc<ClientAccount>>>,
+    keys: HashMap<KeyHash, Arc<ClientAccount>>,
 }
 
 impl Table {
-    /// Makes the indexes of a catalog.
+    /// Makes the table of a catalog.
+    #[must_use]
+    pub fn new(catalog: &Catalog) -> Self {
+        Self::default().changed(&Delta::whole(catalog))
+    }
+
+    /// Gives the table to which a delta leads.
     #[must_use]
-    pub fn new(catalog: Catalog) -> Self {
-        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
-        for (at, route) in catalog.routes.iter().enumerate() {
-            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(at);
+    pub fn changed(&self, delta: &Delta) -> Self {
+        let empty = Self::default();
+        let old = if delta.base.is_some() { self } else { &empty };
+        let mut next = old.clone();
+        next.version = delta.version;
+        next.limits = delta.limits;
+        next.change_routes(&delta.routes);
+        next.change_services(&delta.services);
+        next.change_accounts(&delta.accounts);
+        next
+    }
+
+    fn change_routes(&mut self, changes: &Changes<Route, RouteKey>) {
+        if changes.is_empty() {
+            return;
         }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|at| std::cmp::Reverse(catalog.routes[*at].prefix.len()));
+        let mut replaced: HashMap<String, BTreeSet<String>> = HashMap::new();
+        for key in changes.keys() {
+            replaced.entry(key.host).or_default().insert(key.prefix);
         }
-        let accounts = catalog.accounts.iter().enumerate();
-        let keys = accounts.flat_map(|(at, account)| account.keys.iter().map(move |key| (key.clone(), at)));
-        let keys = keys.collect();
-        Self { catalog, hosts, keys }
+        let mut added: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &changes.put {
+            let host = route.host.to_ascii_lowercase();
+            added.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        let hosts = Arc::make_mut(&mut self.routes);
+        for (host, prefixes) in replaced {
+            let old = hosts.get(host.as_str()).into_iter().flat_map(|routes| routes.iter());
+            let kept = old.filter(|route| !prefixes.contains(&route.prefix)).cloned();
+            let mut routes: Vec<Arc<Route>> = kept.collect();
+            routes.extend(added.remove(&host).unwrap_or_default());
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            if routes.is_empty() {
+                hosts.remove(host.as_str());
+            } else {
+                hosts.insert(host.into(), Arc::new(routes));
+            }
+        }
+    }
+
+    fn change_services(&mut self, changes: &Changes<Service, ServiceName>) {
+        if changes.is_empty() {
+            return;
+        }
+        let services = Arc::make_mut(&mut self.services);
+        for name in changes.keys() {
+            services.remove(&name);
+        }
+        for service in &changes.put {
+            services.entry(service.name.clone()).or_insert_with(|| service.clone());
+        }
+    }
+
+    fn change_accounts(&mut self, changes: &Changes<ClientAccount, String>) {
+        if changes.is_empty() {
+            return;
+        }
+        let Accounts { named, keys } = Arc::make_mut(&mut self.accounts);
+        for name in changes.keys() {
+            for account in named.remove(&name).unwrap_or_default() {
+                account.keys.iter().for_each(|key| drop(keys.remove(key)));
+            }
+        }
+        for account in &changes.put {
+            let account = Arc::new(account.clone());
+            keys.extend(account.keys.iter().map(|key| (key.clone(), Arc::clone(&account))));
+            named.entry(account.name.clone()).or_default().push(account);
+        }
+    }
+
+    /// Gives the version.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Gives what callers may send.
+    #[must_use]
+    pub const fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Gives the number of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(|routes| routes.len()).sum()
+    }
+
+    /// Gives the client accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = &ClientAccount> {
+        self.accounts.named.values().flatten().map(|account| &**account)
     }
 
-    /// Gives the catalog.
+    /// Finds a service.
     #[must_use]
-    pub const fn catalog(&self) -> &Catalog {
-        &self.catalog
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.get(name)
     }
 
     /// Finds the route of a request: among those of its host the one with the longest prefix that begins the path.
@@ -42,23 +140,23 @@
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
         let routes = self
-            .hosts
-            .get(&host.to_ascii_lowercase())
-            .or_else(|| self.hosts.get(&name))?;
-        let routes = routes.iter().map(|at| &self.catalog.routes[*at]);
-        routes.into_iter().find(|route| path.starts_with(&route.prefix))
+            .routes
+            .get(host.to_ascii_lowercase().as_str())
+            .or_else(|| self.routes.get(name.as_str()))?;
+        let mut routes = routes.iter().map(|route| &**route);
+        routes.find(|route| path.starts_with(&route.prefix))
     }
 
     /// Finds the client account that holds a key.
     #[must_use]
     pub fn account(&self, key: &KeyHash) -> Option<&ClientAccount> {
-        self.keys.get(key).map(|at| &self.catalog.accounts[*at])
+        self.accounts.keys.get(key).map(|account| &**account)
     }
 
     /// Tells whether requests need a key unless their route is public.
     #[must_use]
     pub fn needs_key(&self) -> bool {
-        !self.catalog.accounts.is_empty()
+        !self.accounts.named.is_empty()
     }
 }
 
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -49,7 +49,7 @@
     /// Starts one that lets an account with the key `k` use so many requests a second.
     pub fn with_quota(upstreams: &[&Upstream], per_s: f64) -> Self {
         let shared = Self::shared(Repeatable::Once, 1, 5_000, upstreams);
-        let mut catalog = shared.table.load_full().unwrap().catalog().clone();
+        let mut catalog = Self::catalog(Repeatable::Once, 1, 5_000);
         catalog.accounts = vec![ClientAccount {
             name: "a".to_owned(),
             keys: vec![KeyHash::of("k")],
@@ -61,12 +61,12 @@
                 plain: 1.0,
             }),
         }];
-        shared.table.store(Some(Arc::new(Table::new(catalog))));
+        shared.table.store(Some(Arc::new(Table::new(&catalog))));
         Self::run(shared)
     }
 
-    /// Makes what such a host knows.
-    pub fn shared(repeat: Repeatable, attempts: u32, timeout_ms: u64, upstreams: &[&Upstream]) -> Arc<Shared> {
+    /// Makes the catalog of such a host.
+    pub fn catalog(repeat: Repeatable, attempts: u32, timeout_ms: u64) -> Catalog {
         let service = ServiceName::from("till");
         let route = Route {
             name: "r".to_owned(),
@@ -82,7 +82,7 @@
             }],
             ..Route::default()
         };
-        let catalog = Catalog {
+        Catalog {
             version: 1,
             routes: vec![route],
             services: vec![Service {
@@ -90,9 +90,14 @@
                 ..Service::default()
             }],
             ..Catalog::default()
-        };
+        }
+    }
+
+    /// Makes what such a host knows.
+    pub fn shared(repeat: Repeatable, attempts: u32, timeout_ms: u64, upstreams: &[&Upstream]) -> Arc<Shared> {
+        let catalog = Self::catalog(repeat, attempts, timeout_ms);
         let shared = Arc::new(Shared::default());
-        shared.table.store(Some(Arc::new(Table::new(catalog))));
+        shared.table.store(Some(Arc::new(Table::new(&catalog))));
         shared.parts.store(Arc::new(Some(Parts { entries: 1, floor: 1.0 })));
         *shared.list.lock() = Some((listed(upstreams), Tick::default()));
         shared
--- a/crates/gateway/tests/moved_streams.rs
+++ b/crates/gateway/tests/moved_streams.rs
@@ -37,14 +37,14 @@
 /// Makes what a host knows whose engines can copy their caches, in so many nanoseconds a token.
 fn engines(copy_ns: u64, upstreams: &[&Upstream]) -> Arc<Shared> {
     let shared = Host::shared(Repeatable::Stream, 1, 10_000, upstreams);
-    let mut catalog = shared.table.load_full().unwrap().catalog().clone();
+    let mut catalog = Host::catalog(Repeatable::Stream, 1, 10_000);
     catalog.services[0].engine = Some(EngineSpec {
         slots: 4,
         kv_tokens: 100_000,
         event_tokens: 5,
         copy_ns: Some(copy_ns),
     });
-    shared.table.store(Some(Arc::new(Table::new(catalog))));
+    shared.table.store(Some(Arc::new(Table::new(&catalog))));
     shared
 }
 
--- a/crates/gateway/tests/route_table.rs
+++ b/crates/gateway/tests/route_table.rs
@@ -23,7 +23,7 @@
 }
 
 fn table() -> Table {
-    Table::new(Catalog {
+    Table::new(&Catalog {
         version: 3,
         routes: vec![
             route("short", "a.example", "/x/"),
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -122,7 +122,7 @@
 
 /// Waits until an entry host has a version in force.
 pub fn wait_version(shared: &Shared, version: u64) {
-    let held = || shared.table.load().as_ref().map_or(0, |table| table.catalog().version);
+    let held = || shared.table.load().as_ref().map_or(0, |table| table.version());
     wait(&format!("version {version} in force"), || held() >= version);
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod load;
 pub mod pace;
+pub mod paging;
 pub mod parts;
 pub mod place;
 pub mod plan;
@@ -28,6 +29,7 @@
 pub mod rollout;
 pub mod room;
 pub mod route;
+pub mod sources;
 mod time;
 
 pub use time::Tick;
--- /dev/null
+++ b/crates/policy/tests/node_choice.rs
@@ -0,0 +1,68 @@
+//! Which state node is asked for the catalog, and for how much of it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use policy::Tick;
+use policy::paging::Paging;
+use policy::sources::Sources;
+
+fn nodes() -> BTreeSet<SocketAddr> {
+    (1..=5).map(node).collect()
+}
+
+fn node(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// Guards against a host that asks one silent node after the other, a second each, while the leader has what it lacks.
+#[test]
+fn leader_when_behind() {
+    let mut sources = Sources::new(1);
+    let now = Tick::from_millis(1_000);
+    assert_eq!(sources.pick(&nodes(), None, now), Some(node(2)));
+    sources.fail(node(2), now);
+    assert_eq!(sources.pick(&nodes(), Some(node(5)), now), Some(node(5)));
+    sources.fail(node(5), now);
+    assert_eq!(sources.pick(&nodes(), Some(node(5)), now), Some(node(3)));
+}
+
+/// Guards against a silent node that is asked again before all others were.
+#[test]
+fn silent_avoided() {
+    let mut sources = Sources::new(0);
+    for port in 1..=4 {
+        let now = Tick::from_millis(u64::from(port) * 900);
+        assert_eq!(sources.pick(&nodes(), None, now), Some(node(port)));
+        sources.fail(node(port), now);
+    }
+    assert_eq!(sources.pick(&nodes(), None, Tick::from_millis(4_000)), Some(node(5)));
+    sources.fail(node(5), Tick::from_millis(4_100));
+    let longest_ago = sources.pick(&nodes(), None, Tick::from_millis(4_200));
+    assert_eq!(
+        longest_ago,
+        Some(node(1)),
+        "with all of them silent the first is due again"
+    );
+    assert_eq!(sources.pick(&BTreeSet::new(), None, Tick::default()), None);
+}
+
+/// Guards against pages that stay too large for a link: each of them would be given up before it has arrived.
+#[test]
+fn smaller_pages() {
+    let mut paging = Paging::default();
+    let first = paging.bytes();
+    paging.lost();
+    assert!(paging.bytes() <= first / 2);
+    for _ in 0..40 {
+        paging.lost();
+    }
+    let least = paging.bytes();
+    assert!(
+        (1..=2_048).contains(&least),
+        "{least} bytes would not pass 20 kbit/s in time"
+    );
+    paging.arrived(Duration::from_millis(20));
+    assert!(paging.bytes() > least);
+}
--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -251,11 +251,18 @@
         self.published.as_ref().map(|published| &published.catalog)
     }
 
+    /// Tells whether a document overtakes the one in force.
+    #[must_use]
+    pub fn is_newer(&self, ask: &Publish) -> bool {
+        self.catalog()
+            .is_none_or(|current| ask.catalog.version > current.version)
+    }
+
     /// Puts a document in force unless one of the same or a higher version is; the operator who was overtaken is answered
     /// like the one who came first, since a resend must never be refused.
     fn publish(&mut self, ask: &Publish) -> Published {
         let current = self.catalog().map_or(0, |catalog| catalog.version);
-        let changed = self.published.is_none() || ask.catalog.version > current;
+        let changed = self.is_newer(ask);
         if changed {
             self.published = Some(ask.clone());
         }
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -24,8 +24,9 @@
 use pending::Pending;
 use watchers::Watchers;
 
-use crate::applied::{Applied, Entry};
+use crate::applied::{Applied, Command, Entry};
 use crate::disk::{DiskError, Folder};
+use crate::feed::Feed;
 use crate::peers::{Parcel, Peers};
 use crate::raft::{Message, Node, Payload, Ready, Record, Restored, Timing};
 
@@ -47,6 +48,7 @@
     node: Node,
     folder: Folder,
     applied: Applied,
+    feed: Feed,
     peers: Peers,
     forming: Forming,
     pending: Pending,
@@ -91,6 +93,7 @@
             node,
             folder,
             applied,
+            feed: Feed::default(),
             peers,
             forming,
             pending: Pending::default(),
@@ -163,13 +166,15 @@
     fn tell_followers(&mut self, age: Duration, now: Tick) {
         let leader = self.leader_address(now);
         let members = self.node.members();
+        let newest = self.applied.catalog().map_or(0, |catalog| catalog.version);
         let told = || Followed {
-            catalog: None,
+            parts: Vec::new(),
+            newest,
             age_ms: age.as_millis() as u64,
             members: members.0.values().map(|member| member.address).collect(),
             leader,
         };
-        self.watchers.answer_followers(&self.applied, told, now);
+        self.watchers.answer_followers(&self.applied, &mut self.feed, told, now);
     }
 
     /// Carries out what the agreement wants until it wants nothing more.
@@ -207,6 +212,7 @@
         }
         if let Some(snapshot) = &ready.snapshot {
             self.applied = decode(&snapshot.data)?;
+            self.feed.clear();
             self.time = LogTime::new(self.applied.at_ms, self.clock.now());
         }
         if ready.writes() {
@@ -255,6 +261,11 @@
         let entry: Entry = postcard::from_bytes(bytes).expect("the leader encoded this entry in the same version");
         let now = self.clock.now();
         self.time.heard(entry.at_ms, self.role == "leader", now);
+        if let (Command::Publish(ask), Some(old)) = (&entry.command, self.applied.catalog())
+            && self.applied.is_newer(ask)
+        {
+            self.feed.publish(old, &ask.catalog);
+        }
         let reply = self.applied.apply_at(record.at.index.0, &entry);
         self.pending.answer(record.at, reply);
     }
--- a/crates/state/src/core/watchers.rs
+++ b/crates/state/src/core/watchers.rs
@@ -8,6 +8,7 @@
 use wire::state::{Watch, Watched};
 
 use crate::applied::Applied;
+use crate::feed::Feed;
 
 /// Longest that a question is held.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -35,14 +36,20 @@
     }
 
     /// Answers who has news of the catalog or has waited long enough; `told` holds what all of them are told.
-    pub(super) fn answer_followers(&mut self, applied: &Applied, told: impl Fn() -> Followed, now: Tick) {
+    pub(super) fn answer_followers(
+        &mut self,
+        applied: &Applied,
+        feed: &mut Feed,
+        told: impl Fn() -> Followed,
+        now: Tick,
+    ) {
         self.following.retain(|(_, _, reply)| !reply.is_closed());
-        let version = applied.catalog().map_or(0, |catalog| catalog.version);
+        let version = applied.catalog().map(|catalog| catalog.version);
         let ready = |(until, follow, _): &mut (Tick, Follow, _)| follow.after < version || *until <= now;
         for (_, follow, reply) in self.following.extract_if(.., ready) {
-            let newer = applied.catalog().filter(|_| follow.after < version);
+            let parts = applied.catalog().map(|newest| feed.answer(&follow, newest));
             let answer = Followed {
-                catalog: newer.cloned(),
+                parts: parts.unwrap_or_default(),
                 ..told()
             };
             // An asker that has gone away needs no answer.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod disk;
 pub mod duties;
+pub mod feed;
 pub mod lists;
 pub mod notices;
 pub mod peers;
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -144,6 +144,7 @@
             parts,
             list: inner.list.news(beat.list, now),
             signs: inner.signs.others(from, now),
+            version: shared.version,
         })
     }
 
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -22,7 +22,7 @@
     #[method(name = "fetch")]
     async fn fetch(&self, request: Envelope<()>) -> RpcResult<Envelope<Fetched>>;
 
-    /// Waits for a newer catalog.
+    /// Waits for changes of the catalog.
     #[method(name = "follow")]
     async fn follow(&self, request: Envelope<Follow>) -> RpcResult<Envelope<Followed>>;
 
@@ -78,20 +78,60 @@
     pub bytes: Vec<u8>,
 }
 
-/// Asks for a catalog newer than a version.
+/// Asks for what leads from one version of the catalog to the newest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Follow {
-    /// The version that the asker has.
-    pub after: u64,
+    /// The version that the asker has; nothing where it has none.
+    pub after: Option<u64>,
+    /// The transfer that has begun, if one has.
+    pub resume: Option<Resume>,
+    /// Most bytes of transfers in the answer.
+    pub max_bytes: u32,
     /// How long to wait for news, in milliseconds.
     pub wait_ms: u64,
 }
 
+/// An encoded [`contract::Delta`], the same at every state node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// Version that it changes; nothing where it holds the whole catalog.
+    pub base: Option<u64>,
+    /// Version that it leads to.
+    pub version: u64,
+    /// CRC-32 of its bytes.
+    pub digest: u32,
+}
+
+/// Where a transfer goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resume {
+    /// The transfer.
+    pub transfer: Transfer,
+    /// Bytes that the asker has.
+    pub offset: u64,
+}
+
+/// Consecutive bytes of a transfer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The transfer.
+    pub transfer: Transfer,
+    /// Bytes before the part.
+    pub offset: u64,
+    /// Bytes of the whole transfer.
+    pub total: u64,
+    /// The part.
+    #[serde(with = "crate::bytes")]
+    pub bytes: Vec<u8>,
+}
+
 /// The answer to [`Follow`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Followed {
-    /// The catalog, if it is newer.
-    pub catalog: Option<Catalog>,
+    /// Parts of transfers in the order in which they are applied.
+    pub parts: Vec<Part>,
+    /// The newest version that the node knows.
+    pub newest: u64,
     /// Milliseconds since the node last knew that its catalog was the newest.
     pub age_ms: u64,
     /// Inner addresses of the group.
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -53,6 +53,8 @@
     pub list: ListNews,
     /// What others have seen of upstreams.
     pub signs: Vec<Sign>,
+    /// The newest version of the catalog.
+    pub version: u64,
 }
 
 /// What was seen of an upstream.
