Answer 503 for unknown routes and keys while the configuration may be older than acknowledged

Cause: a host took its own version for the newest. Now a state node's answers and the leader's beats tell it the newest version, and a refusal is final only when none newer is known and the last confirmation is less than 2 s old; otherwise the caller hears that nothing was run and comes back. Known routes are served on.

unknown_routes::newer_version_known failed before (404 instead of 503).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -122,7 +122,6 @@
         }
         let age = Duration::from_millis(news.age_ms);
         self.told = news.newest;
-        self.link.shared.newest.fetch_max(news.newest, Ordering::Relaxed);
         let brought = !news.parts.is_empty();
         match self.mirror.take(news, took) {
             Ok(bytes) if brought => self.spent.add_page(bytes, took),
@@ -133,6 +132,7 @@
             }
         }
         self.put_in_force(peer, age);
+        self.link.shared.hear_newest(self.told, self.link.clock.now() - age);
         if age > STALE {
             self.fail(peer, &format!("its news are {} ms old", age.as_millis()), took);
             return;
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -15,6 +15,7 @@
 use policy::parts::Slack;
 use policy::quota::{Bucket, Over};
 use policy::retries::{Bounds, Repeats};
+use policy::rollout;
 use slog::Logger;
 use telemetry::Clock;
 use wire::registry::{Beat, Parts, ServiceLoad, Sign};
@@ -45,6 +46,8 @@
     pub table: ArcSwapOption<Table>,
     /// The newest version of the catalog that is known of; the one in force here may be older.
     pub newest: AtomicU64,
+    /// When no version was known to be newer than the one in force here.
+    pub confirmed: ArcSwap<Option<Tick>>,
     /// The parts that were told last. They go on holding without news: the parts of all entry hosts that were heard of in
     /// the last half minute add up to the whole.
     pub parts: ArcSwap<Option<Parts>>,
@@ -60,6 +63,25 @@
     pub beat: Mutex<Beat>,
 }
 
+impl Shared {
+    /// Notes the newest version that a state node knew of at a time.
+    pub fn hear_newest(&self, newest: u64, at: Tick) {
+        self.newest.fetch_max(newest, Ordering::Relaxed);
+        let held = self.table.load().as_ref().map(|table| table.version());
+        if held >= Some(newest) {
+            let latest = (**self.confirmed.load()).max(Some(at));
+            self.confirmed.store(Arc::new(latest));
+        }
+    }
+
+    /// Tells whether a table holds all that operators have been told is in force.
+    #[must_use]
+    pub fn is_current(&self, table: &Table, now: Tick) -> bool {
+        let newest = self.newest.load(Ordering::Relaxed);
+        rollout::is_current(table.version(), newest, **self.confirmed.load(), now)
+    }
+}
+
 /// Fixed properties of an entry host.
 #[derive(Clone, Debug)]
 pub struct Place {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -127,11 +126,12 @@
             let mut beat = self.shared.beat.lock().clone();
             beat.run = self.run;
             beat.list = number;
+            let asked = self.clock.now();
             let error = match calls.wait(open.beat(Envelope::new(&self.node, Revision(self.version()), beat))) {
                 Ok(answer) => match answer.body {
                     Beaten::News(news) => {
                         let parts = news.parts;
-                        self.shared.newest.fetch_max(news.version, Ordering::Relaxed);
+                        self.shared.hear_newest(news.version, asked);
                         *self.shared.signs.lock() = Some((news.signs, self.clock.now()));
                         number = self.take_list(news.list, number);
                         self.shared.leader.store(Arc::new(Some(peer)));
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -10,7 +10,7 @@
 use crate::gate::Gate;
 use crate::head::{Head, RequestLine};
 use crate::refusal::Refusal;
-use crate::table::draw_service;
+use crate::table::{Table, draw_service};
 
 /// Time before a caller's deadline at which its final answer leaves, so that it arrives in time.
 const EARLY: Duration = Duration::from_millis(20);
@@ -36,10 +36,10 @@
         let host = head.get("host").unwrap_or_default();
         let route = table
             .route(host, target)
-            .ok_or_else(|| Refusal::new(404, "no such route"))?;
+            .ok_or_else(|| self.unknown(&table, Refusal::new(404, "no such route")))?;
         let account = asked.key.as_ref().and_then(|key| table.account(key));
         if table.needs_key() && account.is_none() && !route.public {
-            return Err(Refusal::new(401, "the key is not known"));
+            return Err(self.unknown(&table, Refusal::new(401, "the key is not known")));
         }
         let draw = rand::rng().random_range(0.0..1.0);
         let service =
@@ -47,6 +47,14 @@
         Ok((route.clone(), service.clone(), account.cloned()))
     }
 
+    /// Gives the answer to a request for what the table doesn't hold: final only where no newer version may hold it.
+    fn unknown(&self, table: &Table, refusal: Refusal) -> Refusal {
+        if self.shared.is_current(table, self.clock.now()) {
+            return refusal;
+        }
+        Refusal::new(503, "not run: the configuration here may not be the newest").retry_in(UNKNOWN_AGAIN)
+    }
+
     /// Gives the time at which a request gets its final answer at the latest.
     #[must_use]
     pub fn until(&self, came: Instant, asked: &Asked, route: &Route) -> Instant {
--- a/crates/gateway/tests/common/caller.rs
+++ b/crates/gateway/tests/common/caller.rs
@@ -25,7 +25,12 @@
 impl Caller {
     /// Sends a request.
     pub fn send(&mut self, lines: &str, body: &str) {
-        let head = format!("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nId: q1\r\n{lines}");
+        self.send_to("/x/1", lines, body);
+    }
+
+    /// Sends a request for a path.
+    pub fn send_to(&mut self, path: &str, lines: &str, body: &str) {
+        let head = format!("POST {path} HTTP/1.1\r\nHost: a.example\r\nId: q1\r\n{lines}");
         let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
         self.write(&text);
     }
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -98,6 +98,7 @@
         let catalog = Self::catalog(repeat, attempts, timeout_ms);
         let shared = Arc::new(Shared::default());
         shared.table.store(Some(Arc::new(Table::new(&catalog))));
+        shared.hear_newest(catalog.version, Tick(Duration::MAX));
         shared.parts.store(Arc::new(Some(Parts { entries: 1, floor: 1.0 })));
         *shared.list.lock() = Some((listed(upstreams), Tick::default()));
         shared
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -16,6 +16,17 @@
 /// Shortest pause between two reports of late hosts.
 const REPORT: Duration = Duration::from_secs(1);
 
+/// Time without confirmation after which a newer version may have been acknowledged. Hosts are confirmed every half second
+/// while they reach a state node that hears the leader.
+const CONFIRMED: Duration = Duration::from_secs(2);
+
+/// Tells whether what an entry host's catalog doesn't hold is known not to exist. Otherwise a route or key may have been added
+/// that this host has not got yet, and its callers must not hear that there is none.
+#[must_use]
+pub fn is_current(held: u64, newest: u64, confirmed: Option<Tick>, now: Tick) -> bool {
+    held >= newest && confirmed.is_some_and(|at| now.since(at) < CONFIRMED)
+}
+
 /// What a leader knows of the versions that entry hosts hold.
 #[derive(Debug, Default)]
 pub struct Rollout {
