--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -33,8 +33,10 @@
     /// Versions in ascending order, with the time at which they were published.
     published: VecDeque<(u64, Tick)>,
     hosts: BTreeMap<NodeId, (u64, Tick)>,
-    /// Newest version that is in force on every host.
+    /// Newest version that is in force on every host; nothing is told of those up to it.
     complete: u64,
+    /// Version that was the newest when this leader began.
+    inherited: u64,
     reported: Option<Tick>,
 }
 
@@ -67,6 +69,9 @@
         if self.published.back().is_some_and(|(newest, _)| *newest >= version) {
             return;
         }
+        if self.published.is_empty() {
+            self.inherited = version;
+        }
         self.published.push_back((version, now));
         if self.published.len() > REMEMBERED {
             self.published.pop_front();
@@ -94,6 +99,10 @@
         }
         if self.behind(now) == 0 {
             self.complete = version;
+            // When it was published is not known here.
+            if version == self.inherited {
+                return None;
+            }
             return Some(Progress::Complete {
                 version,
                 took: now.since(published),
--- a/crates/policy/tests/rollout_lag.rs
+++ b/crates/policy/tests/rollout_lag.rs
@@ -50,6 +50,7 @@
 #[test]
 fn stopped_host() {
     let mut rollout = Rollout::default();
+    rollout.publish(1, Tick::from_millis(0));
     rollout.publish(2, Tick::from_millis(0));
     rollout.note(&host("stopped"), 1, Tick::from_millis(0));
     rollout.note(&host("a"), 2, Tick::from_millis(3_000));
@@ -58,3 +59,18 @@
         Some(Progress::Complete { hosts: 1, .. })
     ));
 }
+
+/// Guards against a new leader that tells a rollout as complete in no time, since it was published under the one before.
+#[test]
+fn inherited_version() {
+    let mut rollout = Rollout::default();
+    rollout.publish(4, Tick::from_millis(0));
+    rollout.note(&host("a"), 4, Tick::from_millis(10));
+    assert_eq!(rollout.report(Tick::from_millis(10)), None);
+    rollout.publish(5, Tick::from_millis(20));
+    rollout.note(&host("a"), 5, Tick::from_millis(60));
+    let took = Duration::from_millis(40);
+    assert!(
+        matches!(rollout.report(Tick::from_millis(60)), Some(Progress::Complete { took: told, .. }) if told == took)
+    );
+}
