--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 use wire::Envelope;
 use wire::catalog::{CatalogRpcClient, CatalogRpcServer, Fetched, Publish, Published};
-use wire::client::{Calls, MAX_MESSAGE};
+use wire::client::{Calls, MAX_MESSAGE, transfer_time};
 use wire::raft::RaftRpcServer;
 use wire::state::{StateRpcServer, Unavailable};
 
@@ -164,9 +164,10 @@
     /// Publishes a document.
     #[must_use]
     pub fn publish(&self, ask: Publish) -> Published {
+        let bytes = ask.document.len();
         let remote = |client: HttpClient, message| async move { client.publish(message).await };
         let result = self.decide(
-            Command::Publish(ask.clone()),
+            (Command::Publish(ask.clone()), bytes),
             |reply| match reply {
                 Reply::Published(published) => Some(published),
                 _ => None,
@@ -185,7 +186,7 @@
     pub fn fetch(&self) -> Fetched {
         let remote = |client: HttpClient, message| async move { client.fetch(message).await };
         let result = self.decide(
-            Command::Fetch,
+            (Command::Fetch, 0),
             |reply| match reply {
                 Reply::Fetched(fetched) => Some(fetched),
                 _ => None,
@@ -199,10 +200,10 @@
         result.unwrap_or_else(Fetched::Unavailable)
     }
 
-    /// Appends a command here or at the leader; looks for a leader for a short while.
+    /// Appends a command of so many bytes here or at the leader; looks for a leader for a short while.
     fn decide<T, F>(
         &self,
-        command: Command,
+        (command, bytes): (Command, usize),
         unwrap: impl Fn(Reply) -> Option<T>,
         remote: impl Fn(HttpClient) -> F,
         refused: impl Fn(T) -> Result<T, Unavailable>,
@@ -217,7 +218,7 @@
                     let other = || undecided("the reply belongs to another command");
                     return unwrap(reply).ok_or_else(other);
                 }
-                Err(Unavailable::NotLeader { leader: Some(leader) }) => match self.at(leader, &remote) {
+                Err(Unavailable::NotLeader { leader: Some(leader) }) => match self.at((leader, bytes), &remote) {
                     Ok(answer) => match refused(answer) {
                         Ok(answer) => return Ok(answer),
                         Err(why) => why,
@@ -243,11 +244,11 @@
         answer.blocking_recv().map_err(|_stopped| undecided("the node stops"))?
     }
 
-    fn at<T, F>(&self, leader: SocketAddr, remote: impl Fn(HttpClient) -> F) -> Result<T, Unavailable>
+    fn at<T, F>(&self, (leader, bytes): (SocketAddr, usize), remote: impl Fn(HttpClient) -> F) -> Result<T, Unavailable>
     where
         F: Future<Output = Result<Envelope<T>, jsonrpsee::core::ClientError>>,
     {
-        let client = self.calls.client(leader, Duration::ZERO);
+        let client = self.calls.client(leader, transfer_time(bytes));
         let client = client.map_err(|error| undecided(&error.to_string()))?;
         let answer = self.calls.wait(remote(client));
         answer
