kills_and_wipes: ask again when a leader that has just lost its lead can't decide

It now waits for a decision and requires the same answer as before. Why the leader lost its lead then is not known; the test keeps no logs of its processes.

--- a/crates/state/tests/real_processes.rs
+++ b/crates/state/tests/real_processes.rs
@@ -119,7 +119,12 @@
 /// Checks that everything that callers were told is still true.
 fn check(nodes: &Nodes, told: &[Told]) {
     for key in told.iter().flat_map(|told| &told.settled) {
-        let again = nodes.client.claim(Revision(1), &claim(key, "somebody else")).unwrap();
+        let asked = claim(key, "somebody else");
+        // A leader that has just lost its lead decides nothing and says so; whoever decides must know the answer.
+        let again = wait("a decision", || match nodes.client.claim(Revision(1), &asked).ok()? {
+            Claimed::Unavailable(_) => None,
+            decided => Some(decided),
+        });
         assert_eq!(again, Claimed::Done(answer(key)), "{key}");
     }
     let history = get(nodes, nodes.leader(), "/v1/history");
