Publish large documents in several entries of the log

What callers saw: an operator's document of 7 MiB was never acknowledged, and the state group changed its leader over and over (443 role changes in a minute).

A document above 256 KiB now travels in pieces, each an entry of its own, from whichever node has it to the leader and through the log; a piece that is sent twice is taken once, so that the rest goes on under the next leader. The last one publishes. Byte strings are raw in the log and no longer base64, and messages between state nodes need no patience by their size any more. The format of data folders has version 2; older ones are refused with a clear error.

--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -24,7 +24,9 @@
 use tempfile::TempDir;
 use upstream::directory::Directory;
 use wire::Envelope;
-use wire::catalog::{CatalogRpcClient, CatalogRpcServer, Fetched, Follow, Followed, Publish, Published};
+use wire::catalog::{
+    CatalogRpcClient, CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded,
+};
 use wire::client::MAX_MESSAGE;
 use wire::registry::{Beat, Beaten, Borrow, Borrowed};
 
@@ -87,7 +89,7 @@
                 document: Vec::new(),
                 catalog: catalog.clone(),
             };
-            matches!(group.publish(ask), Published::Accepted { .. })
+            matches!(group.publish(&ask), Published::Accepted { .. })
         };
         wait("the acknowledgement", accepted);
     }
@@ -211,6 +213,10 @@
         passed(self.node.publish(request).await)
     }
 
+    async fn upload(&self, request: Envelope<Upload>) -> RpcResult<Envelope<Uploaded>> {
+        passed(self.node.upload(request).await)
+    }
+
     async fn fetch(&self, request: Envelope<()>) -> RpcResult<Envelope<Fetched>> {
         passed(self.node.fetch(request).await)
     }
--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -1,13 +1,16 @@
 //! The state that the log produces: a deterministic function of its entries.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use contract::{Catalog, Change, ChangeId, ChangeRecord, Config, CustomerId, KeyHash, NodeId, RequestId, Revision};
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
-use wire::catalog::{Document, Fetched, Publish, Published};
+use wire::catalog::{Document, Fetched, Publish, Published, Upload, Uploaded};
 use wire::state::{Claim, Claimed, Lease, Leased, Outcome, Propose, Proposed, Settle, Settled, Watched};
 
+use crate::uploads::{Added, Uploads};
+
 /// Changes that are kept for learners; one further behind gets the whole configuration.
 const KEPT_RECORDS: usize = 256;
 /// Changes that the audit trail keeps; older ones are forgotten.
@@ -51,6 +54,8 @@
     Usage(Usage),
     /// Notes how many entry hosts share limits, for the next leader.
     Sharers(u32),
+    /// Adds a piece to a publication.
+    Upload(Upload),
 }
 
 /// The usage of one window.
@@ -112,6 +117,8 @@
     Leased(Leased),
     /// To a document.
     Published(Published),
+    /// To a piece of a document.
+    Uploaded(Uploaded),
     /// To a read of the newest document.
     Fetched(Fetched),
     /// To the usage of a window: what is to be reported.
@@ -151,7 +158,9 @@
     /// The audit trail.
     pub audits: VecDeque<Audit>,
     /// The newest document with the catalog that it stands for.
-    pub published: Option<Publish>,
+    pub published: Option<Arc<Publish>>,
+    /// Documents that have come in part.
+    pub uploads: Uploads,
     /// Entry hosts that share limits, as last counted.
     pub sharers: u32,
     /// Usage of the newest windows, as it was or will be reported.
@@ -207,6 +216,7 @@
                 self.sharers = *count;
                 Reply::Noted
             }
+            Command::Upload(piece) => Reply::Uploaded(self.upload(piece)),
             Command::Fetch => Reply::Fetched(Fetched::Document(self.document())),
         }
     }
@@ -251,20 +261,13 @@
         self.published.as_ref().map(|published| &published.catalog)
     }
 
-    /// Tells whether a document overtakes the one in force.
-    #[must_use]
-    pub fn is_newer(&self, ask: &Publish) -> bool {
-        self.catalog()
-            .is_none_or(|current| ask.catalog.version > current.version)
-    }
-
     /// Puts a document in force unless one of the same or a higher version is; the operator who was overtaken is answered
     /// like the one who came first, since a resend must never be refused.
     fn publish(&mut self, ask: &Publish) -> Published {
         let current = self.catalog().map_or(0, |catalog| catalog.version);
-        let changed = self.is_newer(ask);
+        let changed = self.published.is_none() || ask.catalog.version > current;
         if changed {
-            self.published = Some(ask.clone());
+            self.published = Some(Arc::new(ask.clone()));
         }
         Published::Accepted {
             version: if changed { ask.catalog.version } else { current },
@@ -272,6 +275,16 @@
         }
     }
 
+    fn upload(&mut self, piece: &Upload) -> Uploaded {
+        match self.uploads.add(piece, self.at_ms) {
+            Added::Held(bytes) => Uploaded::Held(bytes),
+            Added::Complete(bytes) => match postcard::from_bytes(&bytes) {
+                Ok(ask) => Uploaded::Published(self.publish(&ask)),
+                Err(error) => Uploaded::Unreadable(error.to_string()),
+            },
+        }
+    }
+
     /// Keeps the first counts of a window: two reports of one window must be equal, whoever sends the second.
     fn fix_usage(&mut self, ask: &Usage) -> Usage {
         let counts = self
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod serve;
 mod watchers;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
@@ -24,7 +25,7 @@
 use pending::Pending;
 use watchers::Watchers;
 
-use crate::applied::{Applied, Command, Entry};
+use crate::applied::{Applied, Entry};
 use crate::disk::{DiskError, Folder};
 use crate::feed::Feed;
 use crate::peers::{Parcel, Peers};
@@ -261,12 +262,13 @@
         let entry: Entry = postcard::from_bytes(bytes).expect("the leader encoded this entry in the same version");
         let now = self.clock.now();
         self.time.heard(entry.at_ms, self.role == "leader", now);
-        if let (Command::Publish(ask), Some(old)) = (&entry.command, self.applied.catalog())
-            && self.applied.is_newer(ask)
+        let before = self.applied.published.clone();
+        let reply = self.applied.apply_at(record.at.index.0, &entry);
+        if let (Some(old), Some(new)) = (before, &self.applied.published)
+            && !Arc::ptr_eq(&old, new)
         {
-            self.feed.publish(old, &ask.catalog);
+            self.feed.publish(&old.catalog, &new.catalog);
         }
-        let reply = self.applied.apply_at(record.at.index.0, &entry);
         self.pending.answer(record.at, reply);
     }
 
--- a/crates/state/src/disk/frame.rs
+++ b/crates/state/src/disk/frame.rs
@@ -10,7 +10,7 @@
 /// Bytes at the start of every file: kind and format version.
 pub(super) const MAGIC_LEN: usize = 8;
 /// Version of every file in the folder.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Bytes before the content of a frame: length, checksum of the content, checksum of these two.
 const HEAD: usize = 12;
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod rpc;
 pub mod settings;
 mod signs;
+pub mod uploads;
--- a/crates/state/src/peers.rs
+++ b/crates/state/src/peers.rs
@@ -10,7 +10,7 @@
 use metrics::counter;
 use serde::{Deserialize, Serialize};
 use wire::Envelope;
-use wire::client::{Calls, MAX_MESSAGE, transfer_time};
+use wire::client::Calls;
 use wire::raft::{Packet, RaftRpcClient};
 
 use crate::core::Hello;
@@ -82,7 +82,7 @@
     }
 
     fn start(&self, to: SocketAddr) -> Option<Sender<Parcel>> {
-        let client = self.calls.client(to, transfer_time(MAX_MESSAGE as usize)).ok()?;
+        let client = self.calls.client(to, Duration::ZERO).ok()?;
         let (ring, parcels) = bounded(RING);
         let (calls, node, id, address) = (self.calls.clone(), self.node.clone(), self.id, self.address);
         let work = move || {
@@ -132,10 +132,7 @@
 
 fn deliver(calls: &Calls, client: &HttpClient, node: &NodeId, delivery: &Delivery) -> Option<()> {
     let messages = postcard::to_stdvec(delivery).ok()?;
-    let bytes = messages.len();
-    counter!("gentian_state_sent_bytes_total").increment(bytes as u64);
+    counter!("gentian_state_sent_bytes_total").increment(messages.len() as u64);
     let packet = Envelope::new(node, Revision::default(), Packet { messages });
-    let patience = calls.timeout() + transfer_time(bytes);
-    let delivered = calls.wait(async { tokio::time::timeout(patience, client.deliver(packet)).await });
-    delivered.ok()?.ok()
+    calls.wait(client.deliver(packet)).ok()
 }
--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -16,8 +16,8 @@
 use telemetry::Clock;
 use tokio::sync::oneshot;
 use wire::Envelope;
-use wire::catalog::{CatalogRpcClient, CatalogRpcServer, Fetched, Publish, Published};
-use wire::client::{Calls, MAX_MESSAGE, transfer_time};
+use wire::catalog::{CatalogRpcClient, CatalogRpcServer, Fetched, Publish, Published, Upload, UploadId, Uploaded};
+use wire::client::{Calls, MAX_MESSAGE};
 use wire::raft::RaftRpcServer;
 use wire::state::{StateRpcServer, Unavailable};
 
@@ -137,6 +137,8 @@
 /// Time in which a node looks for a leader before it tells an operator that there is none. Operators move on to another
 /// node after a second.
 const DECIDE: Duration = Duration::from_millis(800);
+/// Bytes of a publication in one entry of the log.
+const PIECE: usize = 256 * 1024;
 /// Pause before the leader is looked for again.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -163,11 +165,13 @@
 impl Group {
     /// Publishes a document.
     #[must_use]
-    pub fn publish(&self, ask: Publish) -> Published {
-        let bytes = ask.document.len();
+    pub fn publish(&self, ask: &Publish) -> Published {
+        if ask.document.len() > PIECE {
+            return self.publish_in_pieces(ask);
+        }
         let remote = |client: HttpClient, message| async move { client.publish(message).await };
         let result = self.decide(
-            (Command::Publish(ask.clone()), bytes),
+            Command::Publish(ask.clone()),
             |reply| match reply {
                 Reply::Published(published) => Some(published),
                 _ => None,
@@ -186,7 +190,7 @@
     pub fn fetch(&self) -> Fetched {
         let remote = |client: HttpClient, message| async move { client.fetch(message).await };
         let result = self.decide(
-            (Command::Fetch, 0),
+            Command::Fetch,
             |reply| match reply {
                 Reply::Fetched(fetched) => Some(fetched),
                 _ => None,
@@ -200,10 +204,59 @@
         result.unwrap_or_else(Fetched::Unavailable)
     }
 
-    /// Appends a command of so many bytes here or at the leader; looks for a leader for a short while.
+    /// Publishes a document in several entries of the log, so that none of them keeps beats and other changes waiting.
+    fn publish_in_pieces(&self, ask: &Publish) -> Published {
+        let bytes = postcard::to_stdvec(ask).expect("every publication can be encoded");
+        let id = UploadId {
+            version: ask.catalog.version,
+            digest: crc32fast::hash(&bytes),
+            total: bytes.len() as u64,
+        };
+        let (mut offset, mut moved) = (0, Instant::now());
+        loop {
+            let until = bytes.len().min(offset + PIECE);
+            let piece = Upload {
+                id,
+                offset: offset as u64,
+                bytes: bytes[offset..until].to_vec(),
+            };
+            match self.upload(&piece) {
+                Uploaded::Published(published) => return published,
+                Uploaded::Unreadable(why) => return Published::Unavailable(undecided(&why)),
+                Uploaded::Held(held) if held as usize > offset => (offset, moved) = (held as usize, Instant::now()),
+                // Others' pieces have pushed this publication out.
+                Uploaded::Held(_) if moved.elapsed() > DECIDE => {
+                    return Published::Unavailable(undecided("too many publications at once"));
+                }
+                Uploaded::Held(held) => offset = held as usize,
+                // A piece that is sent twice is taken once, so that it can go to the next leader.
+                Uploaded::Unavailable(why) if moved.elapsed() > DECIDE => return Published::Unavailable(why),
+                Uploaded::Unavailable(_) => std::thread::sleep(PAUSE),
+            }
+        }
+    }
+
+    fn upload(&self, piece: &Upload) -> Uploaded {
+        let remote = |client: HttpClient, message| async move { client.upload(message).await };
+        let result = self.decide(
+            Command::Upload(piece.clone()),
+            |reply| match reply {
+                Reply::Uploaded(uploaded) => Some(uploaded),
+                _ => None,
+            },
+            |client| remote(client, Envelope::new(&self.node, Revision::default(), piece.clone())),
+            |answer| match answer {
+                Uploaded::Unavailable(why) => Err(why),
+                taken => Ok(taken),
+            },
+        );
+        result.unwrap_or_else(Uploaded::Unavailable)
+    }
+
+    /// Appends a command here or at the leader; looks for a leader for a short while.
     fn decide<T, F>(
         &self,
-        (command, bytes): (Command, usize),
+        command: Command,
         unwrap: impl Fn(Reply) -> Option<T>,
         remote: impl Fn(HttpClient) -> F,
         refused: impl Fn(T) -> Result<T, Unavailable>,
@@ -218,7 +271,7 @@
                     let other = || undecided("the reply belongs to another command");
                     return unwrap(reply).ok_or_else(other);
                 }
-                Err(Unavailable::NotLeader { leader: Some(leader) }) => match self.at((leader, bytes), &remote) {
+                Err(Unavailable::NotLeader { leader: Some(leader) }) => match self.at(leader, &remote) {
                     Ok(answer) => match refused(answer) {
                         Ok(answer) => return Ok(answer),
                         Err(why) => why,
@@ -244,11 +297,11 @@
         answer.blocking_recv().map_err(|_stopped| undecided("the node stops"))?
     }
 
-    fn at<T, F>(&self, (leader, bytes): (SocketAddr, usize), remote: impl Fn(HttpClient) -> F) -> Result<T, Unavailable>
+    fn at<T, F>(&self, leader: SocketAddr, remote: impl Fn(HttpClient) -> F) -> Result<T, Unavailable>
     where
         F: Future<Output = Result<Envelope<T>, jsonrpsee::core::ClientError>>,
     {
-        let client = self.calls.client(leader, transfer_time(bytes));
+        let client = self.calls.client(leader, Duration::ZERO);
         let client = client.map_err(|error| undecided(&error.to_string()))?;
         let answer = self.calls.wait(remote(client));
         answer
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -12,7 +12,7 @@
 use telemetry::Clock;
 use tokio::sync::oneshot;
 use wire::Envelope;
-use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published};
+use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded};
 use wire::raft::{Packet, RaftRpcServer};
 use wire::registry::{Beat, Beaten, Borrow, Borrowed};
 use wire::state::{
@@ -156,6 +156,10 @@
         answer!(self, Command::Publish(request.body), Published)
     }
 
+    async fn upload(&self, request: Envelope<Upload>) -> RpcResult<Envelope<Uploaded>> {
+        answer!(self, Command::Upload(request.body), Uploaded)
+    }
+
     async fn fetch(&self, _request: Envelope<()>) -> RpcResult<Envelope<Fetched>> {
         answer!(self, Command::Fetch, Fetched)
     }
--- a/crates/wire/src/bytes.rs
+++ b/crates/wire/src/bytes.rs
@@ -1,14 +1,37 @@
-//! Byte strings as base64 in JSON, a third longer than raw instead of four times.
+//! Byte strings: raw in binary formats, and as base64 in JSON, where they are a third longer instead of four times.
+
+use std::fmt;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use serde::{Deserialize, Deserializer, Serializer, de::Error as _};
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serializer};
 
 pub(crate) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.serialize_str(&STANDARD.encode(bytes))
+    if serializer.is_human_readable() {
+        return serializer.serialize_str(&STANDARD.encode(bytes));
+    }
+    serializer.serialize_bytes(bytes)
 }
 
 pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    STANDARD.decode(text).map_err(D::Error::custom)
+    if deserializer.is_human_readable() {
+        let text = String::deserialize(deserializer)?;
+        return STANDARD.decode(text).map_err(D::Error::custom);
+    }
+    deserializer.deserialize_byte_buf(Bytes)
+}
+
+struct Bytes;
+
+impl Visitor<'_> for Bytes {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a byte string")
+    }
+
+    fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+        Ok(bytes.to_vec())
+    }
 }
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -18,6 +18,10 @@
     #[method(name = "publish")]
     async fn publish(&self, request: Envelope<Publish>) -> RpcResult<Envelope<Published>>;
 
+    /// Adds a piece to a publication that is too large for one message.
+    #[method(name = "upload")]
+    async fn upload(&self, request: Envelope<Upload>) -> RpcResult<Envelope<Uploaded>>;
+
     /// Reads the newest document of the catalog.
     #[method(name = "fetch")]
     async fn fetch(&self, request: Envelope<()>) -> RpcResult<Envelope<Fetched>>;
@@ -59,6 +63,42 @@
     Unavailable(Unavailable),
 }
 
+/// What tells one publication in pieces from another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UploadId {
+    /// Version of the document.
+    pub version: u64,
+    /// CRC-32 of the encoded publication.
+    pub digest: u32,
+    /// Its bytes.
+    pub total: u64,
+}
+
+/// A piece of an encoded [`Publish`]; the last one publishes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upload {
+    /// The publication.
+    pub id: UploadId,
+    /// Bytes before the piece.
+    pub offset: u64,
+    /// The piece.
+    #[serde(with = "crate::bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// The answer to [`Upload`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Uploaded {
+    /// So many bytes of the publication are there; the next piece begins after them.
+    Held(u64),
+    /// The publication is complete.
+    Published(Published),
+    /// The pieces are no publication.
+    Unreadable(String),
+    /// The node cannot decide it.
+    Unavailable(Unavailable),
+}
+
 /// The answer to a read of the newest document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fetched {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -20,10 +20,6 @@
 /// Largest inner message, in bytes.
 pub const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
 
-/// Bytes a second that pass between two state nodes at the least, the work at both ends included. A message may take as much
-/// longer than a small one.
-const LEAST_RATE: f64 = 2_000_000.0;
-
 /// Longest that a node may hold a watch.
 pub const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -32,12 +28,6 @@
 /// Wait from which a failed call counts as in vain; a node that refuses the connection costs nothing to ask.
 const IN_VAIN: Duration = Duration::from_millis(500);
 
-/// Gives how much longer than a small message one of so many bytes may take.
-#[must_use]
-pub fn transfer_time(bytes: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / LEAST_RATE)
-}
-
 /// A call that got no answer.
 #[derive(Debug, Display, Error)]
 #[display("{step} at {peer}: {source}")]
@@ -83,12 +73,6 @@
         }
     }
 
-    /// Gives the longest wait for an answer.
-    #[must_use]
-    pub const fn timeout(&self) -> Duration {
-        self.timeout
-    }
-
     /// Opens a client; the connection itself is made at the first call.
     ///
     /// # Errors
