--- a/crates/wire/src/bytes.rs
+++ b/crates/wire/src/bytes.rs
@@ -27,11 +27,11 @@
 impl Visitor<'_> for Bytes {
     type Value = Vec<u8>;
 
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a byte string")
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a byte string")
     }
 
-    fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
-        Ok(bytes.to_vec())
+    fn visit_bytes<E: Error>(self, v: &[u8]) -> Result<Vec<u8>, E> {
+        Ok(v.to_vec())
     }
 }
