--- /dev/null
+++ b/crates/gateway/benches/rollout.rs
@@ -0,0 +1,109 @@
+//! What a change of one route costs a state node and an entry host, at 100, 1,000 and 10,000 routes; and what the whole catalog
+//! as JSON would cost each of them.
+#![expect(
+    missing_docs,
+    reason = "the macro of the library makes a public function without documentation"
+)]
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use contract::{Catalog, Delta, Route, ServiceName, Share};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use gateway::mirror::Mirror;
+use gateway::table::Table;
+use state::feed::Feed;
+use wire::catalog::Followed;
+
+const SIZES: [usize; 3] = [100, 1_000, 10_000];
+
+fn catalog(version: u64, routes: usize) -> Catalog {
+    let route = |at: usize| Route {
+        name: format!("r-{at:06}"),
+        host: format!("host{}.example", at % 40),
+        prefix: format!("/path{at}/"),
+        timeout_ms: 15_000,
+        target_ms: 600,
+        attempts: 2,
+        split: vec![Share {
+            service: ServiceName::from("assistant"),
+            weight: 1,
+        }],
+        ..Route::default()
+    };
+    Catalog {
+        version,
+        routes: (0..routes).map(route).collect(),
+        ..Catalog::default()
+    }
+}
+
+/// Gives a catalog and the next one, in which one route is another.
+fn versions(routes: usize) -> (Catalog, Catalog) {
+    let old = catalog(1, routes);
+    let mut new = old.clone();
+    new.version = 2;
+    new.routes[routes / 2].timeout_ms = 1_000;
+    (old, new)
+}
+
+/// Fetches what a copy lacks; gives the bytes.
+fn fetch(mirror: &mut Mirror, feed: &mut Feed, newest: &Catalog) -> usize {
+    let mut bytes = 0;
+    while mirror.version() != Some(newest.version) {
+        let news = Followed {
+            parts: feed.answer(&mirror.ask(Duration::ZERO), newest),
+            newest: newest.version,
+            age_ms: 0,
+            members: Vec::new(),
+            leader: None,
+        };
+        bytes += mirror.take(news, Duration::ZERO).expect("the transfer fits");
+    }
+    bytes
+}
+
+fn costs(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("one_route");
+    for routes in SIZES {
+        let (old, new) = versions(routes);
+        let mut feed = Feed::default();
+        let mut mirror = Mirror::default();
+        let whole = fetch(&mut mirror, &mut feed, &old);
+        feed.publish(&old, &new);
+        let change = fetch(&mut mirror, &mut feed, &new);
+        let json = serde_json::to_vec(&new).expect("a catalog is encoded");
+        println!(
+            "{routes} routes: change {change} B, whole {whole} B, whole as JSON {} B",
+            json.len()
+        );
+        group.bench_function(BenchmarkId::new("node_compares", routes), |bencher| {
+            bencher.iter(|| Feed::default().publish(&old, black_box(&new)));
+        });
+        let ask = {
+            let mut behind = Mirror::default();
+            fetch(&mut behind, &mut Feed::default(), &old);
+            behind.ask(Duration::ZERO)
+        };
+        group.bench_function(BenchmarkId::new("node_answers", routes), |bencher| {
+            bencher.iter(|| feed.answer(black_box(&ask), &new));
+        });
+        let (table, delta) = (Table::new(&old), Delta::between(&old, &new));
+        group.bench_function(BenchmarkId::new("host_applies", routes), |bencher| {
+            bencher.iter(|| table.changed(black_box(&delta)));
+        });
+        group.bench_function(BenchmarkId::new("node_answers_whole_json", routes), |bencher| {
+            bencher.iter(|| serde_json::to_vec(&new.clone()).expect("a catalog is encoded"));
+        });
+        group.bench_function(BenchmarkId::new("host_applies_whole_json", routes), |bencher| {
+            bencher.iter(|| {
+                let catalog: Catalog = serde_json::from_slice(black_box(&json)).expect("a catalog is read");
+                Table::new(&catalog)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, costs);
+criterion_main!(benches);
