Pause after a transfer that does not fit, and ask another node

A node whose transfers can't be used would have been asked again without a pause, since it answers at once. Found by reading; no run has shown it, and there is no test of its own.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -123,16 +123,20 @@
         let age = Duration::from_millis(news.age_ms);
         self.told = news.newest;
         let brought = !news.parts.is_empty();
-        match self.mirror.take(news, took) {
-            Ok(bytes) if brought => self.spent.add_page(bytes, took),
-            Ok(_) => {}
-            Err(error) => {
-                counter!("gentian_gateway_follow_broken_total").increment(1);
-                warn!(self.link.logger, "transfer of the configuration begins again"; "peer" => %peer, "error" => %error);
-            }
+        let taken = self.mirror.take(news, took);
+        if let Ok(bytes) = &taken
+            && brought
+        {
+            self.spent.add_page(*bytes, took);
         }
         self.put_in_force(peer, age);
         self.link.shared.hear_newest(self.told, self.link.clock.now() - age);
+        if let Err(error) = taken {
+            counter!("gentian_gateway_follow_broken_total").increment(1);
+            warn!(self.link.logger, "transfer of the configuration begins again"; "peer" => %peer, "error" => %error);
+            self.fail(peer, "its transfer does not fit", took);
+            return;
+        }
         if age > STALE {
             self.fail(peer, &format!("its news are {} ms old", age.as_millis()), took);
             return;
--- a/crates/policy/src/sources.rs
+++ b/crates/policy/src/sources.rs
@@ -29,11 +29,11 @@
         }
     }
 
-    /// Gives the node to ask. `lead` names the leader where a version is known that this host lacks.
+    /// Gives the node to ask. `leader` is given where a version is known that this host lacks.
     #[must_use]
-    pub fn pick(&self, nodes: &BTreeSet<SocketAddr>, lead: Option<SocketAddr>, now: Tick) -> Option<SocketAddr> {
+    pub fn pick(&self, nodes: &BTreeSet<SocketAddr>, leader: Option<SocketAddr>, now: Tick) -> Option<SocketAddr> {
         let sound = |node: &SocketAddr| self.failed.get(node).is_none_or(|at| now.since(*at) >= AVOIDED);
-        if let Some(leader) = lead.filter(sound) {
+        if let Some(leader) = leader.filter(sound) {
             return Some(leader);
         }
         let count = nodes.len();
