Add up the backlogs of all hosts once in 20 ms instead of once a heartbeat

Cause: the leader merged the observations of all entry hosts anew for each heartbeat, over all upstreams times all hosts that had ever reported one: 90 upstreams, 194 hosts and 400 heartbeats a second, under the lock that heartbeats, loans and the list share. Backlogs that had ended were kept for as long as anybody observed their upstream.

Change: one summary of the busiest upstreams answers the heartbeats of 20 ms; an answer subtracts the host's own part. A backlog is dropped when it has ended. Test: state/shared_news::many_hosts, 390 hosts, which made 390 sums in half a second.

--- a/crates/state/src/shared_observations.rs
+++ b/crates/state/src/shared_observations.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use contract::NodeId;
+use metrics::counter;
 use policy::Tick;
 use wire::registry::UpstreamObservation;
 
@@ -18,10 +19,16 @@
 const REQUEST_WEIGHT_MS: u32 = 30;
 /// Backlog below which none is reported: the prompts of a few small requests.
 const MIN_BACKLOG_MS: u64 = 10;
+/// Age up to which a summary answers heartbeats. It is much shorter than the interval between two heartbeats of a host,
+/// and bounds how often the backlogs of all hosts are added up.
+const SUMMARY_TTL: Duration = Duration::from_millis(20);
 
 /// The newest observations of all upstreams, by upstream id.
 #[derive(Debug, Default)]
-pub(crate) struct Observations(BTreeMap<String, UpstreamView>);
+pub(crate) struct Observations {
+    upstreams: BTreeMap<String, UpstreamView>,
+    summary: Option<Summary>,
+}
 
 #[derive(Debug, Default)]
 struct UpstreamView {
@@ -31,91 +38,163 @@
 }
 
 /// What one entry host has reported about its own requests at an upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Backlog {
     /// Prompt processing time of requests whose prompts are not processed yet.
     unread: Duration,
     /// By how much the wait of a request exceeds its prediction.
     overdue: Duration,
     at: Tick,
+    /// The part of the current summary that comes from this host.
+    summarized: BacklogMs,
+}
+
+/// A backlog in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct BacklogMs {
+    unread: u64,
+    overdue: u64,
+}
+
+/// The busiest upstreams, as all entry hosts together have observed them.
+#[derive(Debug)]
+struct Summary {
+    at: Tick,
+    /// The busiest upstream first.
+    upstreams: Vec<UpstreamSummary>,
+}
+
+#[derive(Debug)]
+struct UpstreamSummary {
+    id: String,
+    load: Option<(u32, u32, Tick)>,
+    /// Unprocessed prompts of all entry hosts.
+    unread_ms: u64,
+    /// The largest overrun of an entry host's requests, and the largest of the other hosts.
+    overdue_ms: (u64, u64),
 }
 
 impl Observations {
     /// Records the observations of an entry host.
     pub(crate) fn record(&mut self, from: &NodeId, observations: Vec<UpstreamObservation>, now: Tick) {
         for observed in observations {
-            let known = self.0.entry(observed.id).or_default();
+            let known = self.upstreams.entry(observed.id).or_default();
             if let Some((running, waiting, age_ms)) = observed.load {
                 let at = now - Duration::from_millis(u64::from(age_ms));
                 if known.load.is_none_or(|(_, _, before)| before < at) {
                     known.load = Some((running, waiting, at));
                 }
             }
-            let backlog = Backlog {
-                unread: Duration::from_millis(u64::from(observed.backlog_ms)),
-                overdue: Duration::from_millis(u64::from(observed.overdue_ms)),
-                at: now,
-            };
-            known.backlogs.insert(from.clone(), backlog);
+            let backlog = known.backlogs.entry(from.clone()).or_default();
+            backlog.unread = Duration::from_millis(u64::from(observed.backlog_ms));
+            backlog.overdue = Duration::from_millis(u64::from(observed.overdue_ms));
+            backlog.at = now;
         }
-        self.0.retain(|_, known| known.is_fresh(now));
     }
 
     /// Returns what entry hosts other than `to` have observed, the busiest upstreams first.
-    pub(crate) fn of_others(&self, to: &NodeId, now: Tick) -> Vec<UpstreamObservation> {
-        let observe = |(id, known): (&String, &UpstreamView)| {
-            let load = known.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
-            let load = load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32));
-            let (backlog_ms, overdue_ms) = known.backlog_without(to, now);
-            (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| UpstreamObservation {
-                id: id.clone(),
-                load,
-                backlog_ms,
-                overdue_ms,
+    ///
+    /// The backlogs of all hosts are added up at most once in [`SUMMARY_TTL`]; an answer only subtracts the host's own
+    /// part. Adding them up for each answer took the leader time in proportion to the square of the number of hosts.
+    pub(crate) fn of_others(&mut self, to: &NodeId, now: Tick) -> Vec<UpstreamObservation> {
+        if self
+            .summary
+            .as_ref()
+            .is_none_or(|known| now.since(known.at) >= SUMMARY_TTL)
+        {
+            self.summarize(now);
+        }
+        let busiest = self.summary.iter().flat_map(|summary| &summary.upstreams);
+        busiest
+            .filter_map(|upstream| {
+                let own = self.upstreams.get(&upstream.id)?.backlogs.get(to);
+                upstream.without(own.map_or_else(BacklogMs::default, |own| own.summarized), now)
             })
-        };
-        let mut observations: Vec<UpstreamObservation> = self.0.iter().filter_map(observe).collect();
-        observations.sort_by_key(|observed| std::cmp::Reverse(weight(observed)));
-        observations.truncate(MAX_OBSERVATIONS);
-        observations
+            .collect()
     }
-}
 
-/// Returns how strongly an observation speaks against an upstream, in milliseconds.
-fn weight(observed: &UpstreamObservation) -> u32 {
-    let (running, waiting, _) = observed.load.unwrap_or_default();
-    observed
-        .backlog_ms
-        .max(observed.overdue_ms)
-        .saturating_add((running + waiting).saturating_mul(REQUEST_WEIGHT_MS))
+    /// Adds up the backlogs of all hosts, and drops what is outdated.
+    fn summarize(&mut self, now: Tick) {
+        counter!("gentian_state_summaries_total").increment(1);
+        self.upstreams.retain(|_, view| {
+            view.expire(now);
+            view.load.is_some() || !view.backlogs.is_empty()
+        });
+        let summaries = self.upstreams.iter_mut().map(|(id, view)| view.summarize(id, now));
+        let mut upstreams: Vec<UpstreamSummary> = summaries.collect();
+        upstreams.sort_by_key(|upstream| std::cmp::Reverse(upstream.weight()));
+        upstreams.truncate(MAX_OBSERVATIONS);
+        self.summary = Some(Summary { at: now, upstreams });
+    }
 }
 
 impl UpstreamView {
-    fn is_fresh(&self, now: Tick) -> bool {
-        let seen = self.load.is_some_and(|(_, _, at)| now.since(at) < LOAD_TTL);
-        seen || self
-            .backlogs
-            .values()
-            .any(|backlog| now.since(backlog.at) < BACKLOG_TTL)
+    /// Drops an outdated load and the backlogs that have ended.
+    fn expire(&mut self, now: Tick) {
+        self.load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
+        self.backlogs.retain(|_, backlog| backlog.lasts_until() > now);
+    }
+
+    /// Adds up the backlogs of all hosts, reduced by the time since they were reported. Of the overruns the largest
+    /// counts, since all requests wait in one queue.
+    fn summarize(&mut self, id: &str, now: Tick) -> UpstreamSummary {
+        let (mut unread_ms, mut overdue_ms) = (0, (0, 0));
+        for backlog in self.backlogs.values_mut() {
+            backlog.summarized = backlog.left(now);
+            unread_ms += backlog.summarized.unread;
+            let overdue = backlog.summarized.overdue;
+            if overdue > overdue_ms.0 {
+                overdue_ms = (overdue, overdue_ms.0);
+            } else {
+                overdue_ms.1 = overdue_ms.1.max(overdue);
+            }
+        }
+        UpstreamSummary {
+            id: id.to_owned(),
+            load: self.load,
+            unread_ms,
+            overdue_ms,
+        }
+    }
+}
+
+impl Backlog {
+    /// Returns the end of the backlog, or when the report no longer counts.
+    fn lasts_until(&self) -> Tick {
+        self.at + self.unread.max(self.overdue).min(BACKLOG_TTL)
     }
 
-    /// Returns the unprocessed prompts of other entry hosts, summed, and the maximum by which their requests are
-    /// overdue, both in milliseconds and reduced by the time since they were reported. The maximum, since all requests
-    /// wait in one queue.
-    fn backlog_without(&self, node: &NodeId, now: Tick) -> (u32, u32) {
-        let others = || {
-            self.backlogs
-                .iter()
-                .filter(|(other, _)| *other != node)
-                .map(|(_, backlog)| backlog)
-        };
-        let left = |backlog: &Backlog, span: Duration| span.saturating_sub(now.since(backlog.at)).as_millis() as u64;
-        let unread: u64 = others().map(|backlog| left(backlog, backlog.unread)).sum();
-        let overdue = others()
-            .map(|backlog| left(backlog, backlog.overdue))
-            .max()
-            .unwrap_or_default();
+    fn left(&self, now: Tick) -> BacklogMs {
+        let elapsed = now.since(self.at);
+        let left = |span: Duration| span.saturating_sub(elapsed).as_millis() as u64;
+        BacklogMs {
+            unread: left(self.unread),
+            overdue: left(self.overdue),
+        }
+    }
+}
+
+impl UpstreamSummary {
+    /// Returns the observation of all hosts but the one with the backlog `own`, if anything is left.
+    fn without(&self, own: BacklogMs, now: Tick) -> Option<UpstreamObservation> {
+        let is_own = own.overdue > 0 && own.overdue == self.overdue_ms.0;
+        let overdue = if is_own { self.overdue_ms.1 } else { self.overdue_ms.0 };
         let reported = |ms: u64| if ms < MIN_BACKLOG_MS { 0 } else { ms as u32 };
-        (reported(unread), reported(overdue))
+        let backlog_ms = reported(self.unread_ms.saturating_sub(own.unread));
+        let overdue_ms = reported(overdue);
+        let load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
+        (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| UpstreamObservation {
+            id: self.id.clone(),
+            load: load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32)),
+            backlog_ms,
+            overdue_ms,
+        })
+    }
+
+    /// Returns how strongly the observations speak against the upstream, in milliseconds.
+    fn weight(&self) -> u64 {
+        let (running, waiting, _) = self.load.unwrap_or_default();
+        let requests = u64::from(running.saturating_add(waiting)) * u64::from(REQUEST_WEIGHT_MS);
+        self.unread_ms.max(self.overdue_ms.0) + requests
     }
 }
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -177,3 +177,31 @@
     registry.set_list(TERM, ready(), Tick::from_millis(3_500));
     assert_eq!(leaving(3_510), [""; 0]);
 }
+
+/// Guards against a leader that adds up the backlogs of all entry hosts for each heartbeat: with hundreds of hosts that
+/// takes all of its processor time.
+#[test]
+fn many_hosts() {
+    const HOSTS: u64 = 390;
+    let recorder = metrics_exporter_prometheus::PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::with_local_recorder(&recorder, || {
+        let registry = EntryRegistry::default();
+        for host in 0..HOSTS {
+            let at_ms = 1_000 + host * 500 / HOSTS;
+            let news = heartbeat(&registry, &format!("e{host}"), observed("u", None, 2_000), at_ms);
+            let known: u32 = news.signs.iter().map(|sign| sign.backlog_ms).sum();
+            // All but the reports of the last 20 ms, each reduced by the time since then.
+            let expected = host.saturating_sub(20) * 1_500;
+            assert!(u64::from(known) >= expected, "host {host} is told {known} ms");
+        }
+    });
+    let summaries = handle.render();
+    let count = summaries
+        .lines()
+        .find_map(|line| line.strip_prefix("gentian_state_summaries_total "));
+    let count: u64 = count
+        .and_then(|count| count.parse().ok())
+        .expect("the counter is shown");
+    assert!(count <= 500 / 20 + 1, "{count} summaries in half a second");
+}
