Serve by the committed configuration on the disks before an election

A host that asked a state node which was still without power waited 0.9 s for it.

Change: the log says how far it is committed, with each write and after a publication; a restarted node applies that, and tells its age as unknown as before. Its answers name the stored number of entry hosts, from which a host takes its even share until the leader assigns one. State nodes that accept no connection within 0.1 s are left for the next. Logs of the version before are read, and that version reads these.

--- a/crates/gateway/benches/rollout.rs
+++ b/crates/gateway/benches/rollout.rs
@@ -57,6 +57,7 @@
             age_ms: 0,
             members: Vec::new(),
             leader: None,
+            entry_hosts: 0,
         };
         bytes += copy.apply_update(update, Duration::ZERO).expect("the transfer fits");
     }
--- a/crates/gateway/src/catalog_follower.rs
+++ b/crates/gateway/src/catalog_follower.rs
@@ -11,11 +11,13 @@
 use jsonrpsee::http_client::HttpClient;
 use metrics::{counter, gauge, histogram};
 use parking_lot::Mutex;
+use policy::parts::EntryShare;
 use policy::sources::NodeSelector;
 use slog::{info, warn};
 use wire::Envelope;
 use wire::catalog::{CatalogRpcClient, Followed};
 use wire::client::RpcRuntime;
+use wire::registry::QuotaShare;
 
 use crate::catalog_copy::CatalogCopy;
 use crate::link::{KnownNodes, StateSync};
@@ -107,10 +109,12 @@
         let leader = self.known.lock().leader.filter(|_| self.node_newest < newest);
         let peer = self.selector.pick(&nodes, leader, self.sync.clock.now())?;
         if self.client.as_ref().is_none_or(|(current, _)| *current != peer) {
-            self.client = match self.rpc.client(peer, WATCH_WAIT) {
+            let asked_at = self.sync.clock.now();
+            self.client = match self.rpc.reachable_client(peer, WATCH_WAIT) {
                 Ok(client) => Some((peer, client)),
                 Err(error) => {
-                    self.record_failure(peer, &error.to_string(), Duration::ZERO);
+                    let elapsed = self.sync.clock.now().since(asked_at);
+                    self.record_failure(peer, &error.to_string(), elapsed);
                     None
                 }
             };
@@ -125,6 +129,7 @@
             known.leader = update.leader.or(known.leader);
         }
         let age = Duration::from_millis(update.age_ms);
+        self.adopt_share(update.entry_hosts);
         self.node_newest = update.newest;
         let has_parts = !update.parts.is_empty();
         let applied = self.catalog.apply_update(update, elapsed);
@@ -158,6 +163,21 @@
         self.failures = 0;
     }
 
+    /// Uses the even share of the stored number of entry hosts until the leader assigns this host its share.
+    ///
+    /// After a power loss, callers would otherwise wait for an election and for the first heartbeat after it.
+    fn adopt_share(&self, entry_hosts: u32) {
+        let shared = &self.sync.shared;
+        let Some(share) = EntryShare::even(entry_hosts).filter(|_| shared.quota_share.load().is_none()) else {
+            return;
+        };
+        info!(self.sync.logger, "share of limits adopted"; "entries" => share.entries);
+        shared.quota_share.store(Arc::new(Some(QuotaShare {
+            entries: share.entries,
+            floor: share.fraction,
+        })));
+    }
+
     /// Puts a completely fetched version in force. A version is never replaced by an older one, whichever node is
     /// asked.
     fn activate(&mut self, peer: SocketAddr, age: Duration) {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use contract::{NodeId, Revision};
 use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::HttpClient;
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
@@ -18,7 +19,7 @@
 use upstream::directory::Directory;
 use wire::Envelope;
 use wire::catalog::CatalogRpcClient;
-use wire::client::RpcRuntime;
+use wire::client::{CallError, RpcRuntime};
 use wire::registry::{HeartbeatReply, ListUpdate};
 use wire::state::Unavailable;
 
@@ -116,61 +117,58 @@
         let mut node_index = self.incarnation as usize;
         let mut client = None;
         let mut connected = true;
+        let mut answered = false;
         let mut upstream_list = UpstreamList::default();
         let mut list_published = None;
         loop {
-            thread::sleep(self.heartbeat_interval(&upstream_list));
+            thread::sleep(self.heartbeat_interval(!answered || upstream_list.is_incoming()));
             let leader = known.lock().leader;
             let Some(peer) = leader.or_else(|| self.nth_node(known, node_index)) else {
                 continue;
             };
-            if client.as_ref().is_none_or(|(current, _)| *current != peer) {
-                client = rpc
-                    .client(peer, Duration::ZERO)
-                    .ok()
-                    .map(|new_client| (peer, new_client));
-            }
-            let Some((_, current)) = &client else {
-                continue;
-            };
             let mut heartbeat = self.shared.heartbeat.lock().clone();
             heartbeat.run = self.incarnation;
             upstream_list.fill_request(&mut heartbeat);
             let sent_at = self.clock.now();
-            let error =
-                match rpc.wait(current.beat(Envelope::new(&self.node, Revision(self.active_version()), heartbeat))) {
-                    Ok(reply) => match reply.body {
-                        HeartbeatReply::News(update) => {
-                            let share = update.parts;
-                            self.shared.record_newest(update.version, sent_at);
-                            *self.shared.observations.lock() = Some((update.signs, self.clock.now()));
-                            let elapsed = self.clock.now().since(sent_at);
-                            self.merge_list(&mut upstream_list, update.list, &mut list_published, elapsed);
-                            self.shared.leader.store(Arc::new(Some(peer)));
-                            if !connected {
-                                info!(self.logger, "parts of limits are told again";
+            let heartbeat = Envelope::new(&self.node, Revision(self.active_version()), heartbeat);
+            let reply = match client_of(rpc, &mut client, peer) {
+                Ok(current) => rpc.wait(current.beat(heartbeat)),
+                Err(error) => Err(error.source),
+            };
+            let error = match reply {
+                Ok(reply) => match reply.body {
+                    HeartbeatReply::News(update) => {
+                        let share = update.parts;
+                        self.shared.record_newest(update.version, sent_at);
+                        *self.shared.observations.lock() = Some((update.signs, self.clock.now()));
+                        let elapsed = self.clock.now().since(sent_at);
+                        self.merge_list(&mut upstream_list, update.list, &mut list_published, elapsed);
+                        self.shared.leader.store(Arc::new(Some(peer)));
+                        if !connected {
+                            info!(self.logger, "parts of limits are told again";
                                 "peer" => %peer, "entries" => share.entries);
-                            }
-                            connected = true;
-                            self.shared.quota_share.store(Arc::new(Some(share)));
-                            continue;
                         }
-                        HeartbeatReply::Unavailable(reason) => {
-                            known.lock().leader = match &reason {
-                                Unavailable::NotLeader { leader } => *leader,
-                                _ => Some(peer),
-                            };
-                            reason.to_string()
-                        }
-                    },
-                    Err(error) => {
-                        if matches!(error, ClientError::RequestTimeout) {
-                            upstream_list.record_timeout();
-                        }
-                        known.lock().leader = None;
-                        error.to_string()
+                        connected = true;
+                        answered = true;
+                        self.shared.quota_share.store(Arc::new(Some(share)));
+                        continue;
+                    }
+                    HeartbeatReply::Unavailable(reason) => {
+                        known.lock().leader = match &reason {
+                            Unavailable::NotLeader { leader } => *leader,
+                            _ => Some(peer),
+                        };
+                        reason.to_string()
                     }
-                };
+                },
+                Err(error) => {
+                    if matches!(error, ClientError::RequestTimeout) {
+                        upstream_list.record_timeout();
+                    }
+                    known.lock().leader = None;
+                    error.to_string()
+                }
+            };
             if connected {
                 warn!(self.logger, "no parts of limits are told"; "peer" => %peer, "step" => "beat", "error" => error);
             }
@@ -179,8 +177,8 @@
         }
     }
 
-    fn heartbeat_interval(&self, upstream_list: &UpstreamList) -> Duration {
-        if self.shared.quota_share.load().is_none() || upstream_list.is_incoming() {
+    fn heartbeat_interval(&self, starting: bool) -> Duration {
+        if starting {
             return STARTUP_INTERVAL;
         }
         HEARTBEAT_INTERVAL.max(Duration::from_secs_f64(
@@ -257,3 +255,17 @@
         MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval)).mul_f64(jitter)
     }
 }
+
+/// Returns the kept client if it is one of `peer`, and otherwise replaces it.
+fn client_of(
+    rpc: &RpcRuntime,
+    kept: &mut Option<(SocketAddr, HttpClient)>,
+    peer: SocketAddr,
+) -> Result<HttpClient, CallError> {
+    if let Some((_, client)) = kept.as_ref().filter(|(current, _)| *current == peer) {
+        return Ok(client.clone());
+    }
+    let client = rpc.reachable_client(peer, Duration::ZERO)?;
+    *kept = Some((peer, client.clone()));
+    Ok(client)
+}
--- a/crates/gateway/tests/catalog_transfer.rs
+++ b/crates/gateway/tests/catalog_transfer.rs
@@ -74,6 +74,7 @@
         age_ms: 0,
         members: Vec::new(),
         leader: None,
+        entry_hosts: 0,
     }
 }
 
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -29,6 +29,7 @@
 };
 use wire::client::MAX_MESSAGE_BYTES;
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
+use wire::state::Unavailable;
 
 /// Longest wait for anything, so that no test hangs.
 const TEST_TIMEOUT: Duration = Duration::from_mins(1);
@@ -47,6 +48,15 @@
 impl SlowNode {
     /// Starts a node whose responses pass a link of `bytes_per_s`.
     pub fn start(bytes_per_s: f64) -> Self {
+        Self::start_with(bytes_per_s, None)
+    }
+
+    /// Starts a node that seems to know no leader, and to have stored a number of entry hosts.
+    pub fn without_leader(bytes_per_s: f64, entry_hosts: u32) -> Self {
+        Self::start_with(bytes_per_s, Some(entry_hosts))
+    }
+
+    fn start_with(bytes_per_s: f64, leaderless_hosts: Option<u32>) -> Self {
         let data = TempDir::new().expect("a directory for the log");
         let node_address = free_address();
         let node_config = NodeConfig {
@@ -69,6 +79,7 @@
             address,
             bytes_sent: Arc::clone(&bytes_sent),
             bytes_per_s,
+            leaderless_hosts,
         };
         let config = ServerConfig::builder()
             .max_response_body_size(MAX_MESSAGE_BYTES)
@@ -199,6 +210,8 @@
     address: SocketAddr,
     bytes_sent: Arc<AtomicU64>,
     bytes_per_s: f64,
+    /// Stored number of entry hosts that a node without a leader reports; `None` if the node leads.
+    leaderless_hosts: Option<u32>,
 }
 
 impl SlowProxy {
@@ -236,7 +249,8 @@
     async fn follow(&self, request: Envelope<Follow>) -> RpcResult<Envelope<Followed>> {
         let mut response = to_rpc_result(self.node.follow(request).await)?;
         response.body.members = vec![self.address];
-        response.body.leader = Some(self.address);
+        response.body.leader = Some(self.address).filter(|_| self.leaderless_hosts.is_none());
+        response.body.entry_hosts = self.leaderless_hosts.unwrap_or(response.body.entry_hosts);
         self.bytes_sent
             .fetch_add(encoded_size(&response) as u64, Ordering::Relaxed);
         self.delay(&response).await;
@@ -244,6 +258,10 @@
     }
 
     async fn beat(&self, request: Envelope<Heartbeat>) -> RpcResult<Envelope<HeartbeatReply>> {
+        if self.leaderless_hosts.is_some() {
+            let unavailable = HeartbeatReply::Unavailable(Unavailable::NotLeader { leader: None });
+            return Ok(Envelope::new(&request.from, request.revision, unavailable));
+        }
         let response = to_rpc_result(self.node.beat(request).await)?;
         self.delay(&response).await;
         Ok(response)
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -78,6 +78,17 @@
     pub fraction: f64,
 }
 
+impl EntryShare {
+    /// Returns the even share of one of `entries` entry hosts; `None` without any.
+    #[must_use]
+    pub fn even(entries: u32) -> Option<Self> {
+        (entries > 0).then(|| Self {
+            entries,
+            fraction: EVEN_SHARE / f64::from(entries),
+        })
+    }
+}
+
 impl QuotaAllocator {
     /// Starts listening for entry hosts; `previous_count` is their number under the previous leader, zero if unknown.
     #[must_use]
@@ -96,11 +107,7 @@
         self.heartbeats.retain(|_, heard| now.since(*heard) < HEARTBEAT_EXPIRY);
         self.overflows.retain(|node, _| self.heartbeats.contains_key(node));
         self.heartbeats.insert(node.clone(), now);
-        let entries = self.entry_count(now);
-        (entries > 0).then(|| EntryShare {
-            entries,
-            fraction: EVEN_SHARE / f64::from(entries),
-        })
+        EntryShare::even(self.entry_count(now))
     }
 
     /// Returns the number of entry hosts; zero while it is not known.
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -26,7 +26,7 @@
 pub use request::{Leadership, MemberList, ReplaceError, ReplaceMember, Replacement, StateRequest, request_channel};
 use watchers::Watchers;
 
-use crate::applied::{AppliedState, LogEntry};
+use crate::applied::{AppliedState, Command, LogEntry};
 use crate::disk::{DiskError, Folder};
 use crate::feed::CatalogFeed;
 use crate::peers::{PeerMessage, PeerSenders};
@@ -68,6 +68,8 @@
     stalled_write: Option<(Ready, Tick)>,
     /// When a snapshot may be started next.
     snapshot_retry: Tick,
+    /// Whether something was applied that hosts need right after a restart.
+    commit_due: bool,
     role: &'static str,
 }
 
@@ -107,6 +109,7 @@
             membership_check: now,
             stalled_write: None,
             snapshot_retry: now,
+            commit_due: false,
             role: "",
         })
     }
@@ -178,6 +181,7 @@
             age_ms: age.as_millis() as u64,
             members: members.0.values().map(|member| member.address).collect(),
             leader,
+            entry_hosts: self.applied.sharers,
         };
         self.watchers
             .answer_followers(&self.applied, &mut self.feed, common, now);
@@ -193,6 +197,7 @@
                 return Ok(());
             }
             let applied = self.apply_committed();
+            self.record_commit()?;
             self.take_snapshot();
             if !busy && !applied {
                 return Ok(());
@@ -260,6 +265,21 @@
         !records.is_empty()
     }
 
+    /// Writes how far the log is committed if something was applied that hosts need right after a restart.
+    fn record_commit(&mut self) -> Result<(), DiskError> {
+        if !std::mem::take(&mut self.commit_due) {
+            return Ok(());
+        }
+        match self.folder.write_commit(self.node.committed()) {
+            // The next write of records includes it.
+            Err(error) if error.is_full() => {
+                warn!(self.logger, "commit index was not written"; "error" => %error);
+                Ok(())
+            }
+            written => written,
+        }
+    }
+
     fn apply_one(&mut self, record: &Record) {
         let Payload::Command(bytes) = &record.payload else {
             return;
@@ -269,6 +289,10 @@
         self.log_time.observe(entry.at_ms, self.role == "leader", now);
         let before = self.applied.published.clone();
         let reply = self.applied.apply_at(record.at.index.0, &entry);
+        self.commit_due |= matches!(
+            entry.command,
+            Command::Publish(_) | Command::Upload(_) | Command::Sharers(_)
+        );
         if let (Some(old), Some(new)) = (before, &self.applied.published)
             && !Arc::ptr_eq(&old, new)
         {
--- a/crates/state/src/disk/folder.rs
+++ b/crates/state/src/disk/folder.rs
@@ -48,6 +48,8 @@
     older: Vec<(u64, PathBuf, Index)>,
     /// Newest index in the segment that is written to.
     newest: Index,
+    /// Newest index that the log says to be committed.
+    committed: Index,
     /// Bytes of log since the last snapshot.
     log_bytes: u64,
     /// Bytes of the last snapshot.
@@ -110,6 +112,7 @@
             hard_state: replay.hard,
             snapshot,
             records: replay.records,
+            committed: replay.committed.unwrap_or_default(),
         };
         let log_bytes = log_bytes + older.len() as u64 * limits.segment_bytes;
         let opened = Self {
@@ -121,6 +124,7 @@
             segment,
             older,
             newest,
+            committed: restored.committed,
             log_bytes,
             snapshot_size,
             writing: None,
@@ -141,19 +145,45 @@
         if ready.hard_state.is_none() && ready.records.is_empty() {
             return Ok(());
         }
+        self.append(&Batch {
+            hard: ready.hard_state,
+            records: ready.records.clone(),
+            committed: self.newer_commit(ready.committed),
+        })
+    }
+
+    /// Writes and syncs how far the log is committed, unless the log says so already.
+    ///
+    /// A restarted node applies what is known to be committed, and hosts that lost power with it get the configuration
+    /// before a leader is elected.
+    ///
+    /// # Errors
+    /// Fails as [`Folder::write`] does.
+    pub fn write_commit(&mut self, committed: Index) -> Result<(), DiskError> {
+        match self.newer_commit(committed) {
+            None => Ok(()),
+            newer => self.append(&Batch {
+                committed: newer,
+                ..Batch::default()
+            }),
+        }
+    }
+
+    fn newer_commit(&self, committed: Index) -> Option<Index> {
+        (committed > self.committed).then_some(committed)
+    }
+
+    fn append(&mut self, batch: &Batch) -> Result<(), DiskError> {
         if self.segment.length() >= self.limits.segment_bytes {
             self.start_segment()?;
         }
-        let batch = Batch {
-            hard: ready.hard_state,
-            records: ready.records.clone(),
-        };
         let before = self.segment.length();
-        self.segment.append(&batch, self.space.as_ref())?;
+        self.segment.append(batch, self.space.as_ref())?;
         self.log_bytes += self.segment.length() - before;
-        self.hard = ready.hard_state.unwrap_or(self.hard);
-        let newest = ready.records.last().map(|record| record.at.index);
+        self.hard = batch.hard.unwrap_or(self.hard);
+        let newest = batch.records.last().map(|record| record.at.index);
         self.newest = self.newest.max(newest.unwrap_or_default());
+        self.committed = self.committed.max(batch.committed.unwrap_or_default());
         Ok(())
     }
 
@@ -265,11 +295,12 @@
     result: Receiver<Result<(), DiskError>>,
 }
 
-/// Hard state and log, rebuilt from the batches in the segments.
+/// Hard state, log and commit index, rebuilt from the batches in the segments.
 #[derive(Debug, Default)]
 pub(super) struct Replay {
     pub(super) hard: HardState,
     pub(super) records: Vec<Record>,
+    pub(super) committed: Option<Index>,
 }
 
 impl Replay {
@@ -277,6 +308,7 @@
     pub(super) fn apply(&mut self, batches: Vec<Batch>, snapshot: &Snapshot, folder: &Path) -> Result<(), DiskError> {
         for batch in batches {
             self.hard = batch.hard.unwrap_or(self.hard);
+            self.committed = self.committed.max(batch.committed);
             let added = batch
                 .records
                 .into_iter()
--- a/crates/state/src/disk/frame.rs
+++ b/crates/state/src/disk/frame.rs
@@ -2,8 +2,7 @@
 
 use std::path::Path;
 
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use super::DiskError;
 
@@ -98,8 +97,17 @@
 }
 
 /// Decodes the content of a frame.
-pub(super) fn decode<T: DeserializeOwned>(content: &[u8], file: &Path, offset: usize) -> Result<T, DiskError> {
-    postcard::from_bytes(content).map_err(|_undecodable| DiskError::Damaged {
+pub(super) fn decode<'a, T: Deserialize<'a>>(content: &'a [u8], file: &Path, offset: usize) -> Result<T, DiskError> {
+    decode_first(content, file, offset).map(|(value, _)| value)
+}
+
+/// Decodes the first value in a frame; returns the bytes after it as well.
+pub(super) fn decode_first<'a, T: Deserialize<'a>>(
+    content: &'a [u8],
+    file: &Path,
+    offset: usize,
+) -> Result<(T, &'a [u8]), DiskError> {
+    postcard::take_from_bytes(content).map_err(|_undecodable| DiskError::Damaged {
         file: file.to_owned(),
         offset,
     })
--- a/crates/state/src/disk/segment.rs
+++ b/crates/state/src/disk/segment.rs
@@ -20,6 +20,29 @@
     pub(super) hard: Option<HardState>,
     /// Consecutive records.
     pub(super) records: Vec<Record>,
+    /// Newest index known to be committed; `None` if the log says so already. It follows the other fields in the frame,
+    /// where older versions, which do not write it, do not look for it.
+    #[serde(skip)]
+    pub(super) committed: Option<Index>,
+}
+
+impl Batch {
+    fn encode(&self) -> Result<Vec<u8>, DiskError> {
+        match self.committed {
+            Some(committed) => frame::encode(&(self, committed)),
+            None => frame::encode(self),
+        }
+    }
+
+    fn decode(content: &[u8], path: &Path, offset: usize) -> Result<Self, DiskError> {
+        let (batch, rest): (Self, _) = frame::decode_first(content, path, offset)?;
+        let committed = if rest.is_empty() {
+            None
+        } else {
+            Some(frame::decode(rest, path, offset)?)
+        };
+        Ok(Self { committed, ..batch })
+    }
 }
 
 /// A segment that is open for writing.
@@ -45,10 +68,11 @@
     /// Creates a segment. Its first frame repeats term and vote, so that older segments can be removed.
     pub(super) fn create(folder: &Path, number: u64, hard: HardState, space: &dyn Space) -> Result<Self, DiskError> {
         let mut bytes = KIND.magic().to_vec();
-        bytes.extend(frame::encode(&Batch {
+        let first = Batch {
             hard: Some(hard),
-            records: Vec::new(),
-        })?);
+            ..Batch::default()
+        };
+        bytes.extend(first.encode()?);
         let path = path_of(folder, number);
         space.reserve(bytes.len()).map_err(DiskError::io("write", &path))?;
         // The file appears under its name only with its content, so that a crash leaves no incomplete segment.
@@ -77,7 +101,7 @@
 
     /// Appends a batch and syncs it.
     pub(super) fn append(&mut self, batch: &Batch, space: &dyn Space) -> Result<(), DiskError> {
-        let bytes = frame::encode(batch)?;
+        let bytes = batch.encode()?;
         if let Err(error) = self.write(&bytes, space) {
             // The part of the frame that was written would look like damage once another frame follows it.
             self.truncate_to_synced()?;
@@ -117,7 +141,7 @@
     loop {
         match frame::read_at(&bytes, content.whole_bytes) {
             FrameAt::Whole(frame, end) => {
-                content.batches.push(frame::decode(frame, path, content.whole_bytes)?);
+                content.batches.push(Batch::decode(frame, path, content.whole_bytes)?);
                 content.whole_bytes = end;
             }
             FrameAt::End => return Ok(content),
--- a/crates/state/src/raft/node.rs
+++ b/crates/state/src/raft/node.rs
@@ -29,6 +29,8 @@
     pub snapshot: Snapshot,
     /// Consecutive records after the snapshot.
     pub records: Vec<Record>,
+    /// Newest index that is known to be committed; zero if none was written.
+    pub committed: Index,
 }
 
 /// The node does not lead, so nothing was written.
@@ -101,6 +103,7 @@
             hard_state,
             snapshot,
             records,
+            committed,
         } = restored;
         let mut members = vec![(snapshot.at.index, snapshot.members.clone())];
         members.extend(records.iter().filter_map(|record| match &record.payload {
@@ -118,7 +121,7 @@
             log,
             snapshot,
             members,
-            commit: base.index,
+            commit: committed.min(synced).max(base.index),
             applied: base.index,
             synced,
             next_write: synced.next(),
@@ -299,6 +302,7 @@
             hard_state: std::mem::take(&mut self.hard_changed).then_some(self.hard_state),
             records,
             after_sync: std::mem::take(&mut self.after_sync),
+            committed: self.commit,
             log_end: last,
         };
         if ready.hard_state.is_some() {
--- a/crates/state/src/raft/ready.rs
+++ b/crates/state/src/raft/ready.rs
@@ -15,6 +15,8 @@
     pub records: Vec<Record>,
     /// Messages that depend on the writes; they may be sent only after the sync.
     pub after_sync: Vec<Message>,
+    /// Newest index that the node knows to be committed. It is written with the records, but no message depends on it.
+    pub committed: Index,
     /// Index of the last record with these writes, for [`Node::on_synced`](super::Node::on_synced) after the sync.
     pub log_end: Index,
 }
--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -23,6 +23,7 @@
     hard: HardState,
     snapshot: Snapshot,
     records: Vec<Record>,
+    committed: Index,
 }
 
 #[derive(Debug)]
@@ -419,6 +420,7 @@
             hard_state: disk.hard,
             snapshot: disk.snapshot,
             records: disk.records,
+            committed: disk.committed,
         };
         host.node = Some(Node::new(restored, Timing::default(), seed, Tick::default()));
     }
@@ -456,6 +458,7 @@
             self.set_snapshot(snapshot);
         }
         self.hard = ready.hard_state.unwrap_or(self.hard);
+        self.committed = self.committed.max(ready.committed);
         for record in &ready.records {
             self.records.retain(|old| old.at.index < record.at.index);
             self.records.push(record.clone());
--- a/crates/state/tests/log_recovery.rs
+++ b/crates/state/tests/log_recovery.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use policy::Tick;
 use state::disk::{DiskError, Folder, Limits, Space, check_folder};
-use state::raft::{HardState, Index, Payload, Position, Ready, Record, Snapshot, Term};
+use state::raft::{HardState, Index, Node, Payload, Position, Ready, Record, Snapshot, Term, Timing};
 
 const SMALL_LIMITS: Limits = Limits {
     segment_bytes: 200,
@@ -261,3 +262,26 @@
     assert_eq!(restored.snapshot.at, record(1, 20).at);
     assert_eq!(restored.records.len(), 40);
 }
+
+/// Guards against a restarted node that has to hear from a leader before it applies what it knew to be committed, and
+/// against a commit index beyond the records that a crash has left.
+#[test]
+fn commit_restored() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut log, _) = Folder::open(folder.path(), Limits::default()).unwrap();
+    log.write(&records(1, 1..=4)).unwrap();
+    log.write_commit(Index(3)).unwrap();
+    log.write_commit(Index(2)).unwrap();
+    drop(log);
+    let (mut log, restored) = Folder::open(folder.path(), Limits::default()).unwrap();
+    assert_eq!((restored.committed, restored.records.len()), (Index(3), 4));
+    let ready = Ready {
+        committed: Index(9),
+        ..records(1, 5..=5)
+    };
+    log.write(&ready).unwrap();
+    drop(log);
+    let (_, restored) = Folder::open(folder.path(), Limits::default()).unwrap();
+    let node = Node::new(restored, Timing::default(), 1, Tick::default());
+    assert_eq!(node.committed(), Index(5), "only what is in the log can be applied");
+}
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -178,4 +178,7 @@
     pub members: Vec<SocketAddr>,
     /// Internal RPC address of the leader, if known.
     pub leader: Option<SocketAddr>,
+    /// Number of entry hosts that share the quotas, as the group last stored it; zero if unknown.
+    #[serde(default)]
+    pub entry_hosts: u32,
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,11 +1,12 @@
 //! Blocking RPC clients for threads outside the asynchronous runtime.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use contract::{NodeId, Revision};
 use derive_more::{Display, Error};
+use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
@@ -23,6 +24,9 @@
 /// Longest time for which a node may delay the reply to a watch.
 pub const MAX_WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Longest wait for a connection: many round trips between data centres, and less than callers can wait.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How long a node is skipped after a call to it failed slowly.
 const SKIP_TIME: Duration = Duration::from_secs(5);
 /// Duration from which a failed call marks the node as unresponsive; a node that refuses connections costs no time.
@@ -37,7 +41,7 @@
     /// Address of the called process.
     pub peer: SocketAddr,
     /// Underlying client error.
-    pub source: jsonrpsee::core::ClientError,
+    pub source: ClientError,
 }
 
 /// The threads on which internal RPC calls run, with the timeout of the calls.
@@ -90,6 +94,21 @@
             })
     }
 
+    /// Creates a client like [`RpcRuntime::client`], but only if the peer accepts a connection within 100 ms.
+    ///
+    /// A host without power does not refuse connections, so that a call to it would take its whole timeout.
+    ///
+    /// # Errors
+    /// Fails if the peer accepts no connection or the address can't be used.
+    pub fn reachable_client(&self, peer: SocketAddr, extra: Duration) -> Result<HttpClient, CallError> {
+        TcpStream::connect_timeout(&peer, CONNECT_TIMEOUT).map_err(|error| CallError {
+            step: "connect",
+            peer,
+            source: ClientError::Transport(error.into()),
+        })?;
+        self.client(peer, extra)
+    }
+
     /// Starts a call in the background.
     pub fn spawn<T: Send + 'static>(
         &self,
