Let state nodes lend a part of each quota, with or without a leader

Cause: in the worst seconds most refusals are of accounts within their quota.

Change: 0.6 of a quota belongs to the hosts as before, 0.2 to the leader (0.4 before), and 0.2 to the state nodes, each an even part and one part left out. A host asks the leader, then the state node that answered it last, then overdraws its own part as before. All parts add up to the quota at any time, whoever leads. The leader is forgotten when it does not answer a heartbeat. policy/quota_parts::overflow_once lent the leader's whole first pool, 320 units; the pool is half as large now, and the test takes its size from the shares.

--- a/crates/gateway/src/catalog_follower.rs
+++ b/crates/gateway/src/catalog_follower.rs
@@ -128,6 +128,7 @@
             known.members = update.members.iter().copied().collect();
             known.leader = update.leader.or(known.leader);
         }
+        self.sync.shared.near_node.store(Arc::new(Some(peer)));
         let age = Duration::from_millis(update.age_ms);
         self.adopt_share(update.entry_hosts);
         self.node_newest = update.newest;
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -54,6 +54,8 @@
     pub quota_share: ArcSwap<Option<QuotaShare>>,
     /// Internal address of the leader of the state group; `None` while it is unknown.
     pub leader: ArcSwap<Option<SocketAddr>>,
+    /// Internal address of the state node that answered this host last; `None` before the first answer.
+    pub near_node: ArcSwap<Option<SocketAddr>>,
     /// An upstream list that the event loop has not applied yet, with the time at which it was requested.
     pub new_list: Mutex<Option<(Vec<ListedUpstream>, Tick)>>,
     /// When the latest upstream list was requested.
--- a/crates/gateway/src/lender.rs
+++ b/crates/gateway/src/lender.rs
@@ -1,6 +1,7 @@
-//! Borrows units of an account's quota beyond the host's own share from the leader of the state group.
+//! Borrows units of an account's quota beyond the host's own share from the state group.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,38 +12,55 @@
 use tokio::time::timeout;
 use wire::Envelope;
 use wire::catalog::CatalogRpcClient;
-use wire::registry::{Borrow, BorrowReply};
+use wire::registry::{Borrow, BorrowReply, Lender};
 
 use crate::gate::Shared;
 
-/// Longest wait for the leader's response. Data centres are a few milliseconds apart, and the caller waits meanwhile.
+/// Longest wait for a response. Data centres are a few milliseconds apart, and the caller waits meanwhile.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Client of the leader.
+/// Client of the state nodes that lend.
 #[derive(Debug)]
 pub struct QuotaBorrower {
     node: NodeId,
     shared: Arc<Shared>,
-    client: RefCell<Option<(SocketAddr, HttpClient)>>,
+    clients: RefCell<HashMap<SocketAddr, HttpClient>>,
 }
 
 impl QuotaBorrower {
     /// Creates a client that identifies itself as `node`.
     #[must_use]
-    pub const fn new(node: NodeId, shared: Arc<Shared>) -> Self {
+    pub fn new(node: NodeId, shared: Arc<Shared>) -> Self {
         Self {
             node,
             shared,
-            client: RefCell::new(None),
+            clients: RefCell::default(),
         }
     }
 
-    /// Borrows units of an account's quota. Returns whether they were lent, or `None` if the leader did not answer.
+    /// Borrows units of an account's quota, first from the leader and then from the state node that this host follows.
+    /// Returns whether they were lent, or `None` if the leader did not answer and the other node did not lend.
     pub async fn borrow(&self, account: &str, units: f64) -> Option<bool> {
-        let client = self.client()?;
+        let leader = **self.shared.leader.load();
+        let by_leader = self.ask(leader, Lender::Leader, account, units).await;
+        if by_leader == Some(true) {
+            return by_leader;
+        }
+        let near_node = **self.shared.near_node.load();
+        match self.ask(near_node, Lender::Node, account, units).await {
+            Some(true) => Some(true),
+            Some(false) | None => by_leader,
+        }
+    }
+
+    /// Asks one state node; returns `None` if it is unknown or did not answer.
+    async fn ask(&self, peer: Option<SocketAddr>, lender: Lender, account: &str, units: f64) -> Option<bool> {
+        let peer = peer?;
+        let client = self.client(peer)?;
         let request = Borrow {
             account: account.to_owned(),
             units,
+            lender,
         };
         let call = client.borrow_units(Envelope::new(&self.node, Revision::default(), request));
         let reply = timeout(BORROW_TIMEOUT, call).await;
@@ -50,26 +68,26 @@
             Ok(Ok(reply)) => match reply.body {
                 BorrowReply::Lent => Some(true),
                 BorrowReply::Over => Some(false),
-                BorrowReply::Unavailable(_) => self.record_failure(),
+                BorrowReply::Unavailable(_) => self.record_failure(peer),
             },
-            Ok(Err(_)) | Err(_) => self.record_failure(),
+            Ok(Err(_)) | Err(_) => self.record_failure(peer),
         }
     }
 
-    /// Counts a failed call; the heartbeat thread logs the loss of the leader.
-    fn record_failure(&self) -> Option<bool> {
+    /// Counts a failed call; the background threads log the loss of a state node.
+    fn record_failure(&self, peer: SocketAddr) -> Option<bool> {
         counter!("gentian_gateway_borrow_failed_total").increment(1);
-        *self.client.borrow_mut() = None;
+        self.clients.borrow_mut().remove(&peer);
         None
     }
 
-    fn client(&self) -> Option<HttpClient> {
-        let leader = (**self.shared.leader.load())?;
-        let mut client = self.client.borrow_mut();
-        if client.as_ref().is_none_or(|(address, _)| *address != leader) {
-            let new_client = HttpClientBuilder::default().build(format!("http://{leader}")).ok()?;
-            *client = Some((leader, new_client));
+    fn client(&self, peer: SocketAddr) -> Option<HttpClient> {
+        let mut clients = self.clients.borrow_mut();
+        if let Some(client) = clients.get(&peer) {
+            return Some(client.clone());
         }
-        client.as_ref().map(|(_, client)| client.clone())
+        let client = HttpClientBuilder::default().build(format!("http://{peer}")).ok()?;
+        clients.insert(peer, client.clone());
+        Some(client)
     }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -173,6 +173,8 @@
                 warn!(self.logger, "no parts of limits are told"; "peer" => %peer, "step" => "beat", "error" => error);
             }
             connected = false;
+            // Requests that need a loan would wait for a leader that does not answer.
+            self.shared.leader.store(Arc::new(None));
             node_index += 1;
         }
     }
--- a/crates/gateway/tests/share_adopted.rs
+++ b/crates/gateway/tests/share_adopted.rs
@@ -3,6 +3,7 @@
 #[expect(dead_code, reason = "each feature uses a part of it")]
 mod slow_node;
 
+use policy::parts::EVEN_SHARE;
 use slow_node::{SlowNode, catalog, wait_until};
 
 /// Bandwidth that causes no delay.
@@ -19,8 +20,8 @@
     let share = (**entry.quota_share.load()).expect("the share that was waited for");
     assert_eq!(share.entries, 6);
     assert!(
-        (share.floor - 0.1).abs() < 1e-9,
-        "six hosts split 0.6 of each quota: {}",
+        (share.floor - EVEN_SHARE / 6.0).abs() < 1e-9,
+        "an even share: {}",
         share.floor
     );
 }
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -1,10 +1,15 @@
 //! Division of the accounts' quotas among a changing set of entry hosts.
 //!
 //! A fixed share of each quota is divided evenly among all entry hosts that sent a heartbeat lately. An entry host that
-//! is cut off goes on with its even share, so the sum stays within the quota whichever host is cut off. The leader of
-//! the state group lends the rest to hosts that have no room for a request: requests of an account reach entry hosts at
-//! random, and with an even division of everything one host would refuse some while another has room. Units that
-//! overflow a host's full bucket return to the leader's pool.
+//! is cut off goes on with its even share, so the sum stays within the quota whichever host is cut off. The rest is lent
+//! to hosts that have no room for a request: requests of an account reach entry hosts at random, and with an even
+//! division of everything one host would refuse some while another has room. Units that overflow a host's full bucket
+//! return to the leader's pool.
+//!
+//! A part of what is lent belongs to the leader of the state group, and each state node has an even part of the rest,
+//! which it lends with or without a leader. With hundreds of entry hosts, a host's own share holds one prompt in ten
+//! seconds; if only the leader lent, most callers within their quota would be refused during an election or while the
+//! group is split.
 //!
 //! With eighty entry hosts, an even share holds fewer tokens than one long prompt needs. Without the return of the
 //! overflow, three fifths of the quota would be usable by short prompts only, and callers within their quota would be
@@ -18,9 +23,14 @@
 use crate::Tick;
 use crate::quota::Bucket;
 
-/// Share of every quota that is divided evenly. Accounts use about half of their quota on ordinary days, so a data
-/// centre that is cut off from the leader can go on serving its usual load.
+/// Share of every quota that is divided evenly among the entry hosts. Accounts use about half of their quota on ordinary
+/// days, so a data centre that is cut off from the leader can go on serving its usual load.
 pub const EVEN_SHARE: f64 = 0.6;
+/// Share of every quota that is divided evenly among the state nodes, which lend it. What a node does not lend is lost,
+/// and a long prompt does not fit its part, so that most of what is lent stays with the leader.
+pub const NODE_SHARE: f64 = 0.2;
+/// Share of every quota that only the leader lends, beside what entry hosts don't use.
+const LEADER_SHARE: f64 = 1.0 - EVEN_SHARE - NODE_SHARE;
 /// Share of the slack that is divided evenly and added to the entry hosts' bursts.
 pub const SLACK_EVEN_SHARE: f64 = 0.1;
 /// Share of the slack that is added to the burst of the leader's pool, for bursts of long prompts.
@@ -127,11 +137,11 @@
         self.pools
             .retain(|account, _| quotas.iter().any(|(name, _)| name == account));
         for (account, quota) in quotas {
-            let lendable = quota.burst * (1.0 - EVEN_SHARE);
+            let lendable = quota.burst * LEADER_SHARE;
             let pool = self.pools.entry(account.clone());
             let pool = pool.or_insert_with(|| Bucket::new(lendable, now));
             let burst = lendable + slack.units * SLACK_POOL_SHARE;
-            pool.set(quota.per_s * (1.0 - EVEN_SHARE) + slack.rate(), burst, now);
+            pool.set(quota.per_s * LEADER_SHARE + slack.rate(), burst, now);
         }
     }
 
@@ -158,3 +168,44 @@
         pool.is_some_and(|pool| pool.take(units, now).is_ok())
     }
 }
+
+/// The pools of one state node.
+#[derive(Debug, Default)]
+pub struct NodeLender {
+    pools: BTreeMap<String, Bucket>,
+}
+
+/// Which requests a state node lends to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoanLimit {
+    /// Those that its pool has room for.
+    Whole,
+    /// Also one that is larger than the pool, which is then overdrawn.
+    Overdraw,
+}
+
+impl NodeLender {
+    /// Lends units of an account's quota; returns whether the pool had room. `nodes` is the number of state nodes.
+    ///
+    /// The quota is divided into one part more than there are nodes: a node that is cut off and replaced goes on lending,
+    /// and the parts of all nodes must not add up to more than the whole.
+    pub fn lend(
+        &mut self,
+        (account, quota): (&str, &Quota),
+        nodes: u32,
+        units: f64,
+        limit: LoanLimit,
+        now: Tick,
+    ) -> bool {
+        let part = NODE_SHARE / f64::from(nodes + 1);
+        let burst = quota.burst * part;
+        let pool = self.pools.entry(account.to_owned());
+        let pool = pool.or_insert_with(|| Bucket::new(burst, now));
+        pool.set(quota.per_s * part, burst, now);
+        let lent = match limit {
+            LoanLimit::Whole => pool.take_whole(units, now),
+            LoanLimit::Overdraw => pool.take(units, now),
+        };
+        lent.is_ok()
+    }
+}
--- a/crates/policy/tests/quota_parts.rs
+++ b/crates/policy/tests/quota_parts.rs
@@ -5,9 +5,11 @@
 
 use contract::{NodeId, Quota};
 use policy::Tick;
-use policy::parts::{EVEN_SHARE, QuotaAllocator, Slack};
+use policy::parts::{EVEN_SHARE, LoanLimit, NODE_SHARE, NodeLender, QuotaAllocator, Slack};
 use policy::quota::Bucket;
 use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const QUOTA: Quota = Quota {
     per_s: 1_000.0,
@@ -20,6 +22,7 @@
     window: Duration::from_secs(8),
 };
 const HOSTS: usize = 5;
+const NODES: usize = 3;
 
 fn name(at: usize) -> NodeId {
     NodeId::from(format!("e{at}"))
@@ -66,6 +69,7 @@
 /// The quota of one account: entry hosts with their even shares, and the leader with the rest.
 struct System {
     allocator: QuotaAllocator,
+    nodes: Vec<NodeLender>,
     hosts: Vec<Bucket>,
     quota: Quota,
     slack: Slack,
@@ -77,6 +81,7 @@
         allocator.set_quotas(&[("a".to_owned(), quota)], &slack, Tick::default());
         let mut system = Self {
             allocator,
+            nodes: (0..NODES).map(|_| NodeLender::default()).collect(),
             hosts: vec![Bucket::new(0.0, Tick::default()); hosts],
             quota,
             slack,
@@ -102,7 +107,13 @@
     }
 
     fn ask(&mut self, at: usize, units: f64, now: Tick) -> bool {
-        self.hosts[at].take_whole(units, now).is_ok() || self.allocator.lend("a", units, now)
+        self.hosts[at].take_whole(units, now).is_ok()
+            || self.allocator.lend("a", units, now)
+            || self.ask_node(at, units, LoanLimit::Whole, now)
+    }
+
+    fn ask_node(&mut self, at: usize, units: f64, limit: LoanLimit, now: Tick) -> bool {
+        self.nodes[at % NODES].lend(("a", &self.quota), NODES as u32, units, limit, now)
     }
 }
 
@@ -158,7 +169,8 @@
     let totals = |units| BTreeMap::from([("a".to_owned(), units)]);
     let mut allocator = settled_allocator();
     allocator.set_quotas(&[("a".to_owned(), QUOTA)], &Slack::default(), Tick::default());
-    assert!(allocator.lend("a", 320.0, Tick::default()));
+    let initial = QUOTA.burst * (1.0 - EVEN_SHARE - NODE_SHARE) * 0.4;
+    assert!(allocator.lend("a", initial, Tick::default()));
     for (incarnation, total) in [(1, 500), (1, 500), (2, 400)] {
         allocator.collect_overflow(&name(0), incarnation, totals(total));
         assert!(
@@ -180,3 +192,54 @@
     assert!(!allocator.lend("a", 1_000.0, Tick::from_millis(2_000)));
     assert!(!allocator.lend("b", 1.0, Tick::from_millis(2_000)));
 }
+
+/// Guards against refusals within a quota while the state group has no leader: two hundred entry hosts hold one prompt
+/// in many seconds each, and requests reach them at random.
+#[test]
+fn without_leader() {
+    const ENTRY_HOSTS: usize = 200;
+    /// Time with and then without a leader, in milliseconds.
+    const PHASE_MS: u64 = 8_000;
+    let quota = Quota {
+        per_s: 110_000.0,
+        burst: 110_000.0,
+        ..QUOTA
+    };
+    let mut system = System::start(ENTRY_HOSTS, quota, Slack::default());
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let (mut asked, mut admitted) = (0.0, 0.0);
+    for now_ms in 0..2 * PHASE_MS {
+        let now = Tick::from_millis(now_ms);
+        // The account asks for half of its quota, five times a second and data centre.
+        if now_ms % 33 != 0 {
+            continue;
+        }
+        let (at, units) = (random.random_range(0..ENTRY_HOSTS), random.random_range(0.0..3_600.0));
+        if now_ms < PHASE_MS {
+            system.heartbeat(at, now);
+            let _ = system.ask(at, units, now);
+            continue;
+        }
+        let lent = system.hosts[at].take_whole(units, now).is_ok()
+            || system.ask_node(at, units, LoanLimit::Overdraw, now)
+            || system.hosts[at].take(units, now).is_ok();
+        asked += units;
+        admitted += if lent { units } else { 0.0 };
+    }
+    assert!(admitted >= 0.75 * asked, "{admitted} of {asked} units are admitted");
+}
+
+/// Guards against state nodes that lend a quota anew after each restart or without a bound.
+#[test]
+fn node_part_bounded() {
+    let mut node = NodeLender::default();
+    let account = ("a", &QUOTA);
+    let part = NODE_SHARE / 4.0;
+    let limit = LoanLimit::Whole;
+    let lend = |node: &mut NodeLender, units, ms| node.lend(account, 3, units, limit, Tick::from_millis(ms));
+    assert!(!lend(&mut node, QUOTA.burst * part * 0.5, 0));
+    assert!(lend(&mut node, QUOTA.burst * part * 0.4, 0));
+    assert!(!lend(&mut node, QUOTA.per_s * part * 2.0 + 1.0, 1_000));
+    assert!(lend(&mut node, QUOTA.per_s * part, 1_000));
+    assert!(!lend(&mut node, QUOTA.per_s * part * 0.1, 1_050));
+}
--- a/crates/state/src/core/request.rs
+++ b/crates/state/src/core/request.rs
@@ -55,6 +55,8 @@
     pub since: Option<Tick>,
     /// Inner address of the leader, if known.
     pub leader: Option<SocketAddr>,
+    /// Number of members of the group.
+    pub nodes: u32,
 }
 
 /// The member to replace and the node that replaces it.
--- a/crates/state/src/core/serve.rs
+++ b/crates/state/src/core/serve.rs
@@ -112,6 +112,7 @@
             term: self.node.term().0,
             since: self.led_since.filter(|_| self.node.leads(now)),
             leader: self.leader_address(now),
+            nodes: self.node.members().len() as u32,
         }
     }
 
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -10,11 +10,12 @@
 use metrics::gauge;
 use parking_lot::Mutex;
 use policy::Tick;
-use policy::parts::{QuotaAllocator, Slack};
+use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
 use policy::rollout::{Progress, Rollout};
 use wire::registry::{Heartbeat, LeaderUpdate, QuotaShare, ServiceLoad};
 
+use crate::core::Leadership;
 use crate::list_changes::UpstreamList;
 use crate::shared_observations::Observations;
 
@@ -39,6 +40,8 @@
     /// Number of entry hosts that the replicated state holds.
     stored_count: u32,
     allocator: Option<QuotaAllocator>,
+    /// What this node lends by itself, in any term.
+    own_lender: NodeLender,
     /// Requests by usage window and by entry host with the incarnation of its process.
     counts: BTreeMap<u64, BTreeMap<(NodeId, u64), Counts>>,
     /// Load of each service by entry host, with the time of its heartbeat.
@@ -167,6 +170,18 @@
         allocator.is_some_and(|allocator| allocator.lend(account, units, now))
     }
 
+    /// Lends units of an account's quota from this node's own part; returns whether it has room for them. Without a
+    /// leader, a request that is larger than the part may overdraw it.
+    pub fn lend_own(&self, account: (&str, &Quota), leadership: &Leadership, units: f64, now: Tick) -> bool {
+        let limit = if leadership.leader.is_some() {
+            LoanLimit::Whole
+        } else {
+            LoanLimit::Overdraw
+        };
+        let mut inner = self.inner.lock();
+        inner.own_lender.lend(account, leadership.nodes, units, limit, now)
+    }
+
     /// Returns whether entry hosts have reported since a window or earlier, so that its counts are complete.
     #[must_use]
     pub fn has_window(&self, window: u64) -> bool {
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use contract::{NodeId, Revision};
+use contract::{NodeId, Quota, Revision};
 use crossbeam_channel::Sender;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -14,7 +14,7 @@
 use wire::Envelope;
 use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded};
 use wire::raft::{Packet, RaftRpcServer};
-use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
+use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply, Lender};
 use wire::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
     Watched,
@@ -99,6 +99,20 @@
         Ok(self.request(read).await?.body)
     }
 
+    /// Returns the quota of an account; `None` without one.
+    async fn quota(&self, account: &str) -> RpcResult<Option<Quota>> {
+        let account = account.to_owned();
+        let read = |reply: oneshot::Sender<Option<Quota>>| {
+            StateRequest::Read(Box::new(move |applied, _age| {
+                let accounts = applied.catalog().map(|catalog| catalog.accounts.iter());
+                let found = accounts.into_iter().flatten().find(|known| known.name == account);
+                // A dropped receiver needs no answer.
+                let _ = reply.send(found.and_then(|known| known.quota));
+            }))
+        };
+        Ok(self.request(read).await?.body)
+    }
+
     fn log_rollout(&self, progress: &Progress) {
         match progress {
             Progress::Complete { version, took, hosts } => {
@@ -219,12 +233,19 @@
 
     async fn borrow_units(&self, request: Envelope<Borrow>) -> RpcResult<Envelope<BorrowReply>> {
         let leadership = self.request(StateRequest::Leadership).await?.body;
-        if leadership.since.is_none() {
-            let leader = leadership.leader;
-            return Ok(self.envelope(BorrowReply::Unavailable(Unavailable::NotLeader { leader })));
-        }
-        let Borrow { account, units } = request.body;
-        let lent = self.registry.lend(leadership.term, &account, units, self.clock.now());
+        let Borrow { account, units, lender } = request.body;
+        let lent = match lender {
+            Lender::Leader if leadership.since.is_none() => {
+                let leader = leadership.leader;
+                return Ok(self.envelope(BorrowReply::Unavailable(Unavailable::NotLeader { leader })));
+            }
+            Lender::Leader => self.registry.lend(leadership.term, &account, units, self.clock.now()),
+            Lender::Node => {
+                let quota = self.quota(&account).await?;
+                let now = self.clock.now();
+                quota.is_some_and(|quota| self.registry.lend_own((&account, &quota), &leadership, units, now))
+            }
+        };
         Ok(self.envelope(if lent { BorrowReply::Lent } else { BorrowReply::Over }))
     }
 }
--- a/crates/state/tests/first_orders.rs
+++ b/crates/state/tests/first_orders.rs
@@ -88,6 +88,7 @@
             match request {
                 // A dropped receiver needs no answer.
                 StateRequest::Leadership(reply) => drop(reply.send(Leadership {
+                    nodes: 1,
                     term: TERM,
                     since: Some(since),
                     leader: None,
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -111,13 +111,26 @@
     pub floor: f64,
 }
 
-/// Asks for units of a client account's quota beyond the host's own share.
+/// Asks a state node for units of a client account's quota beyond the host's own share.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Borrow {
     /// Name of the client account.
     pub account: String,
     /// Number of units.
     pub units: f64,
+    /// Pool that the units are asked from.
+    #[serde(default)]
+    pub lender: Lender,
+}
+
+/// Who lends units of quotas.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Lender {
+    /// The leader of the state group, from its pool.
+    #[default]
+    Leader,
+    /// The state node that is asked, from its part, whether it leads or not.
+    Node,
 }
 
 /// The reply to [`Borrow`].
--- a/crates/wire/tests/unreachable_peer.rs
+++ b/crates/wire/tests/unreachable_peer.rs
@@ -6,7 +6,7 @@
 use wire::client::RpcRuntime;
 
 /// Longest wait of a call, far beyond what a caller would accept.
-const CALL_TIMEOUT: Duration = Duration::from_secs(600);
+const CALL_TIMEOUT: Duration = Duration::from_mins(10);
 
 /// Guards against a host that waits out the timeout of a call to a state node without power, while other nodes could
 /// answer.
