--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,6 +14,7 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
+use policy::first_reads::first_read_pause;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use upstream::directory::Directory;
@@ -246,7 +247,12 @@
                     failures += 1;
                 }
             }
-            thread::sleep(self.list_interval(directory.rate()));
+            let interval = self.list_interval(directory.rate());
+            thread::sleep(if list_time.is_none() && failures > 0 {
+                first_read_pause(failures, interval, rand::random())
+            } else {
+                interval
+            });
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cache;
 pub mod divide;
 pub mod fair;
+pub mod first_reads;
 pub mod fleet;
 pub mod homes;
 pub mod lane;
--- a/crates/state/src/duties/mod.rs
+++ b/crates/state/src/duties/mod.rs
@@ -31,6 +31,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the end of a usage window until its counts are complete: several heartbeats, one of them lost.
 const REPORT_DELAY_MS: u64 = 2_500;
+/// Time before a report is due at which it no longer waits for entry hosts that are cut off: a new leader needs as long
+/// to take over, and then reports.
+const DUE_MARGIN_MS: u64 = 4_000;
 /// Number of past usage windows that are reported late if necessary.
 const MAX_LATE_WINDOWS: u64 = 5;
 /// Time for which a new leader waits, so that calls of the former one have arrived.
@@ -96,6 +99,8 @@
     pub holder_lease: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
+    /// Time after the end of a usage window at which its report is due.
+    pub usage_due: Duration,
 }
 
 /// The thread that performs the duties while its node leads.
@@ -200,12 +205,24 @@
             if self.reported.contains(&window) || !self.registry.has_window(window) {
                 continue;
             }
+            let ended_ms = (window + 1) * window_ms;
+            if self.awaits_counts(now.saturating_sub(ended_ms)) {
+                counter!("gentian_duties_awaited_total").increment(1);
+                return;
+            }
             if !self.report(window) {
                 return;
             }
         }
     }
 
+    /// Returns whether the report of a window that ended `age_ms` ago waits for the counts of hosts that are cut off.
+    fn awaits_counts(&self, age_ms: u64) -> bool {
+        let now = self.clock.now();
+        let latest_ms = (self.timing.usage_due.as_millis() as u64).saturating_sub(DUE_MARGIN_MS);
+        age_ms < latest_ms && self.registry.awaits_counts(now - Duration::from_millis(age_ms), now)
+    }
+
     /// Reports a window with the counts stored by the group; returns whether the platform accepted the report.
     fn report(&mut self, window: u64) -> bool {
         let counts = self.registry.counts(window);
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -22,6 +22,9 @@
 /// Usage windows that are kept: more than three minutes with windows of five seconds.
 const KEPT_WINDOWS: usize = 40;
 
+/// Time for which an entry host that fell silent is expected back.
+const RETURN_TIME: Duration = Duration::from_secs(10);
+
 /// What the leader of a term knows about entry hosts.
 #[derive(Debug, Default)]
 pub struct EntryRegistry {
@@ -192,6 +195,15 @@
             .is_some_and(|(first, _)| *first <= window)
     }
 
+    /// Returns whether an entry host that was heard of lately has sent no heartbeat since `end`, the end of a usage window:
+    /// it may be cut off, and may have counted requests of that window.
+    #[must_use]
+    pub fn awaits_counts(&self, end: Tick, now: Tick) -> bool {
+        let inner = self.inner.lock();
+        let is_awaited = |at: Tick| at < end && now.since(at) < RETURN_TIME;
+        inner.loads.values().any(|(at, _)| is_awaited(*at))
+    }
+
     /// Returns the requests that began in a window, summed over all entry hosts.
     #[must_use]
     pub fn counts(&self, window: u64) -> Counts {
--- a/crates/state/tests/first_orders.rs
+++ b/crates/state/tests/first_orders.rs
@@ -113,6 +113,7 @@
     let timing = DutyTiming {
         holder_lease: Duration::from_secs(3),
         usage_window: Duration::from_secs(5),
+        usage_due: Duration::from_secs(10),
     };
     let logger = Logger::root(Discard, o!());
     let duties = LeaderDuties::new(NodeId::from("s1"), parts, timing, Box::new(recorded.clone()), logger);
