--- a/crates/state/src/shared_observations.rs
+++ b/crates/state/src/shared_observations.rs
@@ -95,7 +95,7 @@
     /// Returns what entry hosts other than `to` have observed, the busiest upstreams first.
     ///
     /// The backlogs of all hosts are added up at most once in [`SUMMARY_TTL`]; an answer only subtracts the host's own
-    /// part. Adding them up for each answer took the leader time in proportion to the square of the number of hosts.
+    /// part. Adding them up for each answer would take time in proportion to the square of the number of hosts.
     pub(crate) fn of_others(&mut self, to: &NodeId, now: Tick) -> Vec<UpstreamObservation> {
         if self
             .summary
