Give the state nodes their part of quotas by the number of entry hosts

What the nodes hold is missing at the leader, and their parts are too small for long prompts; with twelve hosts a host's own part holds several prompts, so that nobody needs the nodes.

Change: the nodes' part grows with the number of entry hosts, 0.2 from a hundred on and 0.024 with twelve. Nodes take the stored number, the leader its own count; while it knows none, it takes the largest part for lent. Test: quota_parts::few_hosts.

--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -26,11 +26,12 @@
 /// Share of every quota that is divided evenly among the entry hosts. Accounts use about half of their quota on ordinary
 /// days, so a data centre that is cut off from the leader can go on serving its usual load.
 pub const EVEN_SHARE: f64 = 0.6;
-/// Share of every quota that is divided evenly among the state nodes, which lend it. What a node does not lend is lost,
-/// and a long prompt does not fit its part, so that most of what is lent stays with the leader.
+/// Largest share of every quota that is divided evenly among the state nodes, which lend it. What a node does not lend is
+/// lost, and a long prompt does not fit its part, so that most of what is lent stays with the leader.
 pub const NODE_SHARE: f64 = 0.2;
-/// Share of every quota that only the leader lends, beside what entry hosts don't use.
-const LEADER_SHARE: f64 = 1.0 - EVEN_SHARE - NODE_SHARE;
+/// Number of entry hosts from which the state nodes have their whole share. With few hosts, the share of each holds
+/// several prompts, and the loss in the nodes' parts outweighs their use.
+const MANY_ENTRIES: f64 = 100.0;
 /// Share of the slack that is divided evenly and added to the entry hosts' bursts.
 pub const SLACK_EVEN_SHARE: f64 = 0.1;
 /// Share of the slack that is added to the burst of the leader's pool, for bursts of long prompts.
@@ -88,6 +89,21 @@
     pub fraction: f64,
 }
 
+/// Returns the share of every quota that all state nodes together lend to `entries` entry hosts.
+#[must_use]
+pub fn node_share(entries: u32) -> f64 {
+    NODE_SHARE * (f64::from(entries) / MANY_ENTRIES).min(1.0)
+}
+
+/// Returns the share of every quota that one of `nodes` state nodes lends to `entries` entry hosts.
+///
+/// The quota is divided into one part more than there are nodes: a node that is cut off and replaced goes on lending, and
+/// the parts of all nodes must not add up to more than the whole.
+#[must_use]
+pub fn node_part(nodes: u32, entries: u32) -> f64 {
+    node_share(entries) / f64::from(nodes + 1)
+}
+
 impl EntryShare {
     /// Returns the even share of one of `entries` entry hosts; `None` without any.
     #[must_use]
@@ -136,12 +152,15 @@
     pub fn set_quotas(&mut self, quotas: &[(String, Quota)], slack: &Slack, now: Tick) {
         self.pools
             .retain(|account, _| quotas.iter().any(|(name, _)| name == account));
+        // While their number is unknown, there may be many hosts.
+        let entries = Some(self.entry_count(now)).filter(|entries| *entries > 0);
+        let leader_share = 1.0 - EVEN_SHARE - node_share(entries.unwrap_or(u32::MAX));
         for (account, quota) in quotas {
-            let lendable = quota.burst * LEADER_SHARE;
+            let lendable = quota.burst * leader_share;
             let pool = self.pools.entry(account.clone());
             let pool = pool.or_insert_with(|| Bucket::new(lendable, now));
             let burst = lendable + slack.units * SLACK_POOL_SHARE;
-            pool.set(quota.per_s * LEADER_SHARE + slack.rate(), burst, now);
+            pool.set(quota.per_s * leader_share + slack.rate(), burst, now);
         }
     }
 
@@ -185,19 +204,15 @@
 }
 
 impl NodeLender {
-    /// Lends units of an account's quota; returns whether the pool had room. `nodes` is the number of state nodes.
-    ///
-    /// The quota is divided into one part more than there are nodes: a node that is cut off and replaced goes on lending,
-    /// and the parts of all nodes must not add up to more than the whole.
+    /// Lends units of an account's quota, of which the node has the share `part`; returns whether the pool had room.
     pub fn lend(
         &mut self,
         (account, quota): (&str, &Quota),
-        nodes: u32,
+        part: f64,
         units: f64,
         limit: LoanLimit,
         now: Tick,
     ) -> bool {
-        let part = NODE_SHARE / f64::from(nodes + 1);
         let burst = quota.burst * part;
         let pool = self.pools.entry(account.to_owned());
         let pool = pool.or_insert_with(|| Bucket::new(burst, now));
--- a/crates/policy/tests/quota_parts.rs
+++ b/crates/policy/tests/quota_parts.rs
@@ -5,7 +5,7 @@
 
 use contract::{NodeId, Quota};
 use policy::Tick;
-use policy::parts::{EVEN_SHARE, LoanLimit, NODE_SHARE, NodeLender, QuotaAllocator, Slack};
+use policy::parts::{EVEN_SHARE, LoanLimit, NODE_SHARE, NodeLender, QuotaAllocator, Slack, node_part, node_share};
 use policy::quota::Bucket;
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng};
@@ -113,7 +113,8 @@
     }
 
     fn ask_node(&mut self, at: usize, units: f64, limit: LoanLimit, now: Tick) -> bool {
-        self.nodes[at % NODES].lend(("a", &self.quota), NODES as u32, units, limit, now)
+        let part = node_part(NODES as u32, self.hosts.len() as u32);
+        self.nodes[at % NODES].lend(("a", &self.quota), part, units, limit, now)
     }
 }
 
@@ -234,12 +235,21 @@
 fn node_part_bounded() {
     let mut node = NodeLender::default();
     let account = ("a", &QUOTA);
-    let part = NODE_SHARE / 4.0;
+    let part = node_part(3, 1_000);
+    assert!((part - NODE_SHARE / 4.0).abs() < 1e-9, "four parts for three nodes");
     let limit = LoanLimit::Whole;
-    let lend = |node: &mut NodeLender, units, ms| node.lend(account, 3, units, limit, Tick::from_millis(ms));
+    let lend = |node: &mut NodeLender, units, ms| node.lend(account, part, units, limit, Tick::from_millis(ms));
     assert!(!lend(&mut node, QUOTA.burst * part * 0.5, 0));
     assert!(lend(&mut node, QUOTA.burst * part * 0.4, 0));
     assert!(!lend(&mut node, QUOTA.per_s * part * 2.0 + 1.0, 1_000));
     assert!(lend(&mut node, QUOTA.per_s * part, 1_000));
     assert!(!lend(&mut node, QUOTA.per_s * part * 0.1, 1_050));
 }
+
+/// Guards against refusals of long prompts in small deployments: what the state nodes hold is missing at the leader, and
+/// too little for such a prompt at each of them.
+#[test]
+fn few_hosts() {
+    assert!(node_share(12) < 0.03, "{}", node_share(12));
+    assert!((node_share(200) - NODE_SHARE).abs() < 1e-9);
+}
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -10,7 +10,7 @@
 use metrics::gauge;
 use parking_lot::Mutex;
 use policy::Tick;
-use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack};
+use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack, node_part};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
 use policy::rollout::{Progress, Rollout};
 use wire::registry::{Heartbeat, LeaderUpdate, QuotaShare, ServiceLoad};
@@ -174,15 +174,23 @@
     }
 
     /// Lends units of an account's quota from this node's own part; returns whether it has room for them. Without a
-    /// leader, a request that is larger than the part may overdraw it.
-    pub fn lend_own(&self, account: (&str, &Quota), leadership: &Leadership, units: f64, now: Tick) -> bool {
+    /// leader, a request that is larger than the part may overdraw it. `entries` is the number of entry hosts.
+    pub fn lend_own(
+        &self,
+        account: (&str, &Quota),
+        leadership: &Leadership,
+        entries: u32,
+        units: f64,
+        now: Tick,
+    ) -> bool {
         let limit = if leadership.leader.is_some() {
             LoanLimit::Whole
         } else {
             LoanLimit::Overdraw
         };
         let mut inner = self.inner.lock();
-        inner.own_lender.lend(account, leadership.nodes, units, limit, now)
+        let part = node_part(leadership.nodes, entries);
+        inner.own_lender.lend(account, part, units, limit, now)
     }
 
     /// Returns whether entry hosts have reported since a window or earlier, so that its counts are complete.
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -99,15 +99,15 @@
         Ok(self.request(read).await?.body)
     }
 
-    /// Returns the quota of an account; `None` without one.
-    async fn quota(&self, account: &str) -> RpcResult<Option<Quota>> {
+    /// Returns the quota of an account, if it has one, and the stored number of entry hosts.
+    async fn quota(&self, account: &str) -> RpcResult<(Option<Quota>, u32)> {
         let account = account.to_owned();
-        let read = |reply: oneshot::Sender<Option<Quota>>| {
+        let read = |reply: oneshot::Sender<(Option<Quota>, u32)>| {
             StateRequest::Read(Box::new(move |applied, _age| {
                 let accounts = applied.catalog().map(|catalog| catalog.accounts.iter());
                 let found = accounts.into_iter().flatten().find(|known| known.name == account);
                 // A dropped receiver needs no answer.
-                let _ = reply.send(found.and_then(|known| known.quota));
+                let _ = reply.send((found.and_then(|known| known.quota), applied.sharers));
             }))
         };
         Ok(self.request(read).await?.body)
@@ -241,9 +241,12 @@
             }
             Lender::Leader => self.registry.lend(leadership.term, &account, units, self.clock.now()),
             Lender::Node => {
-                let quota = self.quota(&account).await?;
+                let (quota, entries) = self.quota(&account).await?;
                 let now = self.clock.now();
-                quota.is_some_and(|quota| self.registry.lend_own((&account, &quota), &leadership, units, now))
+                quota.is_some_and(|quota| {
+                    let account = (account.as_str(), &quota);
+                    self.registry.lend_own(account, &leadership, entries, units, now)
+                })
             }
         };
         Ok(self.envelope(if lent { BorrowReply::Lent } else { BorrowReply::Over }))
