Log and count retries against the budget, and refused ones

'attempt failed' and 'request ended' now give the arrivals at upstreams and how many of them were budgeted; 'retry budget used up' gives what the window held. Metrics count repeated arrivals, replaced upstreams and refused retries. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,8 +167,12 @@
         let mut progress = self.progress.get();
         let ran_before = progress.may_have_run;
         progress.sends += 1;
+        progress.arrivals += 1;
         progress.may_have_run = true;
         self.progress.set(progress);
+        if progress.arrivals > 1 {
+            counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
+        }
         let backlog_id = self.record_sent(gateway, chosen);
         let attempt = self.new_attempt(gateway, chosen, backlog_id);
         let response = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref()).await;
@@ -286,7 +290,10 @@
                 AttemptError::Refused {
                     wrong_incarnation: true,
                     ..
-                } => upstream.mark_replaced(),
+                } => {
+                    counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
+                    upstream.mark_replaced();
+                }
                 AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
@@ -294,6 +301,7 @@
         }
         info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "upstream" => &chosen.id,
             "address" => %chosen.address, "fate" => %error, "load" => chosen.load,
-            "sends" => self.progress.get().sends);
+            "sends" => self.progress.get().sends, "arrivals" => self.progress.get().arrivals,
+            "budgeted" => self.progress.get().budgeted);
     }
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -379,6 +379,16 @@
         window.take(now, &self.settings.retries, self.entry_count())
     }
 
+    /// Logs that a request is not retried because the service's budget is used up.
+    pub(crate) fn log_no_retry(&self, service: &ServiceName, request: &str, arrivals: u32) {
+        counter!("gentian_gateway_retries_refused_total", "service" => service.to_string()).increment(1);
+        let windows = self.retry_windows.borrow();
+        let usage = windows.get(service).map(RetryWindow::usage).unwrap_or_default();
+        slog::info!(self.logger, "retry budget used up"; "request" => request, "service" => %service,
+            "arrivals" => arrivals, "retries" => usage.retries, "requests" => usage.requests,
+            "entries" => self.entry_count());
+    }
+
     /// Records a prompt that was sent to an upstream, whose prefill takes `ms` milliseconds.
     pub fn record_prefill(&self, service: &ServiceName, ms: f64) {
         let now = self.clock.now();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -70,8 +70,12 @@
     pub output_started: bool,
     /// Whether the request was counted as started.
     pub counted: bool,
-    /// Number of upstreams that the request was sent to.
+    /// Number of upstreams that the request was sent to, without those that were replaced by another incarnation.
     pub sends: u32,
+    /// Number of times that the request reached an upstream, whatever it answered.
+    pub arrivals: u32,
+    /// Number of arrivals that were taken from the retry budget.
+    pub budgeted: u32,
     /// Milliseconds from arrival to the first part of the response; `None` before it.
     pub first_ms: Option<u64>,
     /// Longest pause between two parts of the response, in milliseconds.
@@ -156,7 +160,7 @@
                 Err(reason) if last_error.is_none() => return Outcome::Refused(self.refuse_unplaced(reason)),
                 Err(_) => break,
             };
-            if !first && !gateway.may_retry(&self.service) {
+            if !first && !self.may_retry(gateway) {
                 break;
             }
             tried.push(chosen.id.clone());
@@ -181,6 +185,19 @@
         self.failure_outcome(last_error)
     }
 
+    /// Takes a retry from the service's budget; returns whether there was one.
+    pub(crate) fn may_retry(&self, gateway: &Gateway) -> bool {
+        let mut progress = self.progress.get();
+        let allowed = gateway.may_retry(&self.service);
+        if allowed {
+            progress.budgeted += 1;
+            self.progress.set(progress);
+        } else {
+            gateway.log_no_retry(&self.service, &self.info.id, progress.arrivals);
+        }
+        allowed
+    }
+
     /// Returns the outcome when no further attempt is made.
     fn failure_outcome(&self, last_error: Option<AttemptError>) -> Outcome {
         let reason = last_error.map_or_else(|| "no attempt was made".to_owned(), |error| error.to_string());
@@ -361,6 +378,7 @@
             "account" => self.account.as_ref().map(|account| account.name.as_str()), "units" => self.quota_units as u64,
             "late" => late, "first_ms" => first_ms, "took_ms" => elapsed.as_millis() as u64,
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
+            "arrivals" => self.progress.get().arrivals, "budgeted" => self.progress.get().budgeted,
             "upstream" => upstream.map(|upstream| upstream.id.as_str()),
             "load" => upstream.map(|upstream| upstream.load),
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -257,7 +257,7 @@
             return None;
         }
         let chosen = request.choose_upstream(gateway, tried).ok()?;
-        if !gateway.may_retry(&request.service) {
+        if !request.may_retry(gateway) {
             return None;
         }
         tried.push(chosen.id.clone());
--- a/crates/policy/src/retries.rs
+++ b/crates/policy/src/retries.rs
@@ -30,7 +30,25 @@
     retries: VecDeque<Tick>,
 }
 
+/// What a window holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WindowUsage {
+    /// Callers' requests.
+    pub requests: usize,
+    /// Retries that were taken.
+    pub retries: usize,
+}
+
 impl RetryWindow {
+    /// Returns what the window holds as of the last call that changed it.
+    #[must_use]
+    pub fn usage(&self) -> WindowUsage {
+        WindowUsage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+        }
+    }
+
     /// Records a caller's request to the service.
     pub fn record_request(&mut self, now: Tick, bounds: &RetryBounds) {
         drop_expired(&mut self.requests, bounds.window, now);
