Count each arrival at an upstream against the retry budget

Cause: an attempt that another incarnation answered (421) was taken back from the sends of its request, and a request at zero sends was taken for new. The next attempt, and any number after it, passed the retry budget by.

Why this works: an arrival takes a permit, which a request has once and then only the budget gives. The one function that writes to an upstream takes it, first attempts, retries, resumed and moved streams alike, so that no caller of it can leave the budget out. A connection that fails keeps the permit, since nothing arrived. Such an answer still does not count as one of the route's attempts, since nothing ran.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,7 +142,8 @@
 }
 
 impl Request {
-    /// Sends the request to an upstream and waits for the response head.
+    /// Sends the request to an upstream and waits for the response head. Each arrival at an upstream takes a permit, so
+    /// that no path around the retry budget exists.
     pub(crate) async fn send_attempt(
         &self,
         gateway: &Rc<Gateway>,
@@ -150,6 +151,9 @@
         after: Option<u64>,
         kv_copy: Option<&KvCopy>,
     ) -> Result<(UpstreamResponse, ActiveAttempt), AttemptError> {
+        if !self.reserve_send(gateway) {
+            return Err(AttemptError::NoPermit);
+        }
         let runs_once = !self.is_idempotent();
         self.last_upstream.replace(Some(chosen.clone()));
         let pooled = gateway.pool.borrow_mut().take(chosen.address, runs_once);
@@ -164,6 +168,7 @@
             })?
         };
         let bytes = self.render(gateway, chosen, after, kv_copy);
+        self.permit.take();
         let mut progress = self.progress.get();
         let ran_before = progress.may_have_run;
         progress.sends += 1;
@@ -294,7 +299,7 @@
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
                     upstream.mark_replaced();
                 }
-                AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -187,7 +187,7 @@
             let refusal = Refusal::closing(503, "not run: the host stops").with_retry_after(STOP_RETRY_AFTER);
             return Err(self.refuse(refusal, &id, false));
         }
-        gateway.record_request(&service);
+        let permit = gateway.record_request(&service);
         let admitted = match &account {
             Some(account) => gateway.admit(account, &info).await,
             None => Ok(0.0),
@@ -207,6 +207,7 @@
             quota_units,
             keep_alive,
             progress: Cell::new(Progress::default()),
+            permit: RefCell::new(Some(permit)),
             last_upstream: RefCell::new(None),
         })
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,10 +21,13 @@
 
 /// Outcome of a request that got no usable response.
 ///
-/// Only [`Self::NotSent`] and [`Self::Refused`] allow another attempt of a request that must run at most once, and only
+/// Only [`Self::NoPermit`], [`Self::NotSent`] and [`Self::Refused`] allow another attempt of a request that must run at most once, and only
 /// they allow the response "not run".
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum AttemptError {
+    /// Nothing was sent, because the retry budget is used up.
+    #[display("not sent: the retry budget is used up")]
+    NoPermit,
     /// Nothing was sent.
     #[display("not sent: {reason}")]
     NotSent {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -15,7 +15,7 @@
 use policy::catalog_lag;
 use policy::parts::Slack;
 use policy::quota::{Bucket, OverQuota};
-use policy::retries::{RetryBounds, RetryWindow};
+use policy::retries::{RetryBounds, RetryWindow, SendPermit};
 use slog::Logger;
 use telemetry::Clock;
 use wire::registry::{Heartbeat, QuotaShare, ServiceLoad, UpstreamObservation};
@@ -362,17 +362,18 @@
         allowed
     }
 
-    /// Records a request for a service; retries are limited in proportion to these.
-    pub fn record_request(&self, service: &ServiceName) {
+    /// Records a request for a service; retries are limited in proportion to these. Returns the permit for its first
+    /// arrival at an upstream.
+    pub fn record_request(&self, service: &ServiceName) -> SendPermit {
         let now = self.clock.now();
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(service.clone()).or_default();
-        window.record_request(now, &self.settings.retries);
+        window.record_request(now, &self.settings.retries)
     }
 
-    /// Takes a retry from the service's budget; returns whether there was one.
+    /// Takes a retry from the service's budget; `None` if it is used up.
     #[must_use]
-    pub fn may_retry(&self, service: &ServiceName) -> bool {
+    pub fn take_retry(&self, service: &ServiceName) -> Option<SendPermit> {
         let now = self.clock.now();
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(service.clone()).or_default();
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -249,7 +249,7 @@
         let version = gateway.upstreams.borrow_mut().version_of(&self.source.id);
         let chosen = request.choose_of_version(gateway, &tried, version.as_deref()).ok()?;
         // The copy occupies a slot on the target at once.
-        if !chosen.prediction.has_slot || !request.may_retry(gateway) {
+        if !chosen.prediction.has_slot || !request.reserve_send(gateway) {
             return None;
         }
         // Nothing is left to prefill on the target.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use contract::{ClientAccount, RetryMode, Route, ServiceName};
 use metrics::{counter, histogram};
+use policy::retries::SendPermit;
 use rand::Rng;
 use slog::info;
 use tokio::io::AsyncWriteExt;
@@ -57,6 +58,8 @@
     pub keep_alive: bool,
     /// Progress so far.
     pub progress: Cell<Progress>,
+    /// Permit for the next arrival at an upstream; `None` if a retry has to be taken from the budget for it.
+    pub permit: RefCell<Option<SendPermit>>,
     /// The upstream that was chosen last; `None` before the first choice.
     pub last_upstream: RefCell<Option<ChosenUpstream>>,
 }
@@ -151,7 +154,6 @@
         let mut failed_connects = 0;
         let mut last_error: Option<AttemptError> = None;
         loop {
-            let first = self.progress.get().sends == 0;
             if self.progress.get().sends >= self.route.attempts.max(1) || failed_connects > MAX_FAILED_CONNECTS {
                 break;
             }
@@ -160,21 +162,19 @@
                 Err(reason) if last_error.is_none() => return Outcome::Refused(self.refuse_unplaced(reason)),
                 Err(_) => break,
             };
-            if !first && !self.may_retry(gateway) {
-                break;
-            }
             tried.push(chosen.id.clone());
             let error = match self.send_attempt(gateway, &chosen, self.info.last_event, None).await {
                 Ok((response, attempt)) => match self.forward(gateway, out, response, attempt, &mut tried).await {
                     Ok(outcome) => return outcome,
                     Err(error) => error,
                 },
+                Err(AttemptError::NoPermit) => break,
                 Err(error) => error,
             };
             self.record_failure(gateway, &chosen, &error);
             match &error {
                 AttemptError::NotSent { .. } => failed_connects += 1,
-                AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::Unknown { .. } if self.is_idempotent() => {}
                 AttemptError::Unknown { reason } => {
                     return Outcome::Refused(Refusal::new(502, format!("may have run: {reason}")));
@@ -185,17 +185,22 @@
         self.failure_outcome(last_error)
     }
 
-    /// Takes a retry from the service's budget; returns whether there was one.
-    pub(crate) fn may_retry(&self, gateway: &Gateway) -> bool {
-        let mut progress = self.progress.get();
-        let allowed = gateway.may_retry(&self.service);
-        if allowed {
-            progress.budgeted += 1;
+    /// Provides a permit for the next arrival at an upstream, from the retry budget if the request has none; returns
+    /// whether there is one.
+    pub(crate) fn reserve_send(&self, gateway: &Gateway) -> bool {
+        let mut permit = self.permit.take();
+        if permit.is_none() {
+            permit = gateway.take_retry(&self.service);
+            let mut progress = self.progress.get();
+            progress.budgeted += u32::from(permit.is_some());
             self.progress.set(progress);
-        } else {
-            gateway.log_no_retry(&self.service, &self.info.id, progress.arrivals);
         }
-        allowed
+        let reserved = permit.is_some();
+        if !reserved {
+            gateway.log_no_retry(&self.service, &self.info.id, self.progress.get().arrivals);
+        }
+        self.permit.replace(permit);
+        reserved
     }
 
     /// Returns the outcome when no further attempt is made.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -257,9 +257,6 @@
             return None;
         }
         let chosen = request.choose_upstream(gateway, tried).ok()?;
-        if !request.may_retry(gateway) {
-            return None;
-        }
         tried.push(chosen.id.clone());
         match request.send_attempt(gateway, &chosen, parser.last_id(), None).await {
             Ok((response, attempt)) if response.is_acceptable() && response.head.start.status == 200 => {
@@ -273,6 +270,7 @@
                 let error = AttemptError::unknown(format!("answered {}", response.head.start.status));
                 request.record_failure(gateway, &chosen, &error);
             }
+            Err(AttemptError::NoPermit) => return None,
             Err(error) => request.record_failure(gateway, &chosen, &error),
         }
     }
--- a/crates/policy/src/retries.rs
+++ b/crates/policy/src/retries.rs
@@ -23,6 +23,11 @@
     pub window: Duration,
 }
 
+/// The right to let a request reach an upstream once: a caller's request has one, each retry takes one from the budget.
+#[derive(Debug)]
+#[must_use]
+pub struct SendPermit(());
+
 /// Requests and retries of one service in the current window.
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
@@ -49,23 +54,24 @@
         }
     }
 
-    /// Records a caller's request to the service.
-    pub fn record_request(&mut self, now: Tick, bounds: &RetryBounds) {
+    /// Records a caller's request to the service; returns the permit for its first arrival at an upstream.
+    pub fn record_request(&mut self, now: Tick, bounds: &RetryBounds) -> SendPermit {
         drop_expired(&mut self.requests, bounds.window, now);
         self.requests.push_back(now);
+        SendPermit(())
     }
 
-    /// Takes a retry from the share of one of `entries` entry hosts; returns whether one was left.
-    pub fn take(&mut self, now: Tick, bounds: &RetryBounds, entries: u32) -> bool {
+    /// Takes a retry from the share of one of `entries` entry hosts; `None` if none is left.
+    pub fn take(&mut self, now: Tick, bounds: &RetryBounds, entries: u32) -> Option<SendPermit> {
         drop_expired(&mut self.requests, bounds.window, now);
         drop_expired(&mut self.retries, bounds.window, now);
         let fixed = bounds.extra / f64::from(entries.max(1));
         let limit = USED_SHARE * (fixed + bounds.ratio * self.requests.len() as f64);
         let allowed = (self.retries.len() as f64) + 1.0 <= limit;
-        if allowed {
+        allowed.then(|| {
             self.retries.push_back(now);
-        }
-        allowed
+            SendPermit(())
+        })
     }
 }
 
--- a/crates/policy/tests/repeat_budget.rs
+++ b/crates/policy/tests/repeat_budget.rs
@@ -21,8 +21,8 @@
     let mut retries: Vec<u64> = Vec::new();
     for ms in (0..40_000).step_by(10) {
         let host = &mut hosts[ms as usize / 10 % HOSTS];
-        host.record_request(Tick::from_millis(ms), &BOUNDS);
-        if host.take(Tick::from_millis(ms), &BOUNDS, HOSTS as u32) {
+        let _first = host.record_request(Tick::from_millis(ms), &BOUNDS);
+        if host.take(Tick::from_millis(ms), &BOUNDS, HOSTS as u32).is_some() {
             retries.push(ms);
         }
     }
@@ -42,7 +42,7 @@
         let (mut now, mut granted) = (0, 0_u32);
         for pause in pauses {
             now += u64::from(pause);
-            granted += u32::from(host.take(Tick::from_millis(now), &BOUNDS, HOSTS as u32));
+            granted += u32::from(host.take(Tick::from_millis(now), &BOUNDS, HOSTS as u32).is_some());
         }
         f64::from(granted) <= 56.0 / 8.0 * (1.0 + now as f64 / 10_000.0)
     }
