Tell all entry hosts of replaced upstreams, and prefer proven ones meanwhile

With each arrival counted, callers were refused for lack of retries: nine tenths of the engines of a service were restarted under other names, the list still named the old ones, and each of 58 hosts found out by itself, one request after the other.

Cause: what a host learns from an answer of another incarnation reached no other host, and the next attempt went to the next upstream on the list although nothing spoke for it.

Change: heartbeats tell the leader of upstreams that were found replaced, and the leader tells all hosts with its next answer. Such news ends after ten seconds, so that a wrong one costs no engine for good; a host's own finding did not end before. While a service has such upstreams, one that responded to no host within half a second costs 500 ms more in the choice, for first attempts and retries alike.

Not built: to learn the new name from the answer itself, since nothing there tells which service has the address.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -297,7 +297,7 @@
                     ..
                 } => {
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
-                    upstream.mark_replaced();
+                    upstream.mark_replaced(true, now);
                 }
                 AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -25,6 +25,9 @@
 /// upstream for the same prompt parts. A smaller value spreads the parts, so that more shared tokens are prefilled
 /// again; a larger one takes slower upstreams.
 const EQUAL_WITHIN_MS: f64 = 100.0;
+/// Cost of an upstream without a recent response while others of its service turn out to be replaced, in milliseconds: a
+/// wasted attempt takes one of few retries. With a larger value, the few that have responded get all requests.
+const DOUBT_COST_MS: f64 = 500.0;
 /// Requests per slot up to which an upstream is chosen: one that runs and one in its queue. It refuses any more.
 const MAX_LOAD_PER_SLOT: f64 = 2.0;
 
@@ -137,16 +140,28 @@
             let reach = Rc::clone(self.reachability.entry(listed.zone.clone()).or_default());
             let speed = Rc::clone(self.speeds.entry(listed.service.clone()).or_default());
             let upstream = match previous.remove(&id) {
-                Some(known) if known.listed.start != listed.start => Upstream::new(listed, (reach, speed), list_time),
+                Some(known) if known.listed.start != listed.start => {
+                    let mut restarted = Upstream::new(listed, (reach, speed), list_time);
+                    restarted.record_alive(list_time);
+                    restarted
+                }
                 Some(mut known) => {
                     if listed.leaving && !known.listed.leaving {
                         ended.push(id.clone());
                     }
-                    known.replaced &= known.listed.address == listed.address;
+                    if known.listed.address != listed.address {
+                        known.clear_replaced();
+                    }
                     known.listed = listed;
                     known
                 }
-                None => Upstream::new(listed, (reach, speed), list_time),
+                None => {
+                    let mut started = Upstream::new(listed, (reach, speed), list_time);
+                    if self.list_time.is_some() {
+                        started.record_alive(list_time);
+                    }
+                    started
+                }
             };
             if let Some(left) = upstream.listed.left.filter(|_| upstream.listed.leaving) {
                 upstream.notice.announce(list_time + left);
@@ -171,6 +186,12 @@
         let mut candidates: Vec<Candidate> = candidates
             .filter(|candidate| candidate.load < candidate.slots * MAX_LOAD_PER_SLOT)
             .collect();
+        if self.is_doubtful(need.service, now) {
+            for candidate in &mut candidates {
+                let proven = usable[candidate.index].is_proven(now);
+                candidate.doubt_ms = if proven { 0.0 } else { DOUBT_COST_MS };
+            }
+        }
         let other_entries = need.entry_hosts.saturating_sub(1);
         let observed_span = self.part_usage.observed_span(now);
         let cached_within = |span: Duration| {
@@ -210,6 +231,12 @@
         })
     }
 
+    /// Returns whether upstreams of a service were found to be replaced lately, so that others may be, too.
+    fn is_doubtful(&self, service: &ServiceName, now: Tick) -> bool {
+        let mut serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
+        serving.any(|upstream| upstream.casts_doubt(now))
+    }
+
     /// Updates the reachability of data centres from the requests that wait there.
     fn check_reachability(&self, now: Tick) {
         for upstream in self.all.values() {
@@ -228,7 +255,7 @@
             return Err(NoUpstream::NoneListed);
         }
         let accepts = |upstream: &&Upstream| {
-            !upstream.replaced && upstream.breaker.allows(now) && !need.tried.contains(&upstream.listed.id)
+            !upstream.is_replaced(now) && upstream.breaker.allows(now) && !need.tried.contains(&upstream.listed.id)
         };
         let mut usable: Vec<&Upstream> = serving.into_iter().filter(accepts).collect();
         if usable.is_empty() {
@@ -263,6 +290,9 @@
             }
             upstream.others_busy_until = received_at + Duration::from_millis(u64::from(observation.backlog_ms));
             upstream.overdue_until = received_at + Duration::from_millis(u64::from(observation.overdue_ms));
+            if observation.replaced && !upstream.is_replaced(received_at) {
+                upstream.mark_replaced(false, received_at);
+            }
         }
     }
 
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -24,11 +24,29 @@
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2_500);
 /// Age up to which a load reported to this host is passed on to the others; longer than a heartbeat interval.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
+/// Time for which an upstream is left alone after another incarnation responded at its address: longer than the list
+/// names an upstream that has ended. After that, a request finds out again, in case the response was wrong.
+const REPLACED_TIME: Duration = Duration::from_secs(10);
+/// Age up to which this host reports a replaced upstream to the others; longer than a heartbeat interval.
+const MAX_REPLACED_AGE: Duration = Duration::from_secs(1);
+/// Time for which a replaced upstream casts doubt on the others of its service: upstreams that end together are found
+/// out one after the other.
+const DOUBT_TIME: Duration = Duration::from_secs(2);
+/// Age up to which a response proves that an upstream exists.
+const PROOF_TIME: Duration = Duration::from_millis(500);
 /// Milliseconds of queued work that hardly show in the time to the first event of the next request.
 const MAX_UNQUEUED_MS: f64 = 5.0;
 /// Share of an upstream's slots up to which other requests hardly slow down the prefill of a prompt.
 const MAX_UNQUEUED_SHARE: f64 = 0.5;
 
+/// That another incarnation responded at an upstream's address.
+#[derive(Clone, Copy, Debug)]
+struct Replaced {
+    at: Tick,
+    /// Whether it responded to a request of this host.
+    own: bool,
+}
+
 /// An upstream with the state known of it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -55,8 +73,11 @@
     relative_speed: RelativeSpeed,
     /// Reachability of the data centre.
     pub(super) reachability: Rc<Reachability>,
-    /// Whether another incarnation responds at the address.
-    pub(super) replaced: bool,
+    /// When another incarnation responded at the address, to this host or to another one.
+    replaced: Option<Replaced>,
+    /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
+    /// responded yet.
+    alive_at: Option<Tick>,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
 }
@@ -82,7 +103,8 @@
             last_report: None,
             others_busy_until: Tick::default(),
             overdue_until: Tick::default(),
-            replaced: false,
+            replaced: None,
+            alive_at: None,
             notice: Rc::default(),
         }
     }
@@ -101,6 +123,7 @@
             weight: xxh3_64(&(self.id_hash ^ shared_key).to_le_bytes()),
             local: self.listed.zone == *need.zone,
             backlog_ms: self.queued_ms(now),
+            doubt_ms: 0.0,
             rates: self.service_speed.borrow().rates().scaled(self.relative_speed.factor()),
         }
     }
@@ -135,6 +158,7 @@
     /// Records the first event of a request, or its whole response.
     pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) {
         self.breaker.succeeded();
+        self.record_alive(now);
         let Some(first_event) = self
             .backlog
             .first_event(backlog_id, now)
@@ -182,9 +206,20 @@
         self.breaker.failed(now);
     }
 
-    /// Records that another incarnation responds at the address.
-    pub fn mark_replaced(&mut self) {
-        self.replaced = true;
+    /// Records that another incarnation responded at the address; `own` tells whether to a request of this host.
+    pub fn mark_replaced(&mut self, own: bool, now: Tick) {
+        self.replaced = Some(Replaced { at: now, own });
+    }
+
+    /// Forgets that another incarnation responded, because the address has changed.
+    pub(super) fn clear_replaced(&mut self) {
+        self.replaced = None;
+    }
+
+    /// Returns whether another incarnation has the address, as far as is known.
+    pub(super) fn is_replaced(&self, now: Tick) -> bool {
+        self.replaced
+            .is_some_and(|replaced| now.since(replaced.at) < REPLACED_TIME)
     }
 
     /// Records a load that the upstream reported.
@@ -196,13 +231,31 @@
         self.update_load(load.running, load.waiting, now);
     }
 
-    pub(super) fn update_load(&mut self, running: u32, waiting: u32, measured_at: Tick) {
+    /// Applies a load that the upstream reported to any host.
+    pub fn update_load(&mut self, running: u32, waiting: u32, measured_at: Tick) {
         self.load.update(LoadReport {
             measured_at,
             running,
             waiting,
             kv_used: 0.0,
         });
+        self.record_alive(measured_at);
+    }
+
+    /// Records that the upstream responded, or was listed for the first time.
+    pub(super) fn record_alive(&mut self, at: Tick) {
+        self.alive_at = self.alive_at.max(Some(at));
+    }
+
+    /// Returns whether the upstream responded lately, so that it very likely still exists.
+    pub(super) fn is_proven(&self, now: Tick) -> bool {
+        self.alive_at.is_some_and(|at| now.since(at) < PROOF_TIME)
+    }
+
+    /// Returns whether another incarnation was found at the address lately.
+    pub(super) fn casts_doubt(&self, now: Tick) -> bool {
+        self.replaced
+            .is_some_and(|replaced| now.since(replaced.at) < DOUBT_TIME)
     }
 
     /// Returns what other entry hosts should know of the upstream, if anything.
@@ -214,11 +267,15 @@
             fresh.map(|(load, reported_at)| (load.running, load.waiting, now.since(reported_at).as_millis() as u32));
         let backlog_ms = self.backlog.pending_ms(now) as u32;
         let overdue_ms = self.backlog.overdue_ms(now) as u32;
-        (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| UpstreamObservation {
+        let replaced = self
+            .replaced
+            .is_some_and(|replaced| replaced.own && now.since(replaced.at) < MAX_REPLACED_AGE);
+        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || replaced).then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
             backlog_ms,
             overdue_ms,
+            replaced,
         })
     }
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -90,6 +90,8 @@
     pub local: bool,
     /// Known work queued before the request, in milliseconds: prompts sent there and not prefilled yet.
     pub backlog_ms: f64,
+    /// Extra cost of an upstream that may no longer exist, in milliseconds.
+    pub doubt_ms: f64,
     /// Estimated times of the engine.
     pub rates: EngineRates,
 }
@@ -118,6 +120,8 @@
     pub backlog_ms: f64,
     /// Extra cost for the requests that run there, which get no tokens during a long prefill, in milliseconds.
     pub stall_ms: f64,
+    /// Extra cost of an upstream that may no longer exist, in milliseconds.
+    pub doubt_ms: f64,
     /// Whether the request finds a free slot.
     pub has_slot: bool,
 }
@@ -160,11 +164,12 @@
         prefill_ms,
         backlog_ms: candidate.backlog_ms,
         stall_ms: excess_ms * candidate.load * STALL_WEIGHT,
+        doubt_ms: candidate.doubt_ms,
         has_slot: queued == 0.0,
     }
 }
 
-/// Returns the upstream with the lowest predicted time and stall cost. Among those within `close_ms` of it, the highest
+/// Returns the upstream with the lowest predicted time and extra costs. Among those within `close_ms` of it, the highest
 /// weight wins.
 #[must_use]
 pub fn choose(candidates: &[Candidate], need: PromptNeed, close_ms: f64) -> Option<Prediction> {
@@ -172,7 +177,7 @@
         .iter()
         .map(|candidate| (predict(candidate, need), candidate.weight))
         .collect();
-    let cost = |prediction: &Prediction| prediction.ms + prediction.stall_ms;
+    let cost = |prediction: &Prediction| prediction.ms + prediction.stall_ms + prediction.doubt_ms;
     let lowest = predictions
         .iter()
         .map(|(prediction, _)| cost(prediction))
--- a/crates/policy/tests/fetched_parts.rs
+++ b/crates/policy/tests/fetched_parts.rs
@@ -23,6 +23,7 @@
         weight: index as u64,
         local: true,
         backlog_ms: 0.0,
+        doubt_ms: 0.0,
         rates: EngineRates::default(),
     }
 }
--- a/crates/policy/tests/prompt_place.rs
+++ b/crates/policy/tests/prompt_place.rs
@@ -18,6 +18,7 @@
         weight: index as u64,
         local: true,
         backlog_ms: 0.0,
+        doubt_ms: 0.0,
         rates: RATES,
     }
 }
--- a/crates/state/src/shared_observations.rs
+++ b/crates/state/src/shared_observations.rs
@@ -15,6 +15,10 @@
 /// Most observations in one answer: those of the busiest upstreams. Entry hosts have to avoid only a few upstreams; the
 /// observations of all, at 70 bytes each, would fill the slow links of a large deployment.
 const MAX_OBSERVATIONS: usize = 64;
+/// Most replaced upstreams in one answer, beside the busiest ones.
+const MAX_REPLACED: usize = 128;
+/// Age up to which a report of a replaced upstream is shared: hosts that hear of it keep it for longer.
+const REPLACED_TTL: Duration = Duration::from_secs(1);
 /// Weight of one running or waiting request, in milliseconds of unprocessed prompts.
 const REQUEST_WEIGHT_MS: u32 = 30;
 /// Backlog below which none is reported: the prompts of a few small requests.
@@ -35,6 +39,8 @@
     /// Running and waiting requests, and when they were observed.
     load: Option<(u32, u32, Tick)>,
     backlogs: BTreeMap<NodeId, Backlog>,
+    /// When a host reported last that another incarnation has the address.
+    replaced: Option<Tick>,
 }
 
 /// What one entry host has reported about its own requests at an upstream.
@@ -60,7 +66,7 @@
 #[derive(Debug)]
 struct Summary {
     at: Tick,
-    /// The busiest upstream first.
+    /// Replaced upstreams first, then the busiest.
     upstreams: Vec<UpstreamSummary>,
 }
 
@@ -72,6 +78,8 @@
     unread_ms: u64,
     /// The largest overrun of an entry host's requests, and the largest of the other hosts.
     overdue_ms: (u64, u64),
+    /// Whether another incarnation has the address.
+    replaced: bool,
 }
 
 impl Observations {
@@ -85,6 +93,9 @@
                     known.load = Some((running, waiting, at));
                 }
             }
+            if observed.replaced {
+                known.replaced = Some(now);
+            }
             let backlog = known.backlogs.entry(from.clone()).or_default();
             backlog.unread = Duration::from_millis(u64::from(observed.backlog_ms));
             backlog.overdue = Duration::from_millis(u64::from(observed.overdue_ms));
@@ -118,12 +129,13 @@
         counter!("gentian_state_summaries_total").increment(1);
         self.upstreams.retain(|_, view| {
             view.expire(now);
-            view.load.is_some() || !view.backlogs.is_empty()
+            view.load.is_some() || !view.backlogs.is_empty() || view.replaced.is_some()
         });
         let summaries = self.upstreams.iter_mut().map(|(id, view)| view.summarize(id, now));
         let mut upstreams: Vec<UpstreamSummary> = summaries.collect();
-        upstreams.sort_by_key(|upstream| std::cmp::Reverse(upstream.weight()));
-        upstreams.truncate(MAX_OBSERVATIONS);
+        upstreams.sort_by_key(|upstream| std::cmp::Reverse((upstream.replaced, upstream.weight())));
+        let replaced = upstreams.iter().filter(|upstream| upstream.replaced).count();
+        upstreams.truncate(MAX_OBSERVATIONS + replaced.min(MAX_REPLACED));
         self.summary = Some(Summary { at: now, upstreams });
     }
 }
@@ -133,6 +145,7 @@
     fn expire(&mut self, now: Tick) {
         self.load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
         self.backlogs.retain(|_, backlog| backlog.lasts_until() > now);
+        self.replaced = self.replaced.filter(|at| now.since(*at) < REPLACED_TTL);
     }
 
     /// Adds up the backlogs of all hosts, reduced by the time since they were reported. Of the overruns the largest
@@ -154,6 +167,7 @@
             load: self.load,
             unread_ms,
             overdue_ms,
+            replaced: self.replaced.is_some(),
         }
     }
 }
@@ -183,11 +197,12 @@
         let backlog_ms = reported(self.unread_ms.saturating_sub(own.unread));
         let overdue_ms = reported(overdue);
         let load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
-        (load.is_some() || backlog_ms > 0 || overdue_ms > 0).then(|| UpstreamObservation {
+        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || self.replaced).then(|| UpstreamObservation {
             id: self.id.clone(),
             load: load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32)),
             backlog_ms,
             overdue_ms,
+            replaced: self.replaced,
         })
     }
 
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -42,6 +42,7 @@
             load,
             backlog_ms,
             overdue_ms: 0,
+            replaced: false,
         }],
         ..Heartbeat::default()
     }
@@ -71,6 +72,7 @@
             load: None,
             backlog_ms: 0,
             overdue_ms,
+            replaced: false,
         }],
         ..Heartbeat::default()
     }
@@ -89,6 +91,35 @@
     assert!(heartbeat(&registry, "e3", Heartbeat::default(), 2_100).signs.is_empty());
 }
 
+/// Guards against hosts that each find out by themselves that another incarnation has an upstream's address. The news
+/// takes precedence over the loads of busy upstreams, and ends when nobody reports it again.
+#[test]
+fn replaced_shared() {
+    let registry = EntryRegistry::default();
+    let busy = (0..200).map(|at| UpstreamObservation {
+        id: format!("u{at}"),
+        load: Some((9, at, 10)),
+        ..UpstreamObservation::default()
+    });
+    let replaced = UpstreamObservation {
+        id: "gone".to_owned(),
+        replaced: true,
+        ..UpstreamObservation::default()
+    };
+    let all = Heartbeat {
+        signs: busy.chain([replaced]).collect(),
+        ..Heartbeat::default()
+    };
+    heartbeat(&registry, "e1", all, 1_000);
+    let told = |now_ms| {
+        let signs = heartbeat(&registry, "e2", Heartbeat::default(), now_ms).signs;
+        let replaced = signs.into_iter().filter(|observed| observed.replaced);
+        replaced.map(|observed| observed.id).collect::<Vec<_>>()
+    };
+    assert_eq!(told(1_200), ["gone"]);
+    assert!(told(2_300).is_empty());
+}
+
 /// Two entry hosts observed an upstream's load at different times. The newest observation counts, not the one that was
 /// reported last.
 #[test]
@@ -110,6 +141,7 @@
         load: Some((at, 0, 10)),
         backlog_ms: 0,
         overdue_ms: 0,
+        replaced: false,
     });
     let all = Heartbeat {
         signs: signs.collect(),
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -81,6 +81,9 @@
     pub backlog_ms: u32,
     /// Time by which requests at the upstream wait longer than predicted, in milliseconds.
     pub overdue_ms: u32,
+    /// Whether another incarnation answered at the upstream's address.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub replaced: bool,
 }
 
 /// A position in the change history of the list of upstreams.
