Read the rate limit that upstreams name, and log when it begins and ends

Nobody read the header. The adapter decodes it, entry hosts log the first response that names another limit than before, and a metric counts responses that name one. No decision depends on it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -193,6 +193,16 @@
         } else {
             attempt.record_received();
         }
+        match &response {
+            Ok(response) => gateway.record_rate_limit(&chosen.id, response.info.rate_limit),
+            // The response of another incarnation tells nothing of the chosen upstream.
+            Err(AttemptError::Refused {
+                wrong_incarnation: false,
+                rate_limit,
+                ..
+            }) => gateway.record_rate_limit(&chosen.id, *rate_limit),
+            Err(_) => {}
+        }
         let response = response?;
         if let Some(load) = response.info.load
             && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -68,7 +68,7 @@
 }
 
 /// What the headers of an upstream's response tell the gateway.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that it responds to; `None` if it does not say.
     pub id: Option<String>,
@@ -80,6 +80,8 @@
     pub signed: bool,
     /// Load of the upstream; `None` if it does not say.
     pub load: Option<ReportedLoad>,
+    /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
+    pub rate_limit: Option<f64>,
     /// How long the upstream keeps an idle connection open; `None` if it does not say.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,7 +23,7 @@
 ///
 /// Only [`Self::NoPermit`], [`Self::NotSent`] and [`Self::Refused`] allow another attempt of a request that must run at most once, and only
 /// they allow the response "not run".
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, PartialEq)]
 pub enum AttemptError {
     /// Nothing was sent, because the retry budget is used up.
     #[display("not sent: the retry budget is used up")]
@@ -41,6 +41,8 @@
         status: u16,
         /// Whether another incarnation responds at the address.
         wrong_incarnation: bool,
+        /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
+        rate_limit: Option<f64>,
     },
     /// The request may have run.
     #[display("unknown: {reason}")]
@@ -87,6 +89,7 @@
         return Err(AttemptError::Refused {
             status,
             wrong_incarnation,
+            rate_limit: info.rate_limit,
         });
     }
     Ok(UpstreamResponse {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -390,6 +390,22 @@
             "entries" => self.entry_count());
     }
 
+    /// Records the rate limit that an upstream named in a response, or that it named none.
+    pub(crate) fn record_rate_limit(&self, upstream_id: &str, per_s: Option<f64>) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        let Some(upstream) = upstreams.get_mut(upstream_id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut upstream.rate_limit, per_s);
+        if before != per_s {
+            slog::info!(self.logger, "rate limit of an upstream"; "upstream" => upstream_id, "per_s" => per_s,
+                "before" => before);
+        }
+        if per_s.is_some() {
+            counter!("gentian_gateway_limited_responses_total").increment(1);
+        }
+    }
+
     /// Records a prompt that was sent to an upstream, whose prefill takes `ms` milliseconds.
     pub fn record_prefill(&self, service: &ServiceName, ms: f64) {
         let now = self.clock.now();
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -78,6 +78,8 @@
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
     /// responded yet.
     alive_at: Option<Tick>,
+    /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
+    pub(crate) rate_limit: Option<f64>,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
 }
@@ -105,6 +107,7 @@
             overdue_until: Tick::default(),
             replaced: None,
             alive_at: None,
+            rate_limit: None,
             notice: Rc::default(),
         }
     }
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -69,6 +69,7 @@
             wrong_incarnation: head.start.status == 421,
             signed: head.get("signed").is_some(),
             load: None,
+            rate_limit: head.get("limit").and_then(|text| text.parse().ok()),
             idle_timeout: None,
         }
     }
