Keep the rate limits of upstreams on all entry hosts together

Engines in need name the requests per second that they take from all hosts together; they went on getting what each host thought right, and the users saw LIMIT broken.

Cause: nobody read the header, and no host alone could keep the limit, which is one for all hosts.

Change: hosts report what upstreams name in their heartbeats, and the leader leases parts of each limit, of a request per second or more, to as many hosts as there are parts. All others pass the upstream over. A lease ends two seconds after the heartbeat that it answers, a part starts empty and saves up two requests at most, a new leader adopts the leases that hosts report and grants none before the others have ended. The one function that writes to an upstream takes a request from the part, whatever it sends. When all upstreams of a service are limited, a request is refused at once, with the time until this host has room if it holds a part. The leader does not probe limited engines either.

Why this works: parts in force never add up to more than the limit, so that an upstream gets in four seconds at most four times its limit and the two saved requests of each part (policy/rate_limit_parts, 2 to 194 hosts, limits of 1 to 20, with leader changes, cuts, restarts and lost holders).

Ways weighed: an even division among all hosts leaves each of 58 hosts one request a minute of a limit of one a second, and saved requests would come together; units lent one by one would cost each request a call. Not built: holders change only when they fall silent, whatever their callers ask for.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,6 +167,9 @@
                 reason: format!("connect to {}: {error}", chosen.address),
             })?
         };
+        if !gateway.take_rate(&chosen.id) {
+            return Err(AttemptError::OverLimit);
+        }
         let bytes = self.render(gateway, chosen, after, kv_copy);
         self.permit.take();
         let mut progress = self.progress.get();
@@ -309,7 +312,7 @@
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
                     upstream.mark_replaced(true, now);
                 }
-                AttemptError::NoPermit | AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit | AttemptError::OverLimit | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,13 +21,15 @@
 
 /// Outcome of a request that got no usable response.
 ///
-/// Only [`Self::NoPermit`], [`Self::NotSent`] and [`Self::Refused`] allow another attempt of a request that must run at most once, and only
-/// they allow the response "not run".
+/// All but [`Self::Unknown`] allow another attempt of a request that must run at most once, and only they allow the response "not run".
 #[derive(Clone, Debug, Display, Error, PartialEq)]
 pub enum AttemptError {
     /// Nothing was sent, because the retry budget is used up.
     #[display("not sent: the retry budget is used up")]
     NoPermit,
+    /// Nothing was sent, because this host's part of the upstream's rate limit is used up.
+    #[display("not sent: the rate limit of the upstream is used up")]
+    OverLimit,
     /// Nothing was sent.
     #[display("not sent: {reason}")]
     NotSent {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use contract::{ClientAccount, EngineSpec, ListedUpstream, Quota, ServiceName, Zone};
-use metrics::counter;
+use metrics::{counter, gauge};
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::catalog_lag;
@@ -18,7 +18,7 @@
 use policy::retries::{RetryBounds, RetryWindow, SendPermit};
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Heartbeat, QuotaShare, ServiceLoad, UpstreamObservation};
+use wire::registry::{Heartbeat, LimitPart, QuotaShare, ServiceLoad, UpstreamObservation};
 use wire::rollout::RolloutPlan;
 
 use crate::dialect::{HeaderCodec, RequestInfo};
@@ -64,6 +64,8 @@
     /// Observations of upstreams by other entry hosts that the event loop has not applied yet, with the time at which
     /// they arrived.
     pub observations: Mutex<Option<(Vec<UpstreamObservation>, Tick)>>,
+    /// Parts of rate limits that the event loop has not applied yet, with the time at which they were asked for.
+    pub limits: Mutex<Option<(Vec<LimitPart>, Tick)>>,
     /// Plans of rollouts that the event loop has not applied yet, with the time at which they arrived.
     pub rollouts: Mutex<Option<(Vec<RolloutPlan>, Tick)>>,
     /// Content of the next heartbeat to the leader.
@@ -218,6 +220,14 @@
                 .borrow_mut()
                 .merge_observations(&observations, received_at);
         }
+        if let Some((parts, asked_at)) = self.shared.limits.lock().take() {
+            let mut upstreams = self.upstreams.borrow_mut();
+            for part in upstreams.apply_limits(&parts, asked_at, self.clock.now()) {
+                slog::info!(self.logger, "part of a rate limit"; "upstream" => part.id, "per_s" => part.per_s,
+                    "part" => part.part, "age_ms" => part.age_ms);
+            }
+            gauge!("gentian_gateway_limited_upstreams_count").set(upstreams.limited_count() as f64);
+        }
         if let Some((plans, received_at)) = self.shared.rollouts.lock().take() {
             self.upstreams.borrow_mut().rollouts.update(plans, received_at);
         }
@@ -225,6 +235,7 @@
         let mut heartbeat = self.shared.heartbeat.lock();
         heartbeat.began.clone_from(self.usage.borrow().counts());
         heartbeat.signs = self.upstreams.borrow().observations(self.clock.now());
+        heartbeat.limits = self.upstreams.borrow().heard_limits(self.clock.now());
         heartbeat.trials = self.upstreams.borrow().trials();
         heartbeat.spare = self.overflow_units();
         heartbeat.load.clone_from(&self.service_loads.borrow());
@@ -390,13 +401,21 @@
             "entries" => self.entry_count());
     }
 
+    /// Takes a request from this host's part of an upstream's rate limit; returns whether it may be sent now.
+    pub(crate) fn take_rate(&self, upstream_id: &str) -> bool {
+        let mut upstreams = self.upstreams.borrow_mut();
+        let upstream = upstreams.get_mut(upstream_id);
+        upstream.is_none_or(|upstream| upstream.rate_limit.take(self.clock.now()))
+    }
+
     /// Records the rate limit that an upstream named in a response, or that it named none.
     pub(crate) fn record_rate_limit(&self, upstream_id: &str, per_s: Option<f64>) {
         let mut upstreams = self.upstreams.borrow_mut();
         let Some(upstream) = upstreams.get_mut(upstream_id) else {
             return;
         };
-        let before = std::mem::replace(&mut upstream.rate_limit, per_s);
+        let before = upstream.rate_limit.per_s();
+        upstream.rate_limit.record_response(per_s, self.clock.now());
         if before != per_s {
             slog::info!(self.logger, "rate limit of an upstream"; "upstream" => upstream_id, "per_s" => per_s,
                 "before" => before);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -142,6 +142,7 @@
                         let share = update.parts;
                         self.shared.record_newest(update.version, sent_at);
                         *self.shared.observations.lock() = Some((update.signs, self.clock.now()));
+                        *self.shared.limits.lock() = Some((update.limits, sent_at));
                         if !update.rollouts.is_empty() {
                             *self.shared.rollouts.lock() = Some((update.rollouts, self.clock.now()));
                         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -173,7 +173,7 @@
             };
             self.record_failure(gateway, &chosen, &error);
             match &error {
-                AttemptError::NotSent { .. } => failed_connects += 1,
+                AttemptError::NotSent { .. } | AttemptError::OverLimit => failed_connects += 1,
                 AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::Unknown { .. } if self.is_idempotent() => {}
                 AttemptError::Unknown { reason } => {
@@ -244,14 +244,24 @@
     }
 
     fn refuse_unplaced(&self, reason: NoUpstream) -> Refusal {
-        Refusal::new(503, format!("not run: {reason}")).with_retry_after(self.retry_delay())
+        let wait = match reason {
+            NoUpstream::AllLimited { wait } => wait,
+            _ => None,
+        };
+        let delay = wait.map_or_else(|| self.retry_delay(), |wait| wait.min(self.longest_delay()));
+        Refusal::new(503, format!("not run: {reason}")).with_retry_after(delay)
+    }
+
+    /// Returns the longest delay after which the caller would still try again.
+    fn longest_delay(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.mul_f64(MAX_RETRY_AFTER_SHARE)
     }
 
     /// Returns the delay after which a refused caller should try again.
     fn retry_delay(&self) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
         let delay = rand::rng().random_range(RETRY_AFTER_S.0..RETRY_AFTER_S.1);
-        Duration::from_secs_f64(delay.min(left * MAX_RETRY_AFTER_SHARE).max(0.01))
+        Duration::from_secs_f64(delay.min(self.longest_delay().as_secs_f64()).max(0.01))
     }
 
     /// Forwards a response.
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -11,6 +11,7 @@
 use policy::load::{LoadEstimate, LoadReport};
 use policy::pace::{RelativeSpeed, SpeedEstimate};
 use policy::place::{CachedParts, Candidate, PromptPart};
+use policy::rate_limit::HostLimit;
 use policy::reach::Reachability;
 use wire::registry::UpstreamObservation;
 use xxhash_rust::xxh3::xxh3_64;
@@ -78,8 +79,8 @@
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
     /// responded yet.
     alive_at: Option<Tick>,
-    /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
-    pub(crate) rate_limit: Option<f64>,
+    /// Rate limit that the upstream names, and this host's part of it.
+    pub(crate) rate_limit: HostLimit,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
 }
@@ -107,7 +108,7 @@
             overdue_until: Tick::default(),
             replaced: None,
             alive_at: None,
-            rate_limit: None,
+            rate_limit: HostLimit::default(),
             notice: Rc::default(),
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod quota;
+pub mod rate_limit;
 pub mod reach;
 pub mod reclaim;
 pub mod rescue;
--- a/crates/state/src/notices.rs
+++ b/crates/state/src/notices.rs
@@ -70,7 +70,10 @@
         let Some(list) = self.registry.list(self.clock.now(), MAX_LIST_AGE) else {
             return;
         };
-        for (group, asked) in engines_to_probe(&list, round) {
+        // An upstream that limits its requests has no room for probes; others of its group tell of a reclaim.
+        let unlimited = list.iter().filter(|upstream| !self.registry.is_limited(&upstream.id));
+        let unlimited: Vec<ListedUpstream> = unlimited.cloned().collect();
+        for (group, asked) in engines_to_probe(&unlimited, round) {
             if let Some(left) = self.time_left(&asked) {
                 self.report_reclaim(term, group, left, asked.len());
             }
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -12,8 +12,9 @@
 use policy::Tick;
 use policy::catalog_lag::{CatalogLag, Progress};
 use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack, node_part};
+use policy::rate_limit::{LimitLeases, NamedLimit};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
-use wire::registry::{Heartbeat, LeaderUpdate, QuotaShare, ServiceLoad};
+use wire::registry::{HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, ServiceLoad};
 use wire::rollout::RolloutPlan;
 
 use crate::core::Leadership;
@@ -41,6 +42,7 @@
     list: UpstreamList,
     reclaims: ReportedReclaims,
     observations: Observations,
+    rate_limits: LimitLeases,
     catalog_lag: CatalogLag,
     trials: Trials,
     /// Plans of rollouts, with the term in which they were made.
@@ -70,6 +72,27 @@
 /// Number of requests by client account.
 pub type Counts = BTreeMap<String, u64>;
 
+impl Inner {
+    /// Records the rate limits that a host has heard of, and returns its parts of all limits.
+    fn exchange_limits(&mut self, from: &NodeId, heard: &[HeardLimit], entries: u32, now: Tick) -> Vec<LimitPart> {
+        for limit in heard {
+            let named = NamedLimit {
+                per_s: limit.per_s,
+                at: now - Duration::from_millis(u64::from(limit.age_ms)),
+            };
+            self.rate_limits.report(from, &limit.id, named, limit.held, now);
+        }
+        let parts = self.rate_limits.lease(from, entries, now).into_iter();
+        let part = parts.map(|part| LimitPart {
+            id: part.upstream,
+            per_s: part.named.per_s,
+            age_ms: now.since(part.named.at).as_millis() as u32,
+            part: part.per_s,
+        });
+        part.collect()
+    }
+}
+
 impl EntryRegistry {
     /// Creates a registry; `slack` is by how much each quota may be exceeded.
     #[must_use]
@@ -93,6 +116,7 @@
             // Another node led in between and may have given out other shares.
             inner.allocator = None;
             inner.catalog_lag = CatalogLag::default();
+            inner.rate_limits = LimitLeases::new(now);
             inner.term = term;
             inner.stored_count = shared.entry_hosts;
         }
@@ -121,6 +145,7 @@
             parts,
             list: inner.list.changes_after(&beat.list, beat.max_listed, now),
             signs: inner.observations.of_others(from, now),
+            limits: inner.exchange_limits(from, &beat.limits, portion.entries, now),
             version: shared.catalog_version,
             rollouts: if inner.rollouts.0 == term {
                 inner.rollouts.1.clone()
@@ -186,6 +211,12 @@
         (now.since(asked) < fresh).then(|| Arc::clone(list))
     }
 
+    /// Returns whether an upstream names a rate limit.
+    #[must_use]
+    pub fn is_limited(&self, upstream: &str) -> bool {
+        self.inner.lock().rate_limits.is_limited(upstream)
+    }
+
     /// Returns the number of entry hosts that share quotas if it differs from the one returned or stored last.
     pub fn changed_count(&self, now: Tick) -> Option<u32> {
         let mut inner = self.inner.lock();
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -28,11 +28,40 @@
     pub spare: BTreeMap<String, u64>,
     /// Load by service, for autoscaling.
     pub load: BTreeMap<String, ServiceLoad>,
+    /// Rate limits that upstreams have named to this host.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<HeardLimit>,
     /// Outcomes of both versions by service, while a rollout runs; each replaces the previous one.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub trials: BTreeMap<String, RolloutTrial>,
 }
 
+/// A rate limit that an upstream named to an entry host, or that has ended.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct HeardLimit {
+    /// Name of the upstream.
+    pub id: String,
+    /// Requests per second from all entry hosts together; `None` if the upstream names no limit any more.
+    pub per_s: Option<f64>,
+    /// Milliseconds since the response that named it.
+    pub age_ms: u32,
+    /// Whether the host holds a part of it.
+    pub held: bool,
+}
+
+/// An entry host's part of the rate limit of an upstream.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitPart {
+    /// Name of the upstream.
+    pub id: String,
+    /// Requests per second from all entry hosts together; `None` if the upstream names no limit any more.
+    pub per_s: Option<f64>,
+    /// Milliseconds since the response that named it.
+    pub age_ms: u32,
+    /// Requests per second that the host may send; zero if other hosts hold the limit.
+    pub part: f64,
+}
+
 /// The load of one service at one entry host.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLoad {
@@ -60,6 +89,9 @@
     pub list: ListUpdate,
     /// Upstream observations of other entry hosts.
     pub signs: Vec<UpstreamObservation>,
+    /// Rate limits of upstreams, with the host's part of each.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitPart>,
     /// Newest version of the catalog.
     pub version: u64,
     /// Rollouts that run or have just ended.
