--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,6 +167,9 @@
                 reason: format!("connect to {}: {error}", chosen.address),
             })?
         };
+        if !gateway.take_rate(&chosen.id) {
+            return Err(AttemptError::OverLimit);
+        }
         let bytes = self.render(gateway, chosen, after, kv_copy);
         self.permit.take();
         let mut progress = self.progress.get();
@@ -193,6 +196,16 @@
         } else {
             attempt.record_received();
         }
+        match &response {
+            Ok(response) => gateway.record_rate_limit(&chosen.id, response.info.rate_limit),
+            // The response of another incarnation tells nothing of the chosen upstream.
+            Err(AttemptError::Refused {
+                wrong_incarnation: false,
+                rate_limit,
+                ..
+            }) => gateway.record_rate_limit(&chosen.id, *rate_limit),
+            Err(_) => {}
+        }
         let response = response?;
         if let Some(load) = response.info.load
             && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
@@ -299,7 +312,7 @@
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
                     upstream.mark_replaced(true, now);
                 }
-                AttemptError::NoPermit | AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit | AttemptError::OverLimit | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,13 +21,15 @@
 
 /// Outcome of a request that got no usable response.
 ///
-/// Only [`Self::NoPermit`], [`Self::NotSent`] and [`Self::Refused`] allow another attempt of a request that must run at most once, and only
-/// they allow the response "not run".
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+/// All but [`Self::Unknown`] allow another attempt of a request that must run at most once, and only they allow the response "not run".
+#[derive(Clone, Debug, Display, Error, PartialEq)]
 pub enum AttemptError {
     /// Nothing was sent, because the retry budget is used up.
     #[display("not sent: the retry budget is used up")]
     NoPermit,
+    /// Nothing was sent, because this host's part of the upstream's rate limit is used up.
+    #[display("not sent: the rate limit of the upstream is used up")]
+    OverLimit,
     /// Nothing was sent.
     #[display("not sent: {reason}")]
     NotSent {
@@ -41,6 +43,8 @@
         status: u16,
         /// Whether another incarnation responds at the address.
         wrong_incarnation: bool,
+        /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
+        rate_limit: Option<f64>,
     },
     /// The request may have run.
     #[display("unknown: {reason}")]
@@ -87,6 +91,7 @@
         return Err(AttemptError::Refused {
             status,
             wrong_incarnation,
+            rate_limit: info.rate_limit,
         });
     }
     Ok(UpstreamResponse {
