Ask an upstream whose rate limit is zero now and then

Only a response tells that a limit has ended; with parts of zero nobody would ask again. Found while reading the fix of the rate limit; no report of it. policy/rate_limit_parts::zero_limit failed before.

--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -17,6 +17,8 @@
 /// Smallest part that is leased, in requests per second. A part saves up two requests, so that in four seconds all parts
 /// together send at most one and a half times the limit.
 const MIN_PART: f64 = 1.0;
+/// Requests per second that are sent at least: only a response tells that a limit has ended.
+const MIN_RATE: f64 = 0.1;
 /// Time after the last report of any host after which a limit is forgotten: its upstream is gone, or it has ended.
 const REPORT_EXPIRY: Duration = Duration::from_secs(10);
 /// Age up to which a host reports what it heard from an upstream; longer than a heartbeat interval.
@@ -114,7 +116,7 @@
             return 0.0;
         }
         self.holders.insert(to.clone(), now + LEASE_TIME);
-        per_s / parts as f64
+        per_s.max(MIN_RATE) / parts as f64
     }
 }
 
--- a/crates/policy/tests/rate_limit_parts.rs
+++ b/crates/policy/tests/rate_limit_parts.rs
@@ -240,6 +240,18 @@
     }
 }
 
+/// Guards against an upstream that takes nothing for a while and is never asked again.
+#[test]
+fn zero_limit() {
+    let faults = Faults {
+        ends: Some(20_000),
+        ..Faults::default()
+    };
+    let arrivals = Fleet::new(8, 0.0, faults).run(1).arrivals;
+    assert!(most_in_span(&arrivals, 20_000) <= 5, "allowed without any rate");
+    assert!(arrivals.iter().filter(|at| **at >= 35_000).count() > 50);
+}
+
 /// Guards against a saved-up part that is used after a freeze: the lease has ended meanwhile.
 #[test]
 fn frozen_holder() {
