Name no upstream in heartbeats that never limited its requests

Found while reading the diff: a response without a limit counted as news, so that each heartbeat named every upstream that had responded within two seconds, and the leader's answers did so too. That it names nothing is news only after a limit. policy/rate_limit_parts::no_limit failed before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,8 @@
 
 /// Outcome of a request that got no usable response.
 ///
-/// All but [`Self::Unknown`] allow another attempt of a request that must run at most once, and only they allow the response "not run".
+/// All but [`Self::Unknown`] allow another attempt of a request that must run at most once, and only they allow the
+/// response "not run".
 #[derive(Clone, Debug, Display, Error, PartialEq)]
 pub enum AttemptError {
     /// Nothing was sent, because the retry budget is used up.
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -146,8 +146,11 @@
 }
 
 impl HostLimit {
-    /// Records what a response of the upstream names.
+    /// Records what a response of the upstream names. That it names nothing is news only after a limit.
     pub fn record_response(&mut self, per_s: Option<f64>, now: Tick) {
+        if per_s.is_none() && self.named.per_s.is_none() {
+            return;
+        }
         self.named = NamedLimit { per_s, at: now };
         self.own = true;
     }
--- a/crates/policy/tests/rate_limit_parts.rs
+++ b/crates/policy/tests/rate_limit_parts.rs
@@ -252,6 +252,18 @@
     assert!(arrivals.iter().filter(|at| **at >= 35_000).count() > 50);
 }
 
+/// Guards against heartbeats that name every upstream which has responded, although none limits its requests.
+#[test]
+fn no_limit() {
+    let (mut host, now) = (HostLimit::default(), Tick::from_millis(5_000));
+    host.record_response(None, now);
+    assert_eq!(host.report(now), None);
+    host.record_response(Some(2.0), now);
+    host.record_response(None, now + Duration::from_millis(10));
+    let (named, held) = host.report(now + Duration::from_millis(20)).expect("the end is news");
+    assert_eq!((named.per_s, held), (None, false));
+}
+
 /// Guards against a saved-up part that is used after a freeze: the lease has ended meanwhile.
 #[test]
 fn frozen_holder() {
