Doubt upstreams by the share of replaced ones, not all of them after one

Cause: a single replaced upstream made every other one without a response in the last half second cost 500 ms more, for two seconds. Idle upstreams have no recent response, and they are where requests should go.

An upstream without a recent response now costs a wasted attempt (1,000 ms) times the share of the service's upstreams that were found replaced lately: 11 ms after one of 90.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -26,9 +26,10 @@
 /// upstream for the same prompt parts. A smaller value spreads the parts, so that more shared tokens are prefilled
 /// again; a larger one takes slower upstreams.
 const EQUAL_WITHIN_MS: f64 = 100.0;
-/// Cost of an upstream without a recent response while others of its service turn out to be replaced, in milliseconds: a
-/// wasted attempt takes one of few retries. With a larger value, the few that have responded get all requests.
-const DOUBT_COST_MS: f64 = 500.0;
+/// Cost of a wasted attempt at an upstream that was replaced, in milliseconds: it takes one of few retries. An upstream
+/// without a recent response is expected to cost the share of it that its service has replaced upstreams. With a larger
+/// value, the few that have responded get all requests.
+const WASTED_ATTEMPT_MS: f64 = 1_000.0;
 /// Requests per slot up to which an upstream is chosen: one that runs and one in its queue. It refuses any more.
 const MAX_LOAD_PER_SLOT: f64 = 2.0;
 
@@ -193,11 +194,10 @@
         let mut candidates: Vec<Candidate> = candidates
             .filter(|candidate| candidate.load < candidate.slots * MAX_LOAD_PER_SLOT)
             .collect();
-        if self.is_doubtful(need.service, now) {
-            for candidate in &mut candidates {
-                let proven = usable[candidate.index].is_proven(now);
-                candidate.doubt_ms = if proven { 0.0 } else { DOUBT_COST_MS };
-            }
+        let doubt_ms = self.replaced_share(need.service, now) * WASTED_ATTEMPT_MS;
+        for candidate in &mut candidates {
+            let proven = usable[candidate.index].is_proven(now);
+            candidate.doubt_ms = if proven { 0.0 } else { doubt_ms };
         }
         let other_entries = need.entry_hosts.saturating_sub(1);
         let observed_span = self.part_usage.observed_span(now);
@@ -238,10 +238,15 @@
         })
     }
 
-    /// Returns whether upstreams of a service were found to be replaced lately, so that others may be, too.
-    fn is_doubtful(&self, service: &ServiceName, now: Tick) -> bool {
-        let mut serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
-        serving.any(|upstream| upstream.casts_doubt(now))
+    /// Returns the share of a service's upstreams that were found to be replaced lately; others may be, too.
+    fn replaced_share(&self, service: &ServiceName, now: Tick) -> f64 {
+        let serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
+        let (mut all, mut replaced) = (0_u32, 0_u32);
+        for upstream in serving {
+            all += 1;
+            replaced += u32::from(upstream.casts_doubt(now));
+        }
+        f64::from(replaced) / f64::from(all.max(1))
     }
 
     /// Updates the reachability of data centres from the requests that wait there.
