--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -215,6 +215,24 @@
         Ok((response, attempt))
     }
 
+    /// Provides a permit for the next arrival at an upstream, from the retry budget if the request has none; returns
+    /// whether there is one.
+    pub(crate) fn reserve_send(&self, gateway: &Gateway) -> bool {
+        let mut permit = self.permit.take();
+        if permit.is_none() {
+            permit = gateway.take_retry(&self.service);
+            let mut progress = self.progress.get();
+            progress.budgeted += u32::from(permit.is_some());
+            self.progress.set(progress);
+        }
+        let reserved = permit.is_some();
+        if !reserved {
+            gateway.log_no_retry(&self.service, &self.info.id, self.progress.get().arrivals);
+        }
+        self.permit.replace(permit);
+        reserved
+    }
+
     fn new_attempt(&self, gateway: &Rc<Gateway>, chosen: &ChosenUpstream, backlog_id: u64) -> ActiveAttempt {
         let mut upstreams = gateway.upstreams.borrow_mut();
         let trial = self.start_trial(&mut upstreams, chosen);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use contract::{ClientAccount, EngineSpec, ListedUpstream, Quota, ServiceName, Zone};
-use metrics::{counter, gauge};
+use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::catalog_lag;
@@ -221,12 +221,7 @@
                 .merge_observations(&observations, received_at);
         }
         if let Some((parts, asked_at)) = self.shared.limits.lock().take() {
-            let mut upstreams = self.upstreams.borrow_mut();
-            for part in upstreams.apply_limits(&parts, asked_at, self.clock.now()) {
-                slog::info!(self.logger, "part of a rate limit"; "upstream" => part.id, "per_s" => part.per_s,
-                    "part" => part.part, "age_ms" => part.age_ms);
-            }
-            gauge!("gentian_gateway_limited_upstreams_count").set(upstreams.limited_count() as f64);
+            self.apply_limits(&parts, asked_at);
         }
         if let Some((plans, received_at)) = self.shared.rollouts.lock().take() {
             self.upstreams.borrow_mut().rollouts.update(plans, received_at);
@@ -401,30 +396,6 @@
             "entries" => self.entry_count());
     }
 
-    /// Takes a request from this host's part of an upstream's rate limit; returns whether it may be sent now.
-    pub(crate) fn take_rate(&self, upstream_id: &str) -> bool {
-        let mut upstreams = self.upstreams.borrow_mut();
-        let upstream = upstreams.get_mut(upstream_id);
-        upstream.is_none_or(|upstream| upstream.rate_limit.take(self.clock.now()))
-    }
-
-    /// Records the rate limit that an upstream named in a response, or that it named none.
-    pub(crate) fn record_rate_limit(&self, upstream_id: &str, per_s: Option<f64>) {
-        let mut upstreams = self.upstreams.borrow_mut();
-        let Some(upstream) = upstreams.get_mut(upstream_id) else {
-            return;
-        };
-        let before = upstream.rate_limit.per_s();
-        upstream.rate_limit.record_response(per_s, self.clock.now());
-        if before != per_s {
-            slog::info!(self.logger, "rate limit of an upstream"; "upstream" => upstream_id, "per_s" => per_s,
-                "before" => before);
-        }
-        if per_s.is_some() {
-            counter!("gentian_gateway_limited_responses_total").increment(1);
-        }
-    }
-
     /// Records a prompt that was sent to an upstream, whose prefill takes `ms` milliseconds.
     pub fn record_prefill(&self, service: &ServiceName, ms: f64) {
         let now = self.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod moving;
 pub mod pool;
+mod rate_limits;
 mod rate_reporter;
 pub mod reclaim_notice;
 pub mod refusal;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -185,24 +185,6 @@
         self.failure_outcome(last_error)
     }
 
-    /// Provides a permit for the next arrival at an upstream, from the retry budget if the request has none; returns
-    /// whether there is one.
-    pub(crate) fn reserve_send(&self, gateway: &Gateway) -> bool {
-        let mut permit = self.permit.take();
-        if permit.is_none() {
-            permit = gateway.take_retry(&self.service);
-            let mut progress = self.progress.get();
-            progress.budgeted += u32::from(permit.is_some());
-            self.progress.set(progress);
-        }
-        let reserved = permit.is_some();
-        if !reserved {
-            gateway.log_no_retry(&self.service, &self.info.id, self.progress.get().arrivals);
-        }
-        self.permit.replace(permit);
-        reserved
-    }
-
     /// Returns the outcome when no further attempt is made.
     fn failure_outcome(&self, last_error: Option<AttemptError>) -> Outcome {
         let reason = last_error.map_or_else(|| "no attempt was made".to_owned(), |error| error.to_string());
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! The listed upstreams with the state known of each: load, failures and cached prompt parts.
 
+mod limits;
 mod upstream;
 
 use std::cell::RefCell;
@@ -14,9 +15,8 @@
 use policy::homes::{PartUsage, assume_former_homes_cached, assume_home_cached};
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
-use policy::rate_limit::NamedLimit;
 use policy::reach::Reachability;
-use wire::registry::{HeardLimit, LimitPart, UpstreamObservation};
+use wire::registry::UpstreamObservation;
 
 pub use upstream::Upstream;
 
@@ -314,49 +314,6 @@
         }
     }
 
-    /// Returns the rate limits that the leader should know of.
-    #[must_use]
-    pub fn heard_limits(&self, now: Tick) -> Vec<HeardLimit> {
-        let heard = self.all.iter().filter_map(|(id, upstream)| {
-            let (named, held) = upstream.rate_limit.report(now)?;
-            Some(HeardLimit {
-                id: id.clone(),
-                per_s: named.per_s,
-                age_ms: now.since(named.at).as_millis() as u32,
-                held,
-            })
-        });
-        heard.collect()
-    }
-
-    /// Applies this host's parts of rate limits, from an answer to a heartbeat of `asked_at`. Returns the upstreams of
-    /// which it now has another part.
-    pub fn apply_limits(&mut self, parts: &[LimitPart], asked_at: Tick, now: Tick) -> Vec<LimitPart> {
-        let mut changed = Vec::new();
-        for part in parts {
-            let Some(upstream) = self.all.get_mut(&part.id) else {
-                continue;
-            };
-            let named = NamedLimit {
-                per_s: part.per_s,
-                at: asked_at - Duration::from_millis(u64::from(part.age_ms)),
-            };
-            let before = (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now));
-            upstream.rate_limit.record_part(named, part.part, asked_at, now);
-            if before != (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now)) {
-                changed.push(part.clone());
-            }
-        }
-        changed
-    }
-
-    /// Returns the number of upstreams that limit their requests.
-    #[must_use]
-    pub fn limited_count(&self) -> usize {
-        let limited = |upstream: &&Upstream| upstream.rate_limit.per_s().is_some();
-        self.all.values().filter(limited).count()
-    }
-
     /// Returns what this host has seen of running rollouts, by service.
     #[must_use]
     pub fn trials(&self) -> BTreeMap<String, RolloutTrial> {
--- /dev/null
+++ b/crates/gateway/src/upstreams/limits.rs
@@ -0,0 +1,54 @@
+//! Rate limits that upstreams name, as this host exchanges them with the leader.
+
+use std::time::Duration;
+
+use policy::Tick;
+use policy::rate_limit::NamedLimit;
+use wire::registry::{HeardLimit, LimitPart};
+
+use super::{Upstream, Upstreams};
+
+impl Upstreams {
+    /// Returns the rate limits that the leader should know of.
+    #[must_use]
+    pub fn heard_limits(&self, now: Tick) -> Vec<HeardLimit> {
+        let heard = self.all.iter().filter_map(|(id, upstream)| {
+            let (named, held) = upstream.rate_limit.report(now)?;
+            Some(HeardLimit {
+                id: id.clone(),
+                per_s: named.per_s,
+                age_ms: now.since(named.at).as_millis() as u32,
+                held,
+            })
+        });
+        heard.collect()
+    }
+
+    /// Applies this host's parts of rate limits, from an answer to a heartbeat of `asked_at`. Returns the upstreams of
+    /// which it now has another part.
+    pub fn apply_limits(&mut self, parts: &[LimitPart], asked_at: Tick, now: Tick) -> Vec<LimitPart> {
+        let mut changed = Vec::new();
+        for part in parts {
+            let Some(upstream) = self.all.get_mut(&part.id) else {
+                continue;
+            };
+            let named = NamedLimit {
+                per_s: part.per_s,
+                at: asked_at - Duration::from_millis(u64::from(part.age_ms)),
+            };
+            let before = (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now));
+            upstream.rate_limit.record_part(named, part.part, asked_at, now);
+            if before != (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now)) {
+                changed.push(part.clone());
+            }
+        }
+        changed
+    }
+
+    /// Returns the number of upstreams that limit their requests.
+    #[must_use]
+    pub fn limited_count(&self) -> usize {
+        let limited = |upstream: &&Upstream| upstream.rate_limit.per_s().is_some();
+        self.all.values().filter(limited).count()
+    }
+}
