Log when anybody last heard from the upstream of a failed attempt

A connection that times out doesn't tell whether the upstream is gone or this host is cut off. The line of a failed attempt now says how long ago any host heard from the upstream (heard_ms), whether the attempt was made on a pooled connection (reused), and how long after the request's arrival (after_ms), so that the hypotheses of the incident can be told apart: an upstream that others have just heard from is there, time lost on hanging connections shows, and so do old connections that live on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -158,6 +158,7 @@
         self.last_upstream.replace(Some(chosen.clone()));
         let pooled = gateway.pool.borrow_mut().take(chosen.address, runs_once);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
+        self.last_reused.set(pooled.is_some());
         let connection = if let Some(connection) = pooled {
             connection
         } else {
@@ -321,7 +322,9 @@
     /// Records a failed attempt for the choice of upstreams.
     pub(crate) fn record_failure(&self, gateway: &Gateway, chosen: &ChosenUpstream, error: &AttemptError) {
         let now = gateway.clock.now();
+        let mut heard_ms = None;
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
+            heard_ms = upstream.heard_age(now).map(|age| age.as_millis() as u64);
             match error {
                 AttemptError::Refused {
                     wrong_incarnation: true,
@@ -336,7 +339,8 @@
             }
         }
         info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "upstream" => &chosen.id,
-            "address" => %chosen.address, "fate" => %error, "load" => chosen.load,
+            "address" => %chosen.address, "fate" => %error, "load" => chosen.load, "heard_ms" => heard_ms,
+            "reused" => self.last_reused.get(), "after_ms" => self.arrived.elapsed().as_millis() as u64,
             "sends" => self.progress.get().sends, "arrivals" => self.progress.get().arrivals,
             "budgeted" => self.progress.get().budgeted);
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -209,6 +209,7 @@
             progress: Cell::new(Progress::default()),
             permit: RefCell::new(Some(permit)),
             last_upstream: RefCell::new(None),
+            last_reused: Cell::new(false),
         })
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -62,6 +62,8 @@
     pub permit: RefCell<Option<SendPermit>>,
     /// The upstream that was chosen last; `None` before the first choice.
     pub last_upstream: RefCell<Option<ChosenUpstream>>,
+    /// Whether the last attempt used a pooled connection.
+    pub last_reused: Cell<bool>,
 }
 
 /// Progress of a request, which determines the response when its time is up.
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -256,6 +256,12 @@
         self.alive_at.is_some_and(|at| now.since(at) < PROOF_TIME)
     }
 
+    /// Returns the time since any host last heard from the upstream; `None` if nobody has.
+    #[must_use]
+    pub fn heard_age(&self, now: Tick) -> Option<Duration> {
+        self.alive_at.map(|at| now.since(at))
+    }
+
     /// Returns whether another incarnation was found at the address lately.
     pub(super) fn casts_doubt(&self, now: Tick) -> bool {
         self.replaced
