--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports, reason = "each test uses another part of it")]
 
 mod caller;
+mod cut_link;
 mod headers;
 mod host;
 mod upstream;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 
 pub use caller::{Caller, Response};
+pub use cut_link::{Cut, CutLink};
 pub use host::Host;
 pub use upstream::{ReceivedRequest, Script, Upstream, listed, respond, send_event, start_stream};
 
