Let entry hosts that are cut off from upstreams reach them through others

What callers saw: hosts that had lost their links to all upstreams refused everything, 0 of 112 first tries where other hosts served 324 of 326.

Cause: a host has one way to an upstream, its own link. When that is cut it can't tell it from upstreams that are gone, and refuses what its neighbours could serve.

The relay copies bytes and knows no requests, so that accounts, quotas, permits, usage, deadlines, streams and their moves stay with the host that the caller asked, nothing runs twice for it, and nothing is passed on twice. The leader names relays ahead of time with the heartbeats; a list is kept without a leader. A host counts as cut off when two upstreams answer only through others, or when requests at two upstreams are overdue and nothing arrives; it then goes through others at once and probes its own link, one connection at a time. What may be repeated and waits on the cut link is sent again.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod listed;
 mod name;
+mod relay;
 mod rollout;
 mod rule;
 pub mod settings;
@@ -27,6 +28,7 @@
     AccountName, ChangeId, ClassName, CustomerId, DataCenter, HostId, ModelName, NodeId, RequestId, Revision,
     ServiceName, UpstreamId, Zone,
 };
+pub use relay::RelayHost;
 pub use rollout::{Histogram, Rollout, RolloutOrder, RolloutState, RolloutTrial, RouteTrial, TrialCounts};
 pub use rule::HostRule;
 pub use upstream::{HostClass, HostSpec, UpstreamKind, UpstreamSpec};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,22 +2,25 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
+use contract::ServiceName;
 use metrics::counter;
 use policy::Tick;
 use policy::reach::Reachability;
 use slog::info;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::dialect::AttemptHeaders;
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
 use crate::gate::Gateway;
 use crate::moving::{KvCopy, StreamMover};
-use crate::pool::connect;
+use crate::pool::IdleNeed;
 use crate::reclaim_notice::ReclaimNotice;
 use crate::request::Request;
 use crate::response_head::{HEAD_CAPACITY, write_header};
 use crate::rollouts::TrialSubject;
+use crate::server::SYNC_INTERVAL;
 use crate::upstreams::{ChosenUpstream, Upstreams};
 
 /// An attempt that occupies an upstream. Dropping it releases the upstream, also when the caller has gone and the
@@ -36,6 +39,15 @@
     notice: Rc<ReclaimNotice>,
     /// What is counted of the attempt during a rollout; `None` without one.
     trial: Option<AttemptTrial>,
+    /// The wait for the upstream on this host's own link; `None` where another host relays.
+    own_wait: Option<OwnWait>,
+}
+
+/// A wait for an upstream on this host's own link, from which a cut of the link shows.
+#[derive(Debug)]
+struct OwnWait {
+    service: ServiceName,
+    number: u64,
 }
 
 /// An attempt that counts for the trial of a version.
@@ -61,8 +73,32 @@
 impl ActiveAttempt {
     /// Records that data arrived from the upstream.
     pub(crate) fn record_received(&self) {
+        let now = self.gateway.clock.now();
         if let Some(reachability) = &self.reachability {
-            reachability.record_received(self.gateway.clock.now());
+            reachability.record_received(now);
+        }
+        if let Some(wait) = &self.own_wait {
+            self.gateway.update_isolation(&wait.service, |isolation| {
+                isolation.record_received(now);
+                isolation.record_ended(wait.number);
+            });
+            if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
+                upstream.record_own_link(now);
+            }
+        }
+    }
+
+    /// Waits until this host counts as cut off from the upstream, so that no response can be expected. Pends forever
+    /// where another host relays.
+    async fn wait_stranded(&self) {
+        let Some(wait) = &self.own_wait else {
+            return std::future::pending().await;
+        };
+        while !self
+            .gateway
+            .update_isolation(&wait.service, |isolation| isolation.is_stranded(self.sent_at))
+        {
+            sleep(SYNC_INTERVAL).await;
         }
     }
 
@@ -134,6 +170,10 @@
         {
             self.judge(TrialOutcome::Failed);
         }
+        if let Some(wait) = &self.own_wait {
+            self.gateway
+                .update_isolation(&wait.service, |isolation| isolation.record_ended(wait.number));
+        }
         let now = self.gateway.clock.now();
         if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
             upstream.record_end(self.backlog_id, self.sent_at, now);
@@ -156,18 +196,23 @@
         }
         let runs_once = !self.is_idempotent();
         self.last_upstream.replace(Some(chosen.clone()));
-        let pooled = gateway.pool.borrow_mut().take(chosen.address, runs_once);
+        let need = IdleNeed {
+            runs_once,
+            own_link: gateway.may_reuse_own(&self.service, &chosen.id),
+        };
+        let pooled = gateway.pool.borrow_mut().take(chosen.address, need);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         self.last_reused.set(pooled.is_some());
-        let connection = if let Some(connection) = pooled {
-            connection
-        } else {
-            counter!("gentian_gateway_connections_opened_total").increment(1);
-            let response = connect(chosen.address, remaining).await;
-            response.map_err(|error| AttemptError::NotSent {
-                reason: format!("connect to {}: {error}", chosen.address),
-            })?
+        let connection = match pooled {
+            Some(connection) => connection,
+            None => gateway
+                .dial(&self.service, chosen, &self.info.id, remaining)
+                .await
+                .map_err(|error| AttemptError::NotSent {
+                    reason: error.to_string(),
+                })?,
         };
+        self.last_relay.set(connection.relay.as_ref().map(|lease| lease.host));
         if !gateway.take_rate(&chosen.id) {
             return Err(AttemptError::OverLimit);
         }
@@ -183,8 +228,15 @@
             counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
         }
         let backlog_id = self.record_sent(gateway, chosen);
-        let attempt = self.new_attempt(gateway, chosen, backlog_id);
-        let response = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref()).await;
+        let attempt = self.new_attempt(gateway, chosen, backlog_id, !connection.is_relayed());
+        let exchange = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref());
+        let may_repeat = self.is_idempotent() && self.has_attempts_left();
+        let response = tokio::select! {
+            response = exchange => response,
+            () = attempt.wait_stranded(), if may_repeat => {
+                Err(AttemptError::unknown("this host is cut off from the upstream"))
+            }
+        };
         if let Err(AttemptError::Refused { wrong_incarnation, .. }) = &response {
             let mut progress = self.progress.get();
             progress.may_have_run = ran_before;
@@ -234,7 +286,14 @@
         reserved
     }
 
-    fn new_attempt(&self, gateway: &Rc<Gateway>, chosen: &ChosenUpstream, backlog_id: u64) -> ActiveAttempt {
+    fn new_attempt(
+        &self,
+        gateway: &Rc<Gateway>,
+        chosen: &ChosenUpstream,
+        backlog_id: u64,
+        on_own_link: bool,
+    ) -> ActiveAttempt {
+        let own_wait = on_own_link.then(|| self.start_own_wait(gateway, chosen));
         let mut upstreams = gateway.upstreams.borrow_mut();
         let trial = self.start_trial(&mut upstreams, chosen);
         let upstream = upstreams.get_mut(&chosen.id);
@@ -250,6 +309,20 @@
             reachability,
             notice,
             trial,
+            own_wait,
+        }
+    }
+
+    /// Records that a response is expected on this host's own link.
+    fn start_own_wait(&self, gateway: &Gateway, chosen: &ChosenUpstream) -> OwnWait {
+        let expected = Duration::from_secs_f64(chosen.prediction.ms.max(0.0) / 1_000.0);
+        let now = gateway.clock.now();
+        let number = gateway.update_isolation(&self.service, |isolation| {
+            isolation.record_sent(&chosen.id, expected, now)
+        });
+        OwnWait {
+            service: self.service.clone(),
+            number,
         }
     }
 
@@ -340,7 +413,8 @@
         }
         info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "upstream" => &chosen.id,
             "address" => %chosen.address, "fate" => %error, "load" => chosen.load, "heard_ms" => heard_ms,
-            "reused" => self.last_reused.get(), "after_ms" => self.arrived.elapsed().as_millis() as u64,
+            "reused" => self.last_reused.get(), "relay" => self.last_relay.get().map(|host| host.to_string()),
+            "after_ms" => self.arrived.elapsed().as_millis() as u64,
             "sends" => self.progress.get().sends, "arrivals" => self.progress.get().arrivals,
             "budgeted" => self.progress.get().budgeted);
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -210,6 +210,7 @@
             permit: RefCell::new(Some(permit)),
             last_upstream: RefCell::new(None),
             last_reused: Cell::new(false),
+            last_relay: Cell::new(None),
         })
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -213,7 +213,8 @@
                 return Ok(BodyChunk::End);
             }
             match self.connection.stream.read_buf(&mut self.connection.buffer).await {
-                Ok(0) if self.decoder.ends_on_close() => return Ok(BodyChunk::End),
+                // A host that relays may end before it has passed on everything.
+                Ok(0) if self.decoder.ends_on_close() && !self.connection.is_relayed() => return Ok(BodyChunk::End),
                 Ok(0) => return Err(AttemptError::unknown("closed within the answer")),
                 Ok(_) => {}
                 Err(error) => return Err(AttemptError::unknown(format!("read: {error}"))),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,24 +1,27 @@
 //! State of an entry host that all of its requests share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use contract::{ClientAccount, EngineSpec, ListedUpstream, Quota, ServiceName, Zone};
+use contract::{ClientAccount, EngineSpec, ListedUpstream, NodeId, Quota, RelayHost, ServiceName, Zone};
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::catalog_lag;
+use policy::isolation::Isolation;
 use policy::parts::Slack;
 use policy::quota::{Bucket, OverQuota};
+use policy::relays::Relays;
 use policy::retries::{RetryBounds, RetryWindow, SendPermit};
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Heartbeat, LimitPart, QuotaShare, ServiceLoad, UpstreamObservation};
+use wire::registry::{Heartbeat, LimitPart, QuotaShare, RelayList, ServiceLoad, UpstreamObservation};
 use wire::rollout::RolloutPlan;
 
 use crate::dialect::{HeaderCodec, RequestInfo};
@@ -68,6 +71,10 @@
     pub limits: Mutex<Option<(Vec<LimitPart>, Tick)>>,
     /// Plans of rollouts that the event loop has not applied yet, with the time at which they arrived.
     pub rollouts: Mutex<Option<(Vec<RolloutPlan>, Tick)>>,
+    /// Hosts that pass on requests of this one, as long as the event loop has not applied them yet.
+    pub relays: Mutex<Option<Vec<RelayHost>>>,
+    /// Mark of these hosts, as the leader told it last; zero without any.
+    pub relay_mark: AtomicU64,
     /// Content of the next heartbeat to the leader.
     pub heartbeat: Mutex<Heartbeat>,
 }
@@ -83,6 +90,12 @@
         }
     }
 
+    /// Records the hosts that pass on requests of this one.
+    pub fn record_relays(&self, list: RelayList) {
+        *self.relays.lock() = Some(list.hosts);
+        self.relay_mark.store(list.mark, Ordering::Relaxed);
+    }
+
     /// Returns whether a table holds everything that operators have been told is in force.
     #[must_use]
     pub fn is_current(&self, table: &RoutingTable, now: Tick) -> bool {
@@ -102,6 +115,10 @@
     pub quota_slack: Slack,
     /// Length of a window in which started requests are counted.
     pub usage_window: Duration,
+    /// Name of the process.
+    pub node: NodeId,
+    /// Address at which requests of other hosts are passed on; `None` to pass on none.
+    pub relay: Option<SocketAddr>,
 }
 
 /// State that all requests share.
@@ -128,6 +145,14 @@
     service_loads: RefCell<BTreeMap<String, ServiceLoad>>,
     prefill_averages: RefCell<BTreeMap<String, RateAverage>>,
     log_bucket: RefCell<Bucket>,
+    /// Hosts that pass on requests of this one.
+    pub(crate) relays: Rc<RefCell<Relays>>,
+    /// Own links to upstreams by service.
+    pub(crate) isolations: RefCell<HashMap<ServiceName, Isolation>>,
+    /// Number of connections that are passed on for other hosts.
+    pub(crate) relayed: Cell<usize>,
+    /// Whether the process is about to stop.
+    pub(crate) stopping: Cell<bool>,
 }
 
 /// Exponentially decaying average of units per second.
@@ -204,6 +229,10 @@
             service_loads: RefCell::default(),
             prefill_averages: RefCell::default(),
             log_bucket: RefCell::new(Bucket::new(LOG_LINES_PER_S, Tick::default())),
+            relays: Rc::default(),
+            isolations: RefCell::default(),
+            relayed: Cell::default(),
+            stopping: Cell::default(),
         }
     }
 
@@ -226,6 +255,9 @@
         if let Some((plans, received_at)) = self.shared.rollouts.lock().take() {
             self.upstreams.borrow_mut().rollouts.update(plans, received_at);
         }
+        if let Some(hosts) = self.shared.relays.lock().take() {
+            self.adopt_relays(hosts);
+        }
         self.pool.borrow_mut().close_expired();
         let mut heartbeat = self.shared.heartbeat.lock();
         heartbeat.began.clone_from(self.usage.borrow().counts());
@@ -234,6 +266,8 @@
         heartbeat.trials = self.upstreams.borrow().trials();
         heartbeat.spare = self.overflow_units();
         heartbeat.load.clone_from(&self.service_loads.borrow());
+        heartbeat.zone.clone_from(&self.settings.zone);
+        heartbeat.relay = self.relay_offer();
         let now = self.clock.now();
         for (service, average) in self.prefill_averages.borrow_mut().iter_mut() {
             heartbeat.load.entry(service.clone()).or_default().reading = average.per_s(now);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -129,6 +130,7 @@
             };
             let mut heartbeat = self.shared.heartbeat.lock().clone();
             heartbeat.run = self.incarnation;
+            heartbeat.relay_mark = self.shared.relay_mark.load(Ordering::Relaxed);
             upstream_list.fill_request(&mut heartbeat);
             let sent_at = self.clock.now();
             let heartbeat = Envelope::new(&self.node, Revision(self.active_version()), heartbeat);
@@ -146,6 +148,9 @@
                         if !update.rollouts.is_empty() {
                             *self.shared.rollouts.lock() = Some((update.rollouts, self.clock.now()));
                         }
+                        if let Some(relays) = update.relays {
+                            self.shared.record_relays(relays);
+                        }
                         let elapsed = self.clock.now().since(sent_at);
                         self.merge_list(&mut upstream_list, update.list, &mut list_published, elapsed);
                         self.shared.leader.store(Arc::new(Some(peer)));
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use contract::EngineSpec;
+use contract::{EngineSpec, ServiceName};
 use derive_more::{Display, Error};
 use metrics::counter;
 use policy::fetch::REMOTE_COPY_FACTOR;
@@ -24,7 +24,6 @@
 use crate::events::EventParser;
 use crate::exchange::{AttemptError, send_request};
 use crate::gate::Gateway;
-use crate::pool::connect;
 use crate::reclaim_notice::ReclaimNotice;
 use crate::request::Request;
 use crate::upstreams::ChosenUpstream;
@@ -297,8 +296,9 @@
         target: &ChosenUpstream,
         stop_stream: bool,
     ) -> CopyCall {
-        let (from, target) = (self.source.address, target.address);
-        let gateway = Rc::clone(gateway);
+        let (source, target) = (self.source.clone(), target.address);
+        let from = source.address;
+        let (gateway, service) = (Rc::clone(gateway), request.service.clone());
         let copy_request = KvCopyRequest {
             source: from,
             request_id: request.info.id.clone(),
@@ -306,7 +306,7 @@
             stop_stream,
         };
         Box::pin(async move {
-            let response = timeout(COPY_TIMEOUT, request_copy(&gateway, &copy_request)).await;
+            let response = timeout(COPY_TIMEOUT, request_copy(&gateway, &service, &source, &copy_request)).await;
             let (status, body) = response
                 .map_err(|_late| MoveError::Timeout { from })?
                 .map_err(|error| MoveError::Broken { from, error })?;
@@ -334,11 +334,17 @@
 }
 
 /// Asks an upstream to copy a stream's cache; returns status and body of the response.
-async fn request_copy(gateway: &Gateway, copy_request: &KvCopyRequest) -> Result<(u16, bytes::Bytes), AttemptError> {
-    let connection = connect(copy_request.source, COPY_TIMEOUT)
+async fn request_copy(
+    gateway: &Gateway,
+    service: &ServiceName,
+    source: &ChosenUpstream,
+    copy_request: &KvCopyRequest,
+) -> Result<(u16, bytes::Bytes), AttemptError> {
+    let connection = gateway
+        .dial(service, source, &copy_request.request_id, COPY_TIMEOUT)
         .await
         .map_err(|error| AttemptError::NotSent {
-            reason: format!("connect to {}: {error}", copy_request.source),
+            reason: error.to_string(),
         })?;
     let mut bytes = Vec::new();
     gateway.codec.write_copy(&mut bytes, copy_request);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pools idle connections to upstreams.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::relay::RelayLease;
+
 /// Most idle connections to one upstream; more would take connection slots away from other entry hosts.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 /// Idle timeout of a connection whose upstream announces none.
@@ -22,6 +24,9 @@
 /// answers.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Initial buffer capacity for responses; longer ones grow the buffer.
+const BUFFER_BYTES: usize = 8 * 1024;
+
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
@@ -31,6 +36,43 @@
     pub buffer: BytesMut,
     /// Whether the connection has served a request before.
     pub reused: bool,
+    /// Address of the upstream, also where another host relays.
+    pub upstream: SocketAddr,
+    /// The host that relays; `None` on the own link.
+    pub relay: Option<RelayLease>,
+}
+
+impl Connection {
+    fn new(stream: TcpStream, upstream: SocketAddr, relay: Option<RelayLease>) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::with_capacity(BUFFER_BYTES),
+            reused: false,
+            upstream,
+            relay,
+        }
+    }
+
+    /// Wraps a connection that another host relays.
+    #[must_use]
+    pub fn relayed(stream: TcpStream, upstream: SocketAddr, lease: RelayLease) -> Self {
+        Self::new(stream, upstream, Some(lease))
+    }
+
+    /// Returns whether another host relays the connection.
+    #[must_use]
+    pub const fn is_relayed(&self) -> bool {
+        self.relay.is_some()
+    }
+}
+
+/// Requirements of a request on an idle connection.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleNeed {
+    /// Whether the request must run at most once.
+    pub runs_once: bool,
+    /// Whether connections on the own link may be used.
+    pub own_link: bool,
 }
 
 #[derive(Debug)]
@@ -47,30 +89,47 @@
 }
 
 impl ConnectionPool {
-    /// Takes a usable idle connection; with `runs_once` only one that was in use a moment ago.
-    pub fn take(&mut self, address: SocketAddr, runs_once: bool) -> Option<Connection> {
+    /// Takes a usable idle connection; for a request that must run at most once only one that was in use a moment ago.
+    pub fn take(&mut self, address: SocketAddr, need: IdleNeed) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(mut candidate) = idle.pop() {
-            if now >= candidate.expires_at || !is_quiet(&mut candidate.connection) {
-                continue;
-            }
-            if runs_once && now.duration_since(candidate.idle_since) > MAX_ONCE_IDLE {
-                idle.push(candidate);
+        let fits = |idle: &IdleConnection| need.own_link || idle.connection.is_relayed();
+        while let Some(index) = idle.iter().rposition(fits) {
+            if need.runs_once && now.duration_since(idle[index].idle_since) > MAX_ONCE_IDLE {
                 return None;
             }
-            return Some(candidate.connection);
+            let mut candidate = idle.remove(index);
+            if now < candidate.expires_at && is_quiet(&mut candidate.connection) {
+                return Some(candidate.connection);
+            }
         }
         None
     }
 
+    /// Closes idle connections on the own link to some upstreams.
+    pub fn drop_own(&mut self, upstreams: &HashSet<SocketAddr>) {
+        for (_, idle) in self.idle.iter_mut().filter(|(address, _)| upstreams.contains(address)) {
+            idle.retain(|idle| idle.connection.is_relayed());
+        }
+    }
+
+    /// Takes out idle connections through the hosts for which `is_unused` holds.
+    pub fn take_relayed(&mut self, is_unused: impl Fn(SocketAddr) -> bool) -> Vec<Connection> {
+        let is_unused = |idle: &mut IdleConnection| {
+            let relay = idle.connection.relay.as_ref();
+            relay.is_some_and(|lease| is_unused(lease.host))
+        };
+        let taken = self.idle.values_mut().flat_map(|idle| idle.extract_if(.., is_unused));
+        taken.map(|idle| idle.connection).collect()
+    }
+
     /// Adds a connection whose last response is complete; `idle_timeout` is that of the upstream.
-    pub fn put(&mut self, address: SocketAddr, connection: Connection, idle_timeout: Option<Duration>) {
+    pub fn put(&mut self, connection: Connection, idle_timeout: Option<Duration>) {
         let idle_since = Instant::now();
         let lifetime = idle_timeout
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
             .saturating_sub(CLOSE_MARGIN);
-        let idle = self.idle.entry(address).or_default();
+        let idle = self.idle.entry(connection.upstream).or_default();
         if idle.len() >= MAX_IDLE_PER_UPSTREAM {
             idle.remove(0);
         }
@@ -112,9 +171,5 @@
 pub async fn connect(address: SocketAddr, max_wait: Duration) -> std::io::Result<Connection> {
     let stream = timeout(max_wait.min(CONNECT_TIMEOUT), TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    Ok(Connection {
-        stream,
-        buffer: BytesMut::with_capacity(8 * 1024),
-        reused: false,
-    })
+    Ok(Connection::new(stream, address, None))
 }
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,251 @@
+//! Connections to upstreams through other entry hosts: opens them for requests of this host, and passes on those of
+//! others.
+//!
+//! A relay passes bytes and knows no requests, so that everything a request may do is decided by one host. It connects to
+//! upstreams only on its own link: nothing is passed on twice.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use metrics::{counter, gauge};
+use policy::relays::Relays;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::{info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::time::timeout;
+use wire::relay::{self, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest};
+
+use crate::gate::Gateway;
+
+/// Longest wait for a message of the relay protocol.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a connection to another entry host.
+const HOST_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait of a relay for a connection to an upstream.
+const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait for the answer of a relay: its own wait and the way there.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a byte in either direction after which a relayed connection is closed; longer than any request waits.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time for which a relay waits for the other host to close after the upstream has.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most connections that a host relays.
+const MAX_RELAYED: usize = 256;
+/// Buffer for each direction of a relayed connection.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// A failed exchange of messages with another entry host.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum RelayError {
+    /// No entry host is known that may reach the upstream.
+    #[display("no other host is known that reaches the service")]
+    NoHost,
+    /// The connection failed.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The other side speaks another protocol.
+    #[display("message {_0}")]
+    Frame(FrameError),
+    /// The other host refused.
+    #[display("refused: {_0}")]
+    #[error(ignore)]
+    Refused(RelayRefusal),
+}
+
+impl RelayError {
+    /// Returns whether the failure concerns the upstream and not the host that was asked.
+    pub(crate) const fn is_of_upstream(&self) -> bool {
+        matches!(self, Self::Refused(RelayRefusal::Unreached(_) | RelayRefusal::Unlisted))
+    }
+}
+
+/// Counts a connection through another host for as long as it is open.
+#[derive(Debug)]
+pub struct RelayLease {
+    relays: Rc<RefCell<Relays>>,
+    /// The host that relays.
+    pub(crate) host: SocketAddr,
+}
+
+impl RelayLease {
+    pub(crate) fn new(relays: &Rc<RefCell<Relays>>, host: SocketAddr) -> Self {
+        relays.borrow_mut().record_opened(host);
+        Self {
+            relays: Rc::clone(relays),
+            host,
+        }
+    }
+}
+
+impl Drop for RelayLease {
+    fn drop(&mut self) {
+        self.relays.borrow_mut().record_closed(self.host);
+    }
+}
+
+/// Opens a connection to an upstream through another host.
+///
+/// # Errors
+/// Fails if the host does not answer or refuses; nothing was sent to the upstream then.
+pub(crate) async fn connect_through(host: SocketAddr, request: &RelayRequest) -> Result<TcpStream, RelayError> {
+    let mut stream = timeout(HOST_CONNECT_TIMEOUT, TcpStream::connect(host))
+        .await
+        .map_err(io::Error::from)??;
+    stream.set_nodelay(true)?;
+    stream.write_all(&relay::encode(request)?).await?;
+    match timeout(REPLY_TIMEOUT, read_message(&mut stream))
+        .await
+        .map_err(io::Error::from)??
+    {
+        RelayReply::Connected => Ok(stream),
+        RelayReply::Refused(refusal) => Err(RelayError::Refused(refusal)),
+    }
+}
+
+async fn read_message<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T, RelayError> {
+    let mut head = [0; HEAD_BYTES];
+    stream.read_exact(&mut head).await?;
+    let mut body = vec![0; relay::body_length(head)?];
+    stream.read_exact(&mut body).await?;
+    Ok(relay::decode(&body)?)
+}
+
+async fn write_message<T: Serialize>(stream: &mut TcpStream, message: &T) -> Result<(), RelayError> {
+    Ok(stream.write_all(&relay::encode(message)?).await?)
+}
+
+/// Passes on the connection of another host.
+pub(crate) async fn serve(gateway: Rc<Gateway>, mut stream: TcpStream) {
+    let received = timeout(HELLO_TIMEOUT, read_message::<RelayRequest>(&mut stream)).await;
+    let request = match received.map_err(|late| RelayError::Io(late.into())).flatten() {
+        Ok(request) => request,
+        Err(error) => {
+            counter!("gentian_gateway_relayed_total", "result" => "unreadable").increment(1);
+            warn!(gateway.logger, "relay request not readable"; "peer" => peer_of(&stream), "error" => %error);
+            return;
+        }
+    };
+    gateway.relayed.set(gateway.relayed.get() + 1);
+    gauge!("gentian_gateway_relayed_count").set(gateway.relayed.get() as f64);
+    // If this fails, the connection is only slower.
+    let _ = stream.set_nodelay(true);
+    match open_relayed(&gateway, &request).await {
+        Ok(upstream) => {
+            counter!("gentian_gateway_relayed_total", "result" => "connected").increment(1);
+            if write_message(&mut stream, &RelayReply::Connected).await.is_ok() {
+                copy_both(&mut stream, upstream).await;
+            }
+        }
+        Err(refusal) => {
+            counter!("gentian_gateway_relayed_total", "result" => "refused").increment(1);
+            info!(gateway.logger, "connection not relayed"; "request" => &request.request, "from" => %request.from,
+                "service" => %request.service, "upstream" => &request.upstream, "why" => %refusal,
+                "relayed" => gateway.relayed.get());
+            // The other host is gone if this fails.
+            let _ = write_message(&mut stream, &RelayReply::Refused(refusal)).await;
+        }
+    }
+    gateway.relayed.set(gateway.relayed.get() - 1);
+    gauge!("gentian_gateway_relayed_count").set(gateway.relayed.get() as f64);
+}
+
+fn peer_of(stream: &TcpStream) -> Option<String> {
+    stream.peer_addr().ok().map(|address| address.to_string())
+}
+
+/// Connects to an upstream for another host.
+async fn open_relayed(gateway: &Gateway, request: &RelayRequest) -> Result<TcpStream, RelayRefusal> {
+    if gateway.stopping.get() {
+        return Err(RelayRefusal::Stopping);
+    }
+    if gateway.relayed.get() > MAX_RELAYED {
+        return Err(RelayRefusal::Full);
+    }
+    if gateway.is_isolated(&request.service) {
+        return Err(RelayRefusal::Isolated);
+    }
+    let address = gateway
+        .upstreams
+        .borrow()
+        .address_of(&request.service, &request.upstream);
+    let address = address.ok_or(RelayRefusal::Unlisted)?;
+    let connected = timeout(UPSTREAM_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.map_err(io::Error::from).flatten();
+    let stream = stream.map_err(|error| RelayRefusal::Unreached(error.to_string()))?;
+    gateway.record_connected(&request.service, &request.upstream);
+    // If this fails, the connection is only slower.
+    let _ = stream.set_nodelay(true);
+    if gateway.may_log() {
+        info!(gateway.logger, "connection relayed"; "request" => &request.request, "from" => %request.from,
+            "service" => %request.service, "upstream" => &request.upstream, "address" => %address,
+            "relayed" => gateway.relayed.get());
+    }
+    Ok(stream)
+}
+
+/// Copies bytes in both directions until one side ends.
+///
+/// A caller that leaves must end the work at the upstream, so the end of the other host's side closes both. A reset of
+/// the upstream's side is passed on as a reset, since an orderly end may complete a response.
+async fn copy_both(host: &mut TcpStream, mut upstream: TcpStream) {
+    let (host_reader, mut host_writer) = host.split();
+    let (upstream_reader, upstream_writer) = upstream.split();
+    let ended = tokio::select! {
+        () = copy_requests(host_reader, upstream_writer) => return,
+        ended = copy(upstream_reader, &mut host_writer) => ended,
+    };
+    match ended {
+        Ok(()) => {
+            // Closing with unread bytes would reset the connection before the other host has read the response.
+            if host_writer.shutdown().await.is_ok() {
+                let _ = timeout(CLOSE_TIMEOUT, discard(host)).await;
+            }
+        }
+        Err(_broken) => {
+            // If this fails, the connection ends in order, which the other host takes for an incomplete response too.
+            let _ = host.set_zero_linger();
+        }
+    }
+}
+
+/// Copies requests until the other host closes. When only the upstream accepts no more, its response may still come.
+async fn copy_requests(reader: ReadHalf<'_>, mut writer: WriteHalf<'_>) {
+    if copy(reader, &mut writer).await.is_err_and(|side| side == Side::Writer) {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Side on which a copy failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Reader,
+    Writer,
+}
+
+async fn copy(mut reader: ReadHalf<'_>, writer: &mut WriteHalf<'_>) -> Result<(), Side> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let read = timeout(IDLE_TIMEOUT, reader.read(&mut buffer)).await;
+        match read.map_err(io::Error::from).flatten() {
+            Ok(0) => return Ok(()),
+            Ok(count) => writer
+                .write_all(&buffer[..count])
+                .await
+                .map_err(|_broken| Side::Writer)?,
+            Err(_broken) => return Err(Side::Reader),
+        }
+    }
+}
+
+async fn discard(stream: &mut TcpStream) -> io::Result<()> {
+    let mut buffer = [0; 256];
+    while stream.read(&mut buffer).await? > 0 {}
+    Ok(())
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Serves one request, from its head to its final response.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,6 +65,8 @@
     pub last_upstream: RefCell<Option<ChosenUpstream>>,
     /// Whether the last attempt used a pooled connection.
     pub last_reused: Cell<bool>,
+    /// The host that relayed the last attempt; `None` on the own link.
+    pub last_relay: Cell<Option<SocketAddr>>,
 }
 
 /// Progress of a request, which determines the response when its time is up.
@@ -293,9 +296,8 @@
         drop(attempt);
         let mut bytes = response_head(&response.head, Some(body.len()), self.keep_alive);
         bytes.extend_from_slice(&body);
-        let (address, reusable) = (response.connection.stream.peer_addr(), response.into_reusable());
-        if let (Ok(address), Some((connection, idle))) = (address, reusable) {
-            gateway.pool.borrow_mut().put(address, connection, idle);
+        if let Some((connection, idle)) = response.into_reusable() {
+            gateway.pool.borrow_mut().put(connection, idle);
         }
         self.record_output();
         Ok(match out.write_all(&bytes).await {
@@ -307,7 +309,7 @@
     }
 
     /// Returns whether another attempt may be made.
-    fn has_attempts_left(&self) -> bool {
+    pub(crate) fn has_attempts_left(&self) -> bool {
         self.progress.get().sends < self.route.attempts
     }
 
@@ -379,6 +381,7 @@
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
             "arrivals" => self.progress.get().arrivals, "budgeted" => self.progress.get().budgeted,
             "upstream" => upstream.map(|upstream| upstream.id.as_str()),
+            "relay" => self.last_relay.get().map(|host| host.to_string()),
             "load" => upstream.map(|upstream| upstream.load),
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
             "reading_ms" => upstream.map(|upstream| upstream.prediction.prefill_ms as u64),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 use crate::gate::Gateway;
 use crate::head::{self, Head, RequestLine};
 use crate::rate_reporter::RateReporter;
+use crate::relay;
 
 /// Interval at which the event loop exchanges state with the background threads.
 pub(crate) const SYNC_INTERVAL: Duration = Duration::from_millis(100);
@@ -93,6 +94,9 @@
             spawn_local(Rc::clone(&self).accept(bind(address)?, ListenerKind::Probe));
         }
         spawn_local(Rc::clone(&self).accept(callers, ListenerKind::Caller));
+        if let Some(address) = self.gateway.settings.relay {
+            spawn_local(Rc::clone(&self).accept(bind(address)?, ListenerKind::Host));
+        }
         info!(self.gateway.logger, "serving"; "callers" => %settings.callers, "ready" => %settings.ready);
         let mut was_ready = false;
         let rate_reporter = RateReporter::default();
@@ -100,6 +104,7 @@
             sleep(SYNC_INTERVAL).await;
             self.gateway.exchange_state();
             self.gateway.fill_buckets();
+            self.gateway.check_links();
             rate_reporter.report(
                 &self.gateway.upstreams.borrow(),
                 &self.gateway.logger,
@@ -107,6 +112,7 @@
             );
             if self.stop.load(Ordering::Relaxed) && self.stopping_since.get().is_none() {
                 self.stopping_since.set(Some(Instant::now()));
+                self.gateway.stopping.set(true);
                 info!(self.gateway.logger, "stopping"; "active" => self.active.get());
             }
             let ready = self.is_ready();
@@ -131,8 +137,8 @@
             return false;
         };
         let elapsed = since.elapsed();
-        (elapsed >= DRAIN_TIME + SYNC_INTERVAL * 2 && self.active.get() == 0)
-            || elapsed >= self.grace.saturating_sub(STOP_MARGIN)
+        let active = self.active.get() + self.gateway.relayed.get();
+        (elapsed >= DRAIN_TIME + SYNC_INTERVAL * 2 && active == 0) || elapsed >= self.grace.saturating_sub(STOP_MARGIN)
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener, kind: ListenerKind) {
@@ -143,6 +149,7 @@
                     match kind {
                         ListenerKind::Caller => drop(spawn_local(server.serve_caller(stream))),
                         ListenerKind::Probe => drop(spawn_local(server.serve_probe(stream))),
+                        ListenerKind::Host => drop(spawn_local(relay::serve(Rc::clone(&server.gateway), stream))),
                     }
                 }
                 Err(error) => {
@@ -200,6 +207,8 @@
 enum ListenerKind {
     Caller,
     Probe,
+    /// An entry host that is cut off from upstreams.
+    Host,
 }
 
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -106,9 +106,8 @@
         let Self { response, attempt, .. } = self;
         attempt.judge(TrialOutcome::Succeeded);
         drop(attempt);
-        let address = response.connection.stream.peer_addr();
-        if let (Ok(address), Some((connection, idle))) = (address, response.into_reusable()) {
-            gateway.pool.borrow_mut().put(address, connection, idle);
+        if let Some((connection, idle)) = response.into_reusable() {
+            gateway.pool.borrow_mut().put(connection, idle);
         }
     }
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -362,6 +362,22 @@
         self.all.get(id).map(|upstream| upstream.listed.version.clone())
     }
 
+    /// Returns the address of an upstream of a service; `None` if it is not listed.
+    #[must_use]
+    pub fn address_of(&self, service: &ServiceName, id: &str) -> Option<SocketAddr> {
+        let upstream = self.all.get(id)?;
+        (upstream.listed.service == *service).then_some(upstream.listed.address)
+    }
+
+    /// Returns names and addresses of the upstreams of a service that stay.
+    pub fn listed(&self, service: &ServiceName) -> impl Iterator<Item = (String, SocketAddr)> {
+        let serving = self.all.values().filter(move |upstream| {
+            let listed = &upstream.listed;
+            listed.service == *service && !listed.leaving
+        });
+        serving.map(|upstream| (upstream.listed.id.clone(), upstream.listed.address))
+    }
+
     /// Returns an upstream by its incarnation.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -35,6 +35,8 @@
 const DOUBT_TIME: Duration = Duration::from_secs(2);
 /// Age up to which a response proves that an upstream exists.
 const PROOF_TIME: Duration = Duration::from_millis(500);
+/// Age of the last response on this host's own link up to which its idle connections are used while the host is cut off.
+const OWN_LINK_TIME: Duration = Duration::from_secs(1);
 /// Milliseconds of queued work that hardly show in the time to the first event of the next request.
 const MAX_UNQUEUED_MS: f64 = 5.0;
 /// Share of an upstream's slots up to which other requests hardly slow down the prefill of a prompt.
@@ -79,6 +81,8 @@
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
     /// responded yet.
     alive_at: Option<Tick>,
+    /// When anything last arrived on this host's own link.
+    own_link_at: Option<Tick>,
     /// Rate limit that the upstream names, and this host's part of it.
     pub(crate) rate_limit: HostLimit,
     /// Announced end of the upstream.
@@ -108,6 +112,7 @@
             overdue_until: Tick::default(),
             replaced: None,
             alive_at: None,
+            own_link_at: None,
             rate_limit: HostLimit::default(),
             notice: Rc::default(),
         }
@@ -256,6 +261,16 @@
         self.alive_at.is_some_and(|at| now.since(at) < PROOF_TIME)
     }
 
+    /// Records that something arrived on this host's own link.
+    pub(crate) fn record_own_link(&mut self, now: Tick) {
+        self.own_link_at = Some(now);
+    }
+
+    /// Returns whether the upstream has answered on this host's own link a moment ago.
+    pub(crate) fn answers_on_own_link(&self, now: Tick) -> bool {
+        self.own_link_at.is_some_and(|at| now.since(at) < OWN_LINK_TIME)
+    }
+
     /// Returns the time since any host last heard from the upstream; `None` if nobody has.
     #[must_use]
     pub fn heard_age(&self, now: Tick) -> Option<Duration> {
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -111,7 +111,7 @@
     pub fn run(shared: Arc<Shared>) -> Self {
         // Not a port assigned by the system, which could assign it to another test or process before the host listens
         // on it.
-        let (callers, ready) = (free_address(), free_address());
+        let (callers, ready, relay) = (free_address(), free_address(), free_address());
         let stop = Arc::new(AtomicBool::new(false));
         let stop_flag = Arc::clone(&stop);
         let run_server = move || {
@@ -124,6 +124,8 @@
                 },
                 quota_slack: Slack::default(),
                 usage_window: Duration::from_secs(5),
+                node: NodeId::from("e"),
+                relay: Some(relay),
             };
             let borrower = QuotaBorrower::new(NodeId::from("e"), Arc::clone(&shared));
             let log = (Clock::start(), Logger::root(Discard, o!()));
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod cut_link;
 mod headers;
 mod host;
+mod leader;
 mod upstream;
 
 use std::time::Duration;
@@ -12,6 +13,7 @@
 pub use caller::{Caller, Response};
 pub use cut_link::{Cut, CutLink};
 pub use host::Host;
+pub use leader::Leader;
 pub use upstream::{ReceivedRequest, Script, Upstream, listed, respond, send_event, start_stream};
 
 /// Longest wait for anything, so that no test hangs.
--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Cut, CutLink, Host, Upstream, listed, respond};
+use common::{Cut, CutLink, Host, Leader, Upstream, listed, respond};
 use contract::RetryMode;
 
 /// Time after the beginning of a cut from which callers of a cut host have to be served like others.
@@ -20,13 +20,14 @@
 const DEADLINE_MS: u64 = 1_500;
 
 /// Entry hosts of which the first can be cut off.
-struct Hosts {
+struct CutSystem {
     hosts: Vec<Host>,
     links: Vec<CutLink>,
+    _leader: Leader,
     _upstreams: Vec<Upstream>,
 }
 
-impl Hosts {
+impl CutSystem {
     fn start() -> Self {
         let answer = || {
             Upstream::start(Box::new(|request, stream| {
@@ -47,10 +48,12 @@
             entry.address = link.address;
         }
         cut_off.new_list.lock().as_mut().unwrap().0 = list;
-        let hosts = [cut_off, shared(), shared()].map(Host::run);
+        let all = [cut_off, shared(), shared()];
+        let hosts = all.clone().map(Host::run);
         Self {
             hosts: hosts.into(),
             links,
+            _leader: Leader::start(&all),
             _upstreams: upstreams,
         }
     }
@@ -80,19 +83,19 @@
 
 /// Cuts a host off after some requests, and compares its callers with those of another host.
 fn check_served(cut: Cut) {
-    let system = Hosts::start();
+    let system = CutSystem::start();
     for host in &system.hosts {
-        assert_eq!(Hosts::load(host, 1, 5), 5, "before the cut");
+        assert_eq!(CutSystem::load(host, 1, 5), 5, "before the cut");
     }
     system.cut(cut);
     let began = Instant::now();
     while began.elapsed() < CONTACT_TIME {
-        Hosts::load(&system.hosts[0], CALLERS, 1);
+        CutSystem::load(&system.hosts[0], CALLERS, 1);
     }
     let served = thread::scope(|scope| {
         let loads = system.hosts[..2]
             .iter()
-            .map(|host| scope.spawn(|| Hosts::load(host, CALLERS, REQUESTS)));
+            .map(|host| scope.spawn(|| CutSystem::load(host, CALLERS, REQUESTS)));
         let loads: Vec<_> = loads.collect();
         loads.into_iter().map(|load| load.join().unwrap()).collect::<Vec<_>>()
     });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod first_reads;
 pub mod fleet;
 pub mod homes;
+pub mod isolation;
 pub mod lane;
 pub mod life;
 pub mod limits;
@@ -28,6 +29,7 @@
 pub mod rate_limit;
 pub mod reach;
 pub mod reclaim;
+pub mod relays;
 pub mod rescue;
 pub mod retries;
 
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use contract::{ListedUpstream, NodeId, Quota, Rollout, RolloutState, RolloutTrial, ServiceName};
+use contract::{ListedUpstream, NodeId, Quota, Rollout, RolloutState, RolloutTrial, ServiceName, Zone};
 use metrics::gauge;
 use parking_lot::Mutex;
 use policy::Tick;
@@ -14,7 +14,8 @@
 use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack, node_part};
 use policy::rate_limit::{LimitLeases, NamedLimit};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
-use wire::registry::{HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, ServiceLoad};
+use policy::relays::{RelayDirectory, list_mark};
+use wire::registry::{HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, RelayList, ServiceLoad};
 use wire::rollout::RolloutPlan;
 
 use crate::core::Leadership;
@@ -43,6 +44,7 @@
     reclaims: ReportedReclaims,
     observations: Observations,
     rate_limits: LimitLeases,
+    relays: RelayDirectory,
     catalog_lag: CatalogLag,
     trials: Trials,
     /// Plans of rollouts, with the term in which they were made.
@@ -93,6 +95,15 @@
     }
 }
 
+impl Inner {
+    /// Returns the hosts that pass on requests of a host, unless it knows them by their mark.
+    fn relays_of(&self, from: &NodeId, zone: &Zone, known_mark: u64, now: Tick) -> Option<RelayList> {
+        let hosts = self.relays.named_to(from, zone, now);
+        let mark = list_mark(&hosts);
+        (!hosts.is_empty() && mark != known_mark).then_some(RelayList { mark, hosts })
+    }
+}
+
 impl EntryRegistry {
     /// Creates a registry; `slack` is by how much each quota may be exceeded.
     #[must_use]
@@ -117,6 +128,7 @@
             inner.allocator = None;
             inner.catalog_lag = CatalogLag::default();
             inner.rate_limits = LimitLeases::new(now);
+            inner.relays = RelayDirectory::new(now);
             inner.term = term;
             inner.stored_count = shared.entry_hosts;
         }
@@ -130,6 +142,7 @@
         inner.loads.insert(from.clone(), (now, beat.load));
         inner.observations.record(from, beat.signs, now);
         inner.trials.record(from, beat.run, beat.trials, now);
+        inner.relays.record(from, &beat.zone, beat.relay, now);
         let allocator = inner
             .allocator
             .get_or_insert_with(|| QuotaAllocator::new(shared.entry_hosts, now));
@@ -152,6 +165,7 @@
             } else {
                 Vec::new()
             },
+            relays: inner.relays_of(from, &beat.zone, beat.relay_mark, now),
         })
     }
 
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use contract::{ListedUpstream, RolloutTrial, Zone};
+use contract::{ListedUpstream, RelayHost, RolloutTrial, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::rollout::RolloutPlan;
@@ -34,6 +34,12 @@
     /// Outcomes of both versions by service, while a rollout runs; each replaces the previous one.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub trials: BTreeMap<String, RolloutTrial>,
+    /// How the host passes on requests of others; `None` if it takes none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay: Option<RelayHost>,
+    /// Mark of the hosts that pass on requests of this one, as it was last told; zero without any.
+    #[serde(default)]
+    pub relay_mark: u64,
 }
 
 /// A rate limit that an upstream named to an entry host, or that has ended.
@@ -97,6 +103,18 @@
     /// Rollouts that run or have just ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutPlan>,
+    /// Hosts that pass on requests of the host; `None` if it knows them already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relays: Option<RelayList>,
+}
+
+/// The hosts that pass on requests of one that is cut off from upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RelayList {
+    /// Mark by which the list is recognised.
+    pub mark: u64,
+    /// The hosts, those of its own data centre first.
+    pub hosts: Vec<RelayHost>,
 }
 
 /// An entry host's observation of an upstream.
