--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -32,6 +32,8 @@
     pub callers: SocketAddr,
     /// Address for readiness probes.
     pub ready: SocketAddr,
+    /// Address for other hosts that are cut off from upstreams.
+    pub relay: SocketAddr,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -141,6 +143,7 @@
         let host = Self {
             callers,
             ready,
+            relay,
             stop,
             thread: Some(thread::spawn(run_server)),
         };
--- a/crates/gateway/tests/common/leader.rs
+++ b/crates/gateway/tests/common/leader.rs
@@ -37,6 +37,8 @@
             assert!(started.elapsed() < TEST_TIMEOUT, "no host that relays is named");
             thread::sleep(INTERVAL);
         }
+        // The hosts apply the names at the next exchange with their background threads.
+        thread::sleep(Duration::from_millis(250));
         Self {
             stop,
             thread: Some(thread),
