--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -394,6 +394,9 @@
 
     /// Records a failed attempt for the choice of upstreams.
     pub(crate) fn record_failure(&self, gateway: &Gateway, chosen: &ChosenUpstream, error: &AttemptError) {
+        if matches!(error, AttemptError::Unknown { .. }) && self.last_relay.get().is_none() {
+            gateway.record_broken(&self.service, &chosen.id);
+        }
         let now = gateway.clock.now();
         let mut heard_ms = None;
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -111,7 +111,7 @@
         chosen: &ChosenUpstream,
         max_wait: Duration,
     ) -> std::io::Result<Connection> {
-        let connection = connect(chosen.address, max_wait).await?;
+        let connection = connect(chosen.address, self.settings.source, max_wait).await?;
         self.record_connected(service, &chosen.id);
         Ok(connection)
     }
@@ -215,6 +215,13 @@
         self.log_isolation(service, evidence);
     }
 
+    /// Records that a connection on the own link broke without a response.
+    pub(crate) fn record_broken(&self, service: &ServiceName, upstream: &str) {
+        let now = self.clock.now();
+        let evidence = self.update_isolation(service, |isolation| isolation.record_broken(upstream, now));
+        self.log_isolation(service, evidence);
+    }
+
     /// Checks whether requests on the own link are overdue while nothing arrives, and starts the probes that are due.
     pub(crate) fn check_links(self: &Rc<Self>) {
         let now = self.clock.now();
@@ -235,7 +242,7 @@
         };
         let (gateway, service) = (Rc::clone(self), service.clone());
         spawn_local(async move {
-            let result = connect(address, CONNECT_TIMEOUT).await;
+            let result = connect(address, gateway.settings.source, CONNECT_TIMEOUT).await;
             counter!("gentian_gateway_link_probes_total").increment(1);
             match result {
                 Ok(connection) => {
@@ -252,7 +259,7 @@
         let Some(evidence) = evidence else {
             return;
         };
-        if evidence == Evidence::Silent {
+        if evidence != Evidence::Bypassed {
             // Connections that were open before are as silent as those that requests wait on.
             let addresses: HashSet<SocketAddr> = self.upstreams.borrow().listed(service).map(|(_, at)| at).collect();
             self.pool.borrow_mut().drop_own(&addresses);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -117,6 +117,8 @@
     pub usage_window: Duration,
     /// Name of the process.
     pub node: NodeId,
+    /// Address that connections to upstreams come from; `None` to let the system choose.
+    pub source: Option<IpAddr>,
     /// Address at which requests of other hosts are passed on; `None` to pass on none.
     pub relay: Option<SocketAddr>,
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 
 use crate::relay::RelayLease;
@@ -164,12 +164,25 @@
             .is_err_and(|error| no_data(&error))
 }
 
-/// Opens a connection.
+/// Opens a connection, from the address `source` if that is given.
 ///
 /// # Errors
 /// Fails if the upstream does not accept the connection in time; nothing was sent then.
-pub async fn connect(address: SocketAddr, max_wait: Duration) -> std::io::Result<Connection> {
-    let stream = timeout(max_wait.min(CONNECT_TIMEOUT), TcpStream::connect(address)).await??;
+pub async fn connect(address: SocketAddr, source: Option<IpAddr>, max_wait: Duration) -> std::io::Result<Connection> {
+    let stream = timeout(max_wait.min(CONNECT_TIMEOUT), open(address, source)).await??;
     stream.set_nodelay(true)?;
     Ok(Connection::new(stream, address, None))
 }
+
+pub(crate) async fn open(address: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use wire::relay::{self, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest};
 
 use crate::gate::Gateway;
+use crate::pool::open;
 
 /// Longest wait for a message of the relay protocol.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
@@ -176,7 +177,7 @@
         .borrow()
         .address_of(&request.service, &request.upstream);
     let address = address.ok_or(RelayRefusal::Unlisted)?;
-    let connected = timeout(UPSTREAM_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = timeout(UPSTREAM_CONNECT_TIMEOUT, open(address, gateway.settings.source)).await;
     let stream = connected.map_err(io::Error::from).flatten();
     let stream = stream.map_err(|error| RelayRefusal::Unreached(error.to_string()))?;
     gateway.record_connected(&request.service, &request.upstream);
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -127,6 +127,7 @@
                 quota_slack: Slack::default(),
                 usage_window: Duration::from_secs(5),
                 node: NodeId::from("e"),
+                source: None,
                 relay: Some(relay),
             };
             let borrower = QuotaBorrower::new(NodeId::from("e"), Arc::clone(&shared));
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -12,7 +12,8 @@
 
 /// Number of upstreams that have to be out of reach, as one of them may fail in a way that only some hosts notice.
 const MIN_UPSTREAMS: usize = 2;
-/// Time for which an upstream that only another host reached is not tried directly.
+/// Time for which an upstream that only another host reached is not tried directly, and for which a broken connection
+/// counts.
 const BYPASS_TIME: Duration = Duration::from_secs(1);
 /// Shortest and longest pause between two probes. It doubles when the host is cut off again soon after a probe.
 const PROBE_PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
@@ -37,6 +38,9 @@
     /// Requests are overdue at several upstreams, and nothing arrives from any.
     #[display("nothing arrives from any upstream")]
     Silent,
+    /// Connections to several upstreams break, and nothing arrives from any.
+    #[display("connections to all upstreams break")]
+    Broken,
 }
 
 /// A request on a connection of this host that has had no response yet.
@@ -68,6 +72,8 @@
     last_wait: u64,
     /// When another host reached an upstream that this host did not, by upstream.
     bypassed: HashMap<String, Tick>,
+    /// When a connection with a request on it broke, by upstream.
+    broken: HashMap<String, Tick>,
     /// When a probe last ended an isolation.
     recovered_at: Option<Tick>,
     probe_pause: Duration,
@@ -116,6 +122,19 @@
         })
     }
 
+    /// Records that a connection of this host broke without a response. Returns the evidence if this host counts as cut
+    /// off from now on.
+    pub fn record_broken(&mut self, upstream: &str, now: Tick) -> Option<Evidence> {
+        self.broken.retain(|_, at| now.since(*at) < BYPASS_TIME);
+        self.broken.insert(upstream.to_owned(), now);
+        let since_received = self.broken.values().filter(|at| **at > self.received_at);
+        let is_cut = since_received.count() >= MIN_UPSTREAMS;
+        (is_cut && !self.is_isolated()).then(|| {
+            self.isolate(now);
+            Evidence::Broken
+        })
+    }
+
     /// Checks whether requests are overdue while nothing arrives. Returns the evidence if this host counts as cut off
     /// from now on.
     pub fn check_silence(&mut self, now: Tick) -> Option<Evidence> {
@@ -191,6 +210,7 @@
         };
         self.state = State::Connected;
         self.bypassed.clear();
+        self.broken.clear();
         self.waits.clear();
         self.recovered_at = Some(now);
         self.connected_at = Some(now);
--- a/crates/policy/tests/host_isolation.rs
+++ b/crates/policy/tests/host_isolation.rs
@@ -65,6 +65,22 @@
     assert!(isolation.is_stranded(at(1_000)) && !isolation.is_stranded(due + EXPECTED));
 }
 
+/// Guards against a host whose connections are accepted and break, which loses one request after the other.
+#[test]
+fn broken_everywhere() {
+    let mut isolation = Isolation::default();
+    assert_eq!(isolation.record_broken("a", at(1_000)), None);
+    assert_eq!(isolation.record_broken("b", at(1_100)), Some(Evidence::Broken));
+    let mut answered = Isolation::default();
+    answered.record_broken("a", at(1_000));
+    answered.record_received(at(1_050));
+    assert_eq!(
+        answered.record_broken("b", at(1_100)),
+        None,
+        "something arrived between"
+    );
+}
+
 /// Guards against slow upstreams being taken for a cut: something arrives from another one, or only one of them waits.
 #[test]
 fn slow_upstreams() {
