Lease the places at brittle upstreams before requests are sent

What callers would see: at times the upstreams of a service bear only a few rejections in a second, and say so (Server-Brittle). Nothing read it. All hosts act on the same loads, half a second old, choose the same upstream, and make it reject and fall over for seconds; the next one gets its work as well.

Cause: a bound over all hosts that each host keeps by itself, on news older than the time in which the bound is reached.

While a service is brittle, the leader leases each place, three quarters of the slots of an upstream, before a request is sent; an upstream rests for a second after a rejection; a request without a whole response keeps its place for half a second. Beyond the room a caller is refused at once, as not run. Without a leader the places are divided among the hosts.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use policy::reach::Reachability;
 use slog::info;
 use tokio::time::{Instant, sleep};
+use wire::slots::SlotEnd;
 
 use crate::dialect::AttemptHeaders;
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
@@ -21,6 +22,7 @@
 use crate::response_head::{HEAD_CAPACITY, write_header};
 use crate::rollouts::TrialSubject;
 use crate::server::SYNC_INTERVAL;
+use crate::slots::HeldSlot;
 use crate::upstreams::{ChosenUpstream, Upstreams};
 
 /// An attempt that occupies an upstream. Dropping it releases the upstream, also when the caller has gone and the
@@ -41,6 +43,8 @@
     trial: Option<AttemptTrial>,
     /// The wait for the upstream on this host's own link; `None` where another host relays.
     own_wait: Option<OwnWait>,
+    /// The place that the attempt takes at a brittle upstream.
+    slot: Option<HeldSlot>,
 }
 
 /// A wait for an upstream on this host's own link, from which a cut of the link shows.
@@ -102,6 +106,13 @@
         }
     }
 
+    /// Records that the response is whole, or that the upstream rejected the request, so that its place is free.
+    pub(crate) fn record_slot_end(&self, end: SlotEnd) {
+        if let Some(slot) = &self.slot {
+            slot.record_end(end);
+        }
+    }
+
     /// Returns a mover for the stream, for the case that its upstream is reclaimed.
     pub(crate) fn mover(&self) -> StreamMover {
         StreamMover::new(self.chosen.clone(), Rc::clone(&self.notice))
@@ -196,6 +207,10 @@
         }
         let runs_once = !self.is_idempotent();
         self.last_upstream.replace(Some(chosen.clone()));
+        let slot = gateway
+            .reserve_slot(&self.service, chosen, self.deadline)
+            .await
+            .map_err(|_full| AttemptError::NoRoom)?;
         let need = IdleNeed {
             runs_once,
             own_link: gateway.may_reuse_own(&self.service, &chosen.id),
@@ -228,7 +243,7 @@
             counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
         }
         let backlog_id = self.record_sent(gateway, chosen);
-        let attempt = self.new_attempt(gateway, chosen, backlog_id, !connection.is_relayed());
+        let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
         let exchange = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref());
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
         let response = tokio::select! {
@@ -250,13 +265,21 @@
             attempt.record_received();
         }
         match &response {
-            Ok(response) => gateway.record_rate_limit(&chosen.id, response.info.rate_limit),
+            Ok(response) => {
+                gateway.record_rate_limit(&chosen.id, response.info.rate_limit);
+                gateway.record_brittleness(&self.service, &chosen.id, response.info.max_rejections, false);
+            }
             // The response of another incarnation tells nothing of the chosen upstream.
             Err(AttemptError::Refused {
                 wrong_incarnation: false,
                 rate_limit,
+                max_rejections,
                 ..
-            }) => gateway.record_rate_limit(&chosen.id, *rate_limit),
+            }) => {
+                gateway.record_rate_limit(&chosen.id, *rate_limit);
+                gateway.record_brittleness(&self.service, &chosen.id, *max_rejections, true);
+                attempt.record_slot_end(SlotEnd::Rejected);
+            }
             Err(_) => {}
         }
         let response = response?;
@@ -291,7 +314,7 @@
         gateway: &Rc<Gateway>,
         chosen: &ChosenUpstream,
         backlog_id: u64,
-        on_own_link: bool,
+        (slot, on_own_link): (Option<HeldSlot>, bool),
     ) -> ActiveAttempt {
         let own_wait = on_own_link.then(|| self.start_own_wait(gateway, chosen));
         let mut upstreams = gateway.upstreams.borrow_mut();
@@ -310,6 +333,7 @@
             notice,
             trial,
             own_wait,
+            slot,
         }
     }
 
@@ -409,7 +433,10 @@
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
                     upstream.mark_replaced(true, now);
                 }
-                AttemptError::NoPermit | AttemptError::OverLimit | AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit
+                | AttemptError::OverLimit
+                | AttemptError::NoRoom
+                | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -82,6 +82,8 @@
     pub load: Option<ReportedLoad>,
     /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
     pub rate_limit: Option<f64>,
+    /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
+    pub max_rejections: Option<u32>,
     /// How long the upstream keeps an idle connection open; `None` if it does not say.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,6 +31,9 @@
     /// Nothing was sent, because this host's part of the upstream's rate limit is used up.
     #[display("not sent: the rate limit of the upstream is used up")]
     OverLimit,
+    /// Nothing was sent, because the upstream is brittle and has no room.
+    #[display("not sent: the upstream has no room")]
+    NoRoom,
     /// Nothing was sent.
     #[display("not sent: {reason}")]
     NotSent {
@@ -46,6 +49,8 @@
         wrong_incarnation: bool,
         /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
         rate_limit: Option<f64>,
+        /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
+        max_rejections: Option<u32>,
     },
     /// The request may have run.
     #[display("unknown: {reason}")]
@@ -93,6 +98,7 @@
             status,
             wrong_incarnation,
             rate_limit: info.rate_limit,
+            max_rejections: info.max_rejections,
         });
     }
     Ok(UpstreamResponse {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -19,15 +19,17 @@
 use policy::quota::{Bucket, OverQuota};
 use policy::relays::Relays;
 use policy::retries::{RetryBounds, RetryWindow, SendPermit};
+use policy::slots::Brittleness;
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{Heartbeat, LimitPart, QuotaShare, RelayList, ServiceLoad, UpstreamObservation};
+use wire::registry::{BrittleNews, Heartbeat, LimitPart, QuotaShare, RelayList, ServiceLoad, UpstreamObservation};
 use wire::rollout::RolloutPlan;
 
 use crate::dialect::{HeaderCodec, RequestInfo};
 use crate::lender::QuotaBorrower;
 use crate::pool::ConnectionPool;
 use crate::routing_table::RoutingTable;
+use crate::slots::SlotClient;
 use crate::upstreams::Upstreams;
 use crate::usage::UsageCounter;
 
@@ -69,6 +71,9 @@
     pub observations: Mutex<Option<(Vec<UpstreamObservation>, Tick)>>,
     /// Parts of rate limits that the event loop has not applied yet, with the time at which they were asked for.
     pub limits: Mutex<Option<(Vec<LimitPart>, Tick)>>,
+    /// Services that the leader says are brittle and that the event loop has not applied yet, with the time at which the
+    /// news arrived.
+    pub brittle: Mutex<Option<(Vec<BrittleNews>, Tick)>>,
     /// Plans of rollouts that the event loop has not applied yet, with the time at which they arrived.
     pub rollouts: Mutex<Option<(Vec<RolloutPlan>, Tick)>>,
     /// Hosts that pass on requests of this one, as long as the event loop has not applied them yet.
@@ -155,6 +160,10 @@
     pub(crate) relayed: Cell<usize>,
     /// Whether the process is about to stop.
     pub(crate) stopping: Cell<bool>,
+    /// Whether upstreams are brittle, by service.
+    pub(crate) brittle: RefCell<HashMap<ServiceName, Brittleness>>,
+    /// Exchanges places at brittle upstreams with the leader.
+    pub(crate) slots: Rc<SlotClient>,
 }
 
 /// Exponentially decaying average of units per second.
@@ -235,6 +244,8 @@
             isolations: RefCell::default(),
             relayed: Cell::default(),
             stopping: Cell::default(),
+            brittle: RefCell::default(),
+            slots: Rc::default(),
         }
     }
 
@@ -254,6 +265,9 @@
         if let Some((parts, asked_at)) = self.shared.limits.lock().take() {
             self.apply_limits(&parts, asked_at);
         }
+        if let Some((news, received_at)) = self.shared.brittle.lock().take() {
+            self.record_brittle_news(&news, received_at);
+        }
         if let Some((plans, received_at)) = self.shared.rollouts.lock().take() {
             self.upstreams.borrow_mut().rollouts.update(plans, received_at);
         }
--- a/crates/gateway/src/lender.rs
+++ b/crates/gateway/src/lender.rs
@@ -1,13 +1,10 @@
 //! Borrows units of an account's quota beyond the host's own share from the state group.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use contract::{NodeId, Revision};
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use metrics::counter;
 use tokio::time::timeout;
 use wire::Envelope;
@@ -15,6 +12,7 @@
 use wire::registry::{Borrow, BorrowReply, Lender};
 
 use crate::gate::Shared;
+use crate::node_clients::NodeClients;
 
 /// Longest wait for a response. Data centres are a few milliseconds apart, and the caller waits meanwhile.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(120);
@@ -24,7 +22,7 @@
 pub struct QuotaBorrower {
     node: NodeId,
     shared: Arc<Shared>,
-    clients: RefCell<HashMap<SocketAddr, HttpClient>>,
+    clients: NodeClients,
 }
 
 impl QuotaBorrower {
@@ -34,7 +32,7 @@
         Self {
             node,
             shared,
-            clients: RefCell::default(),
+            clients: NodeClients::default(),
         }
     }
 
@@ -56,7 +54,7 @@
     /// Asks one state node; returns `None` if it is unknown or did not answer.
     async fn ask(&self, peer: Option<SocketAddr>, lender: Lender, account: &str, units: f64) -> Option<bool> {
         let peer = peer?;
-        let client = self.client(peer)?;
+        let client = self.clients.get(peer)?;
         let request = Borrow {
             account: account.to_owned(),
             units,
@@ -77,17 +75,7 @@
     /// Counts a failed call; the background threads log the loss of a state node.
     fn record_failure(&self, peer: SocketAddr) -> Option<bool> {
         counter!("gentian_gateway_borrow_failed_total").increment(1);
-        self.clients.borrow_mut().remove(&peer);
+        self.clients.forget(peer);
         None
     }
-
-    fn client(&self, peer: SocketAddr) -> Option<HttpClient> {
-        let mut clients = self.clients.borrow_mut();
-        if let Some(client) = clients.get(&peer) {
-            return Some(client.clone());
-        }
-        let client = HttpClientBuilder::default().build(format!("http://{peer}")).ok()?;
-        clients.insert(peer, client.clone());
-        Some(client)
-    }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -148,6 +148,9 @@
                         if !update.rollouts.is_empty() {
                             *self.shared.rollouts.lock() = Some((update.rollouts, self.clock.now()));
                         }
+                        if !update.brittle.is_empty() {
+                            *self.shared.brittle.lock() = Some((update.brittle, self.clock.now()));
+                        }
                         if let Some(relays) = update.relays {
                             self.shared.record_relays(relays);
                         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, timeout_at};
+use wire::slots::SlotEnd;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt::{ActiveAttempt, TrialOutcome};
@@ -178,7 +179,7 @@
             };
             self.record_failure(gateway, &chosen, &error);
             match &error {
-                AttemptError::NotSent { .. } | AttemptError::OverLimit => failed_connects += 1,
+                AttemptError::NotSent { .. } | AttemptError::OverLimit | AttemptError::NoRoom => failed_connects += 1,
                 AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::Unknown { .. } if self.is_idempotent() => {}
                 AttemptError::Unknown { reason } => {
@@ -210,10 +211,12 @@
         tried: &[String],
         version: Option<&str>,
     ) -> Result<ChosenUpstream, NoUpstream> {
+        let mut excluded = gateway.resting(&self.service);
+        excluded.extend_from_slice(tried);
         let need = UpstreamNeed {
             service: &self.service,
             prompt_parts: &self.info.prompt_parts,
-            tried,
+            tried: &excluded,
             zone: &gateway.settings.zone,
             entry_hosts: gateway.entry_count(),
             runs_once: !self.is_idempotent(),
@@ -279,6 +282,7 @@
                 return Err(error);
             }
         };
+        attempt.record_slot_end(SlotEnd::Answered);
         let failed = status >= 500;
         if failed {
             attempt.judge(TrialOutcome::Failed);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -98,6 +98,7 @@
             spawn_local(Rc::clone(&self).accept(bind(address)?, ListenerKind::Host));
         }
         info!(self.gateway.logger, "serving"; "callers" => %settings.callers, "ready" => %settings.ready);
+        spawn_local(Rc::clone(&self.gateway).release_slots());
         let mut was_ready = false;
         let rate_reporter = RateReporter::default();
         loop {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use contract::RetryMode;
+use wire::slots::SlotEnd;
 
 use crate::attempt::{ActiveAttempt, TrialOutcome};
 use crate::events::{Event, EventError, EventParser};
@@ -105,6 +106,7 @@
     fn finish(self, gateway: &Gateway) {
         let Self { response, attempt, .. } = self;
         attempt.judge(TrialOutcome::Succeeded);
+        attempt.record_slot_end(SlotEnd::Answered);
         drop(attempt);
         if let Some((connection, idle)) = response.into_reusable() {
             gateway.pool.borrow_mut().put(connection, idle);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -369,6 +369,21 @@
         (upstream.listed.service == *service).then_some(upstream.listed.address)
     }
 
+    /// Returns the number of requests that an upstream runs at once; 1 if it is not listed.
+    #[must_use]
+    pub fn slots_of(&self, id: &str) -> u32 {
+        self.all.get(id).map_or(1, |upstream| upstream.listed.slots)
+    }
+
+    /// Returns the number of requests that this host runs at the upstreams of a service, and the slots of all of these.
+    #[must_use]
+    pub fn use_of(&self, service: &ServiceName) -> (usize, u32) {
+        let serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
+        serving.fold((0, 0), |(running, slots), upstream| {
+            (running + upstream.own_requests as usize, slots + upstream.listed.slots)
+        })
+    }
+
     /// Returns names and addresses of the upstreams of a service that stay.
     pub fn listed(&self, service: &ServiceName) -> impl Iterator<Item = (String, SocketAddr)> {
         let serving = self.all.values().filter(move |upstream| {
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -70,6 +70,7 @@
             signed: head.get("signed").is_some(),
             load: None,
             rate_limit: head.get("limit").and_then(|text| text.parse().ok()),
+            max_rejections: None,
             idle_timeout: None,
         }
     }
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -30,6 +30,7 @@
 use wire::client::MAX_MESSAGE_BYTES;
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use wire::rollout::{RolloutCall, RolloutReply};
+use wire::slots::{ReleaseSlots, TakeSlot, TakeSlotReply};
 use wire::state::Unavailable;
 
 /// Longest wait for anything, so that no test hangs.
@@ -272,6 +273,14 @@
         to_rpc_result(self.node.borrow_units(request).await)
     }
 
+    async fn take_slot(&self, request: Envelope<TakeSlot>) -> RpcResult<Envelope<TakeSlotReply>> {
+        to_rpc_result(self.node.take_slot(request).await)
+    }
+
+    async fn release_slots(&self, request: Envelope<ReleaseSlots>) -> RpcResult<()> {
+        to_rpc_result(self.node.release_slots(request).await)
+    }
+
     async fn rollout(&self, request: Envelope<RolloutCall>) -> RpcResult<Envelope<RolloutReply>> {
         to_rpc_result(self.node.rollout(request).await)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod rollout;
 pub mod room;
 pub mod route;
+pub mod slots;
 pub mod sources;
 mod time;
 
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -15,8 +15,10 @@
 use policy::rate_limit::{LimitLeases, NamedLimit};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
 use policy::relays::{RelayDirectory, list_mark};
-use wire::registry::{HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, RelayList, ServiceLoad};
+use policy::slots::{SlotLeases, SlotNeed};
+use wire::registry::{BrittleNews, HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, RelayList, ServiceLoad};
 use wire::rollout::RolloutPlan;
+use wire::slots::{ReleasedSlot, SlotEnd, TakeSlot};
 
 use crate::core::Leadership;
 use crate::list_changes::UpstreamList;
@@ -45,6 +47,7 @@
     observations: Observations,
     rate_limits: LimitLeases,
     relays: RelayDirectory,
+    slots: SlotLeases,
     catalog_lag: CatalogLag,
     trials: Trials,
     /// Plans of rollouts, with the term in which they were made.
@@ -104,6 +107,17 @@
     }
 }
 
+impl Inner {
+    fn brittle_services(&self, now: Tick) -> Vec<BrittleNews> {
+        let services = self.slots.brittle_services(now).into_iter();
+        let news = services.map(|(service, age)| BrittleNews {
+            service,
+            age_ms: age.as_millis() as u32,
+        });
+        news.collect()
+    }
+}
+
 impl EntryRegistry {
     /// Creates a registry; `slack` is by how much each quota may be exceeded.
     #[must_use]
@@ -129,6 +143,7 @@
             inner.catalog_lag = CatalogLag::default();
             inner.rate_limits = LimitLeases::new(now);
             inner.relays = RelayDirectory::new(now);
+            inner.slots = SlotLeases::new(now);
             inner.term = term;
             inner.stored_count = shared.entry_hosts;
         }
@@ -166,9 +181,42 @@
                 Vec::new()
             },
             relays: inner.relays_of(from, &beat.zone, beat.relay_mark, now),
+            brittle: inner.brittle_services(now),
         })
     }
 
+    /// Leases a place at a brittle upstream to a host; `None` if there is no room, or the term is not current.
+    pub fn take_slot(&self, term: u64, from: &NodeId, request: &TakeSlot, now: Tick) -> Option<u64> {
+        let mut inner = self.inner.lock();
+        if inner.term != term {
+            return None;
+        }
+        let need = SlotNeed {
+            service: &request.service,
+            upstream: &request.upstream,
+            slots: request.slots,
+            longest: Duration::from_millis(request.longest_ms),
+            heard: request.heard_ms.map(|ms| Duration::from_millis(u64::from(ms))),
+        };
+        inner.slots.take(from, need, now)
+    }
+
+    /// Ends leases of a host.
+    pub fn release_slots(&self, from: &NodeId, released: &[ReleasedSlot], now: Tick) {
+        let mut inner = self.inner.lock();
+        for slot in released {
+            let slots = &mut inner.slots;
+            if slot.end == SlotEnd::Rejected {
+                slots.record_rejection(&slot.upstream, now);
+            }
+            match (slot.lease, slot.end) {
+                (Some(lease), SlotEnd::Abandoned) => slots.abandon(from, &slot.upstream, lease, now),
+                (Some(lease), _) => slots.release(from, &slot.upstream, lease),
+                (None, _) => {}
+            }
+        }
+    }
+
     /// Records the catalog version that an entry host holds; returns progress of the newest version that is to be logged.
     pub fn record_version(&self, from: &NodeId, held: u64, newest: u64, now: Tick) -> Option<Progress> {
         let mut inner = self.inner.lock();
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -16,6 +16,7 @@
 use wire::raft::{Packet, RaftRpcServer};
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply, Lender};
 use wire::rollout::{RolloutCall, RolloutReply};
+use wire::slots::{ReleaseSlots, TakeSlot, TakeSlotReply};
 use wire::state::{
     Claim, Claimed, Lease, Leased, Propose, Proposed, Settle, Settled, StateRpcServer, StateStatus, Unavailable, Watch,
     Watched,
@@ -256,6 +257,25 @@
         };
         Ok(self.envelope(if lent { BorrowReply::Lent } else { BorrowReply::Over }))
     }
+
+    async fn take_slot(&self, request: Envelope<TakeSlot>) -> RpcResult<Envelope<TakeSlotReply>> {
+        let leadership = self.request(StateRequest::Leadership).await?.body;
+        if leadership.since.is_none() {
+            let leader = leadership.leader;
+            return Ok(self.envelope(TakeSlotReply::Unavailable(Unavailable::NotLeader { leader })));
+        }
+        let now = self.clock.now();
+        let lease = self
+            .registry
+            .take_slot(leadership.term, &request.from, &request.body, now);
+        Ok(self.envelope(lease.map_or(TakeSlotReply::Full, TakeSlotReply::Leased)))
+    }
+
+    async fn release_slots(&self, request: Envelope<ReleaseSlots>) -> RpcResult<()> {
+        let now = self.clock.now();
+        self.registry.release_slots(&request.from, &request.body.released, now);
+        Ok(())
+    }
 }
 
 #[async_trait]
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -10,6 +10,7 @@
 use crate::Envelope;
 use crate::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use crate::rollout::{RolloutCall, RolloutReply};
+use crate::slots::{ReleaseSlots, TakeSlot, TakeSlotReply};
 use crate::state::Unavailable;
 
 /// RPC interface of `gentian-state` for the catalog and for entry hosts.
@@ -39,6 +40,14 @@
     #[method(name = "borrow")]
     async fn borrow_units(&self, request: Envelope<Borrow>) -> RpcResult<Envelope<BorrowReply>>;
 
+    /// Leases a place at a brittle upstream; only the leader does.
+    #[method(name = "take_slot")]
+    async fn take_slot(&self, request: Envelope<TakeSlot>) -> RpcResult<Envelope<TakeSlotReply>>;
+
+    /// Ends leases of places.
+    #[method(name = "release_slots")]
+    async fn release_slots(&self, request: Envelope<ReleaseSlots>) -> RpcResult<()>;
+
     /// Orders, reads or ends a rollout.
     #[method(name = "rollout")]
     async fn rollout(&self, request: Envelope<RolloutCall>) -> RpcResult<Envelope<RolloutReply>>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod relay;
 pub mod rollout;
 mod settler;
+pub mod slots;
 pub mod state;
 
 pub use envelope::Envelope;
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use contract::{ListedUpstream, RelayHost, RolloutTrial, Zone};
+use contract::{ListedUpstream, RelayHost, RolloutTrial, ServiceName, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::rollout::RolloutPlan;
@@ -106,6 +106,18 @@
     /// Hosts that pass on requests of the host; `None` if it knows them already.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relays: Option<RelayList>,
+    /// Services whose upstreams are brittle.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub brittle: Vec<BrittleNews>,
+}
+
+/// A service whose upstreams fail when they have to reject too many requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleNews {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Milliseconds since a response to any host said so.
+    pub age_ms: u32,
 }
 
 /// The hosts that pass on requests of one that is cut off from upstreams.
