Don't hold failures of a host's own link against upstreams

What callers saw: a host that had been cut off went on refusing after its links were back, "every upstream fails".

Cause: a connection that is accepted and breaks counts against the breaker of its upstream, and the pauses of breakers double. The failure of a path was taken for one of the resource, the same class as the incident itself.

While a host is cut off from a service, failures on its own link are not recorded for upstreams; when it finds out that it is cut off, their breakers close.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -421,11 +421,14 @@
         if matches!(error, AttemptError::Unknown { .. }) && self.last_relay.get().is_none() {
             gateway.record_broken(&self.service, &chosen.id);
         }
+        let is_cut = self.last_relay.get().is_none() && gateway.is_isolated(&self.service);
         let now = gateway.clock.now();
         let mut heard_ms = None;
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
             heard_ms = upstream.heard_age(now).map(|age| age.as_millis() as u64);
             match error {
+                // Nothing is known of the upstream while its link is cut.
+                AttemptError::NotSent { .. } | AttemptError::Unknown { .. } if is_cut => {}
                 AttemptError::Refused {
                     wrong_incarnation: true,
                     ..
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -264,6 +264,7 @@
             let addresses: HashSet<SocketAddr> = self.upstreams.borrow().listed(service).map(|(_, at)| at).collect();
             self.pool.borrow_mut().drop_own(&addresses);
         }
+        self.upstreams.borrow_mut().close_breakers(service);
         warn!(self.logger, "cut off from upstreams"; "service" => %service, "why" => %evidence,
             "relays" => self.relays.borrow().hosts().len());
         self.count_isolated();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -11,6 +11,7 @@
 
 use contract::{ListedUpstream, RolloutTrial, ServiceName, Zone};
 use policy::Tick;
+use policy::breaker::Breaker;
 use policy::fetch::plan_fetch;
 use policy::homes::{PartUsage, assume_former_homes_cached, assume_home_cached};
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
@@ -369,6 +370,14 @@
         (upstream.listed.service == *service).then_some(upstream.listed.address)
     }
 
+    /// Forgets the failures of a service's upstreams, as the host's own link has caused them.
+    pub(crate) fn close_breakers(&mut self, service: &ServiceName) {
+        let serving = self.all.values_mut();
+        for upstream in serving.filter(|upstream| upstream.listed.service == *service) {
+            upstream.breaker = Breaker::default();
+        }
+    }
+
     /// Returns the number of requests that an upstream runs at once; 1 if it is not listed.
     #[must_use]
     pub fn slots_of(&self, id: &str) -> u32 {
--- a/crates/gateway/tests/common/cut_link.rs
+++ b/crates/gateway/tests/common/cut_link.rs
@@ -26,6 +26,8 @@
     Reset,
     /// Open connections live on, and new ones are refused.
     RefuseNew,
+    /// Connections are accepted and closed.
+    Close,
 }
 
 /// A link of one host to one upstream.
@@ -81,6 +83,11 @@
                     }
                 }
                 (Cut::None, None) => listener = TcpListener::bind(self.address).ok(),
+                (Cut::Close, Some(open)) => {
+                    open.set_nonblocking(true).unwrap();
+                    while open.accept().is_ok() {}
+                }
+                (Cut::Close, None) => listener = TcpListener::bind(self.address).ok(),
                 (Cut::Hang, Some(_)) if waiting.is_empty() => waiting = self.fill_queue(),
                 (Cut::Hang, _) => {}
                 (Cut::Reset | Cut::RefuseNew, _) => listener = None,
@@ -115,7 +122,7 @@
                     thread::sleep(POLL);
                     continue;
                 }
-                Cut::Reset => break,
+                Cut::Reset | Cut::Close => break,
                 Cut::None | Cut::RefuseNew => {}
             }
             match from.read(&mut buffer) {
--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -16,6 +16,8 @@
 const REQUESTS: usize = 20;
 /// Time that an upstream takes, so that callers need several connections at once.
 const RUN_TIME: Duration = Duration::from_millis(20);
+/// Time after a cut within which a host has noticed its end: twice the pause between two probes.
+const RECOVERY_TIME: Duration = Duration::from_secs(1);
 /// Time that callers wait for a response.
 const DEADLINE_MS: u64 = 1_500;
 
@@ -125,3 +127,25 @@
 fn old_live_on() {
     check_served(Cut::RefuseNew);
 }
+
+/// Guards against a host that refuses for as long as it was cut off after its links are back, since the failures of its
+/// own link count against the upstreams.
+#[test]
+fn served_after_cut() {
+    let system = CutSystem::start();
+    // All hosts but the cut one stop, so that nobody relays.
+    for host in &system.hosts[1..] {
+        host.stop();
+    }
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(CutSystem::load(&system.hosts[0], 1, 5), 5, "before the cut");
+    system.cut(Cut::Close);
+    let began = Instant::now();
+    while began.elapsed() < CONTACT_TIME * 2 {
+        CutSystem::load(&system.hosts[0], CALLERS, 1);
+    }
+    system.cut(Cut::None);
+    thread::sleep(RECOVERY_TIME);
+    let served = CutSystem::load(&system.hosts[0], CALLERS, REQUESTS);
+    assert_eq!(served, CALLERS * REQUESTS);
+}
