Don't repeat requests of silent upstreams as if the host were cut off

Cause: the first form of the isolation took silence for a cut and sent again at once what may be repeated.

A cut is certain only where another host reaches an upstream that this host does not: two connections through others, or a probe that fails at an upstream that a relay has just reached. Only then is a waiting request sent again. A guess from silence or broken connections is probed after 100 ms instead of 500.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use metrics::{counter, gauge};
 use policy::isolation::{Evidence, Isolation, Path};
-use rand::seq::IteratorRandom;
+use rand::seq::IndexedRandom;
 use slog::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -68,7 +68,10 @@
         let relayed = self.dial_relays(&request, path, chosen.address, deadline);
         if path == Path::Relay {
             return match relayed.await {
-                Ok(connection) => Ok(connection),
+                Ok(connection) => {
+                    self.update_isolation(service, |isolation| isolation.record_relayed(&chosen.id));
+                    Ok(connection)
+                }
                 Err(error) => {
                     let left = deadline.saturating_duration_since(Instant::now());
                     let own = self.dial_own(service, chosen, left.min(LAST_RESORT_TIMEOUT)).await;
@@ -237,7 +240,10 @@
 
     /// Connects to one upstream on the own link to find out whether the host is still cut off.
     fn start_probe(self: &Rc<Self>, service: &ServiceName) {
-        let Some((upstream, address)) = self.upstreams.borrow().listed(service).choose(&mut rand::rng()) else {
+        let target = self.update_isolation(service, |isolation| isolation.probe_target().map(str::to_owned));
+        let listed: Vec<(String, SocketAddr)> = self.upstreams.borrow().listed(service).collect();
+        let preferred = listed.iter().find(|(id, _)| Some(id) == target.as_ref());
+        let Some((upstream, address)) = preferred.or_else(|| listed.choose(&mut rand::rng())).cloned() else {
             return;
         };
         let (gateway, service) = (Rc::clone(self), service.clone());
@@ -249,8 +255,11 @@
                     gateway.record_connected(&service, &upstream);
                     gateway.pool.borrow_mut().put(connection, None);
                 }
-                Err(error) => info!(gateway.logger, "still cut off from upstreams"; "service" => %service,
-                    "upstream" => &upstream, "error" => %error),
+                Err(error) => {
+                    gateway.update_isolation(&service, |isolation| isolation.record_probe_failure(&upstream));
+                    info!(gateway.logger, "still cut off from upstreams"; "service" => %service,
+                        "upstream" => &upstream, "error" => %error);
+                }
             }
         });
     }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -17,6 +17,8 @@
 const BYPASS_TIME: Duration = Duration::from_secs(1);
 /// Shortest and longest pause between two probes. It doubles when the host is cut off again soon after a probe.
 const PROBE_PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
+/// Pause before the first probe of a host that may be wrong: upstreams that are slow or silent look like a cut.
+const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a successful probe within which another cut shows that the probe was wrong.
 const RELAPSE_TIME: Duration = Duration::from_secs(2);
 
@@ -52,13 +54,17 @@
     due: Tick,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 enum State {
     #[default]
     Connected,
     Isolated {
         since: Tick,
         probe_at: Tick,
+        /// Whether it is certain that upstreams are there which this host does not reach.
+        confirmed: bool,
+        /// The upstream that another host reached last since then.
+        reached: Option<String>,
     },
 }
 
@@ -99,7 +105,7 @@
     }
 
     /// Records that anything arrived on a connection of this host.
-    pub const fn record_received(&mut self, now: Tick) {
+    pub fn record_received(&mut self, now: Tick) {
         self.received_at = now;
     }
 
@@ -117,7 +123,7 @@
         let since_connected = self.bypassed.values().filter(|at| Some(**at) > self.connected_at);
         let is_cut = since_connected.count() >= MIN_UPSTREAMS;
         (is_cut && !self.is_isolated()).then(|| {
-            self.isolate(now);
+            self.isolate(Evidence::Bypassed, now);
             Evidence::Bypassed
         })
     }
@@ -130,7 +136,7 @@
         let since_received = self.broken.values().filter(|at| **at > self.received_at);
         let is_cut = since_received.count() >= MIN_UPSTREAMS;
         (is_cut && !self.is_isolated()).then(|| {
-            self.isolate(now);
+            self.isolate(Evidence::Broken, now);
             Evidence::Broken
         })
     }
@@ -147,40 +153,71 @@
             .filter(|wait| now >= wait.due && wait.sent >= self.received_at);
         let upstreams: HashSet<&str> = overdue.map(|wait| wait.upstream.as_str()).collect();
         (upstreams.len() >= MIN_UPSTREAMS).then(|| {
-            self.isolate(now);
+            self.isolate(Evidence::Silent, now);
             Evidence::Silent
         })
     }
 
-    fn isolate(&mut self, now: Tick) {
+    fn isolate(&mut self, evidence: Evidence, now: Tick) {
         let relapsed = self.recovered_at.is_some_and(|at| now.since(at) < RELAPSE_TIME);
         self.probe_pause = if relapsed {
             (self.probe_pause * 2).clamp(PROBE_PAUSE.0, PROBE_PAUSE.1)
         } else {
             PROBE_PAUSE.0
         };
+        let confirmed = evidence == Evidence::Bypassed;
+        let pause = if confirmed || relapsed {
+            self.probe_pause
+        } else {
+            FIRST_PROBE_PAUSE
+        };
         self.state = State::Isolated {
             since: now,
-            probe_at: now + self.probe_pause,
+            probe_at: now + pause,
+            confirmed,
+            reached: None,
         };
     }
 
     /// Returns whether the host counts as cut off.
     #[must_use]
-    pub const fn is_isolated(&self) -> bool {
+    pub fn is_isolated(&self) -> bool {
         matches!(self.state, State::Isolated { .. })
     }
 
-    /// Returns whether a request that was sent at `sent` on a connection of this host waits for nothing: the host was
-    /// cut off since, and nothing has arrived.
+    /// Returns whether a request that was sent at `sent` on a connection of this host waits for nothing: it is certain
+    /// that the host was cut off since, and nothing has arrived.
     #[must_use]
     pub fn is_stranded(&self, sent: Tick) -> bool {
         match self.state {
-            State::Isolated { since, .. } => sent <= since && sent >= self.received_at,
+            State::Isolated { since, confirmed, .. } => confirmed && sent <= since && sent >= self.received_at,
             State::Connected => false,
         }
     }
 
+    /// Records that another host reached an upstream for this one.
+    pub fn record_relayed(&mut self, upstream: &str) {
+        if let State::Isolated { reached, .. } = &mut self.state {
+            *reached = Some(upstream.to_owned());
+        }
+    }
+
+    /// Returns the upstream that a probe tells most about: one that another host reached.
+    #[must_use]
+    pub fn probe_target(&self) -> Option<&str> {
+        match &self.state {
+            State::Isolated { reached, .. } => reached.as_deref(),
+            State::Connected => None,
+        }
+    }
+
+    /// Records that a probe did not reach its upstream.
+    pub fn record_probe_failure(&mut self, upstream: &str) {
+        if let State::Isolated { confirmed, reached, .. } = &mut self.state {
+            *confirmed |= reached.as_deref() == Some(upstream);
+        }
+    }
+
     /// Returns how a request gets to an upstream.
     #[must_use]
     pub fn path_to(&self, upstream: &str, now: Tick) -> Path {
--- a/crates/policy/tests/host_isolation.rs
+++ b/crates/policy/tests/host_isolation.rs
@@ -62,9 +62,25 @@
     let due = at(1_010) + EXPECTED + SILENCE;
     assert_eq!(isolation.check_silence(at(1_300)), None, "not overdue yet");
     assert_eq!(isolation.check_silence(due), Some(Evidence::Silent));
+    assert!(!isolation.is_stranded(at(1_000)), "the upstreams may be silent");
+    isolation.record_relayed("c");
+    assert_eq!(isolation.probe_target(), Some("c"));
+    isolation.record_probe_failure("c");
     assert!(isolation.is_stranded(at(1_000)) && !isolation.is_stranded(due + EXPECTED));
 }
 
+/// Guards against upstreams that nobody reaches being taken for a cut of this host's link.
+#[test]
+fn silent_for_all() {
+    let mut isolation = Isolation::default();
+    isolation.record_sent("a", EXPECTED, at(1_000));
+    isolation.record_sent("b", EXPECTED, at(1_000));
+    assert_eq!(isolation.check_silence(at(2_000)), Some(Evidence::Silent));
+    assert!(isolation.claim_probe(at(2_100)), "a guess is checked soon");
+    isolation.record_probe_failure("a");
+    assert!(!isolation.is_stranded(at(1_000)));
+}
+
 /// Guards against a host whose connections are accepted and break, which loses one request after the other.
 #[test]
 fn broken_everywhere() {
