Keep own links and the head of an attempt in modules of their own

Code only moves: what a host knows of its own links goes from dial to own_links, the head that an upstream gets from attempt to attempt_head.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,14 +12,12 @@
 use tokio::time::{Instant, sleep};
 use wire::slots::SlotEnd;
 
-use crate::dialect::AttemptHeaders;
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
 use crate::gate::Gateway;
 use crate::moving::{KvCopy, StreamMover};
 use crate::pool::IdleNeed;
 use crate::reclaim_notice::ReclaimNotice;
 use crate::request::Request;
-use crate::response_head::{HEAD_CAPACITY, write_header};
 use crate::rollouts::TrialSubject;
 use crate::server::SYNC_INTERVAL;
 use crate::slots::HeldSlot;
@@ -373,49 +371,6 @@
         upstream.map_or(0, |upstream| upstream.record_sent(&self.info.prompt_parts, chosen, now))
     }
 
-    /// Writes the request for the upstream.
-    fn render(
-        &self,
-        gateway: &Gateway,
-        chosen: &ChosenUpstream,
-        after: Option<u64>,
-        kv_copy: Option<&KvCopy>,
-    ) -> Vec<u8> {
-        let mut out = Vec::with_capacity(HEAD_CAPACITY + self.body.len());
-        let start = &self.head.start;
-        for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
-            out.extend_from_slice(part);
-        }
-        for header in &self.head.headers {
-            if !self.head.is_hop_by_hop(&header.name) && gateway.codec.passes(&header.name) {
-                write_header(&mut out, &header.name, &header.value);
-            }
-        }
-        let attempt = AttemptHeaders {
-            remaining: self.deadline.saturating_duration_since(Instant::now()),
-            incarnation: &chosen.id,
-            account: self.account.as_ref().map(|account| account.name.as_str()),
-            after,
-            priority: self.priority(),
-            kv_copy,
-            // The copy of the stream holds all of its prompt.
-            fetch_from: chosen.fetch_from.filter(|_| kv_copy.is_none()),
-        };
-        gateway.codec.write(&mut out, &attempt);
-        let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-        if !self.body.is_empty() || !bodyless {
-            write_header(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
-        }
-        out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&self.body);
-        out
-    }
-
-    fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority)
-    }
-
     /// Records a failed attempt for the choice of upstreams.
     pub(crate) fn record_failure(&self, gateway: &Gateway, chosen: &ChosenUpstream, error: &AttemptError) {
         if matches!(error, AttemptError::Unknown { .. }) && self.last_relay.get().is_none() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! list. Header names are left to an implementation of [`dialect::HeaderCodec`].
 
 pub mod attempt;
+mod attempt_head;
 pub mod body;
 mod caller_connection;
 pub mod catalog_copy;
@@ -18,6 +19,7 @@
 pub mod link;
 pub mod moving;
 mod node_clients;
+mod own_links;
 pub mod pool;
 mod rate_limits;
 mod rate_reporter;
--- a/crates/gateway/tests/common/cut_link.rs
+++ b/crates/gateway/tests/common/cut_link.rs
@@ -82,12 +82,11 @@
                         while open.accept().is_ok() {}
                     }
                 }
-                (Cut::None, None) => listener = TcpListener::bind(self.address).ok(),
+                (Cut::None | Cut::Close, None) => listener = TcpListener::bind(self.address).ok(),
                 (Cut::Close, Some(open)) => {
                     open.set_nonblocking(true).unwrap();
                     while open.accept().is_ok() {}
                 }
-                (Cut::Close, None) => listener = TcpListener::bind(self.address).ok(),
                 (Cut::Hang, Some(_)) if waiting.is_empty() => waiting = self.fill_queue(),
                 (Cut::Hang, _) => {}
                 (Cut::Reset | Cut::RefuseNew, _) => listener = None,
