Don't end relayed streams that last longer than a minute

What callers would see: a stream through another host broke off after a minute, since the time without a byte was kept for each direction by itself, and a caller sends nothing while a stream runs. The time now counts in both directions together. Read in the code; a test would take the minute.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 //! A relay passes bytes and knows no requests, so that everything a request may do is decided by one host. It connects to
 //! upstreams only on its own link: nothing is passed on twice.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,7 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 use wire::relay::{self, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest};
 
 use crate::gate::Gateway;
@@ -191,16 +191,18 @@
     Ok(stream)
 }
 
-/// Copies bytes in both directions until one side ends.
+/// Copies bytes in both directions until one side ends, or nothing has come for long.
 ///
 /// A caller that leaves must end the work at the upstream, so the end of the other host's side closes both. A reset of
 /// the upstream's side is passed on as a reset, since an orderly end may complete a response.
 async fn copy_both(host: &mut TcpStream, mut upstream: TcpStream) {
     let (host_reader, mut host_writer) = host.split();
     let (upstream_reader, upstream_writer) = upstream.split();
+    let last_byte = Cell::new(Instant::now());
     let ended = tokio::select! {
-        () = copy_requests(host_reader, upstream_writer) => return,
-        ended = copy(upstream_reader, &mut host_writer) => ended,
+        () = copy_requests(host_reader, upstream_writer, &last_byte) => return,
+        ended = copy(upstream_reader, &mut host_writer, &last_byte) => ended,
+        () = wait_idle(&last_byte) => return,
     };
     match ended {
         Ok(()) => {
@@ -217,8 +219,9 @@
 }
 
 /// Copies requests until the other host closes. When only the upstream accepts no more, its response may still come.
-async fn copy_requests(reader: ReadHalf<'_>, mut writer: WriteHalf<'_>) {
-    if copy(reader, &mut writer).await.is_err_and(|side| side == Side::Writer) {
+async fn copy_requests(reader: ReadHalf<'_>, mut writer: WriteHalf<'_>, last_byte: &Cell<Instant>) {
+    let copied = copy(reader, &mut writer, last_byte).await;
+    if copied.is_err_and(|side| side == Side::Writer) {
         std::future::pending::<()>().await;
     }
 }
@@ -230,18 +233,23 @@
     Writer,
 }
 
-async fn copy(mut reader: ReadHalf<'_>, writer: &mut WriteHalf<'_>) -> Result<(), Side> {
+async fn copy(mut reader: ReadHalf<'_>, writer: &mut WriteHalf<'_>, last_byte: &Cell<Instant>) -> Result<(), Side> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let read = timeout(IDLE_TIMEOUT, reader.read(&mut buffer)).await;
-        match read.map_err(io::Error::from).flatten() {
-            Ok(0) => return Ok(()),
-            Ok(count) => writer
-                .write_all(&buffer[..count])
-                .await
-                .map_err(|_broken| Side::Writer)?,
-            Err(_broken) => return Err(Side::Reader),
+        let count = reader.read(&mut buffer).await.map_err(|_broken| Side::Reader)?;
+        if count == 0 {
+            return Ok(());
         }
+        last_byte.set(Instant::now());
+        let written = writer.write_all(&buffer[..count]).await;
+        written.map_err(|_broken| Side::Writer)?;
+    }
+}
+
+/// Waits until no byte has come in either direction for [`IDLE_TIMEOUT`].
+async fn wait_idle(last_byte: &Cell<Instant>) {
+    while last_byte.get().elapsed() < IDLE_TIMEOUT {
+        sleep_until(last_byte.get() + IDLE_TIMEOUT).await;
     }
 }
 
