Give back places of requests that were not sent at once

What callers would see: a place at a brittle upstream whose connection failed stayed taken for half a second, as if the upstream worked for it. The line of a failed attempt named the relay of the attempt before. Read in the code. Rejections that no state node took are counted and logged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -216,6 +216,7 @@
         let pooled = gateway.pool.borrow_mut().take(chosen.address, need);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         self.last_reused.set(pooled.is_some());
+        self.last_relay.set(None);
         let connection = match pooled {
             Some(connection) => connection,
             None => gateway
@@ -230,6 +231,9 @@
             return Err(AttemptError::OverLimit);
         }
         let bytes = self.render(gateway, chosen, after, kv_copy);
+        if let Some(slot) = &slot {
+            slot.record_end(SlotEnd::Abandoned);
+        }
         self.permit.take();
         let mut progress = self.progress.get();
         let ran_before = progress.may_have_run;
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -147,25 +147,33 @@
                 let leader = *leader;
                 let of_leader = |(granted_by, _): &mut (Option<SocketAddr>, ReleasedSlot)| *granted_by == leader;
                 let released: Vec<ReleasedSlot> = ended.extract_if(.., of_leader).map(|(_, slot)| slot).collect();
-                // Without a lease, the leader of now has to know of the rejection.
-                let Some(peer) = leader.or_else(|| **self.shared.leader.load()) else {
-                    continue;
-                };
-                let Some(client) = self.slots.clients.get(peer) else {
-                    continue;
-                };
+                // Without a lease, the present leader has to know of the rejection.
+                let peer = leader.or_else(|| **self.shared.leader.load());
                 let count = released.len();
-                let request = Envelope::new(&self.settings.node, Revision::default(), ReleaseSlots { released });
-                let call = timeout(TAKE_TIMEOUT, client.release_slots(request)).await;
-                if !matches!(call, Ok(Ok(()))) {
+                if !self.send_released(peer, released).await {
                     counter!("gentian_gateway_slots_unreleased_total").increment(count as u64);
-                    warn!(self.logger, "places not given back"; "peer" => %peer, "places" => count);
-                    self.slots.clients.forget(peer);
+                    warn!(self.logger, "places not given back"; "places" => count,
+                        "peer" => peer.map(|peer| peer.to_string()));
                 }
             }
         }
     }
 
+    /// Tells a state node of leases that have ended; returns whether it took them.
+    async fn send_released(&self, peer: Option<SocketAddr>, released: Vec<ReleasedSlot>) -> bool {
+        let Some((peer, client)) = peer.and_then(|peer| Some((peer, self.slots.clients.get(peer)?))) else {
+            return false;
+        };
+        let request = Envelope::new(&self.settings.node, Revision::default(), ReleaseSlots { released });
+        let call = timeout(TAKE_TIMEOUT, client.release_slots(request)).await;
+        let is_taken = matches!(call, Ok(Ok(())));
+        if !is_taken {
+            self.slots.clients.forget(peer);
+        }
+        is_taken
+    }
+
+    /// Returns whether the upstreams of a service are brittle.
     pub(crate) fn is_brittle(&self, service: &ServiceName) -> bool {
         let brittle = self.brittle.borrow();
         brittle
@@ -173,6 +181,7 @@
             .is_some_and(|brittleness| brittleness.is_brittle(self.clock.now()))
     }
 
+    /// Returns the time since a response to this host said that a service is brittle.
     fn heard_brittle(&self, service: &ServiceName) -> Option<Duration> {
         self.brittle.borrow().get(service)?.heard_age(self.clock.now())
     }
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -52,8 +52,10 @@
 /// How a request that took a place ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SlotEnd {
-    /// Without a whole response, so that the upstream may still work on it.
+    /// It was not sent.
     #[default]
+    Unsent,
+    /// Without a whole response, so that the upstream may still work on it.
     Abandoned,
     /// With a whole response.
     Answered,
