--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,17 +10,17 @@
 use policy::reach::Reachability;
 use slog::info;
 use tokio::time::{Instant, sleep};
+use wire::slots::SlotEnd;
 
-use crate::dialect::AttemptHeaders;
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
 use crate::gate::Gateway;
 use crate::moving::{KvCopy, StreamMover};
 use crate::pool::IdleNeed;
 use crate::reclaim_notice::ReclaimNotice;
 use crate::request::Request;
-use crate::response_head::{HEAD_CAPACITY, write_header};
 use crate::rollouts::TrialSubject;
 use crate::server::SYNC_INTERVAL;
+use crate::slots::HeldSlot;
 use crate::upstreams::{ChosenUpstream, Upstreams};
 
 /// An attempt that occupies an upstream. Dropping it releases the upstream, also when the caller has gone and the
@@ -41,6 +41,8 @@
     trial: Option<AttemptTrial>,
     /// The wait for the upstream on this host's own link; `None` where another host relays.
     own_wait: Option<OwnWait>,
+    /// The place that the attempt takes at a brittle upstream.
+    slot: Option<HeldSlot>,
 }
 
 /// A wait for an upstream on this host's own link, from which a cut of the link shows.
@@ -102,6 +104,13 @@
         }
     }
 
+    /// Records that the response is whole, or that the upstream rejected the request, so that its place is free.
+    pub(crate) fn record_slot_end(&self, end: SlotEnd) {
+        if let Some(slot) = &self.slot {
+            slot.record_end(end);
+        }
+    }
+
     /// Returns a mover for the stream, for the case that its upstream is reclaimed.
     pub(crate) fn mover(&self) -> StreamMover {
         StreamMover::new(self.chosen.clone(), Rc::clone(&self.notice))
@@ -196,6 +205,10 @@
         }
         let runs_once = !self.is_idempotent();
         self.last_upstream.replace(Some(chosen.clone()));
+        let slot = gateway
+            .reserve_slot(&self.service, chosen, self.deadline)
+            .await
+            .map_err(|_full| AttemptError::NoRoom)?;
         let need = IdleNeed {
             runs_once,
             own_link: gateway.may_reuse_own(&self.service, &chosen.id),
@@ -228,7 +241,7 @@
             counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
         }
         let backlog_id = self.record_sent(gateway, chosen);
-        let attempt = self.new_attempt(gateway, chosen, backlog_id, !connection.is_relayed());
+        let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
         let exchange = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref());
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
         let response = tokio::select! {
@@ -250,13 +263,21 @@
             attempt.record_received();
         }
         match &response {
-            Ok(response) => gateway.record_rate_limit(&chosen.id, response.info.rate_limit),
+            Ok(response) => {
+                gateway.record_rate_limit(&chosen.id, response.info.rate_limit);
+                gateway.record_brittleness(&self.service, &chosen.id, response.info.max_rejections, false);
+            }
             // The response of another incarnation tells nothing of the chosen upstream.
             Err(AttemptError::Refused {
                 wrong_incarnation: false,
                 rate_limit,
+                max_rejections,
                 ..
-            }) => gateway.record_rate_limit(&chosen.id, *rate_limit),
+            }) => {
+                gateway.record_rate_limit(&chosen.id, *rate_limit);
+                gateway.record_brittleness(&self.service, &chosen.id, *max_rejections, true);
+                attempt.record_slot_end(SlotEnd::Rejected);
+            }
             Err(_) => {}
         }
         let response = response?;
@@ -291,7 +312,7 @@
         gateway: &Rc<Gateway>,
         chosen: &ChosenUpstream,
         backlog_id: u64,
-        on_own_link: bool,
+        (slot, on_own_link): (Option<HeldSlot>, bool),
     ) -> ActiveAttempt {
         let own_wait = on_own_link.then(|| self.start_own_wait(gateway, chosen));
         let mut upstreams = gateway.upstreams.borrow_mut();
@@ -310,6 +331,7 @@
             notice,
             trial,
             own_wait,
+            slot,
         }
     }
 
@@ -349,59 +371,19 @@
         upstream.map_or(0, |upstream| upstream.record_sent(&self.info.prompt_parts, chosen, now))
     }
 
-    /// Writes the request for the upstream.
-    fn render(
-        &self,
-        gateway: &Gateway,
-        chosen: &ChosenUpstream,
-        after: Option<u64>,
-        kv_copy: Option<&KvCopy>,
-    ) -> Vec<u8> {
-        let mut out = Vec::with_capacity(HEAD_CAPACITY + self.body.len());
-        let start = &self.head.start;
-        for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
-            out.extend_from_slice(part);
-        }
-        for header in &self.head.headers {
-            if !self.head.is_hop_by_hop(&header.name) && gateway.codec.passes(&header.name) {
-                write_header(&mut out, &header.name, &header.value);
-            }
-        }
-        let attempt = AttemptHeaders {
-            remaining: self.deadline.saturating_duration_since(Instant::now()),
-            incarnation: &chosen.id,
-            account: self.account.as_ref().map(|account| account.name.as_str()),
-            after,
-            priority: self.priority(),
-            kv_copy,
-            // The copy of the stream holds all of its prompt.
-            fetch_from: chosen.fetch_from.filter(|_| kv_copy.is_none()),
-        };
-        gateway.codec.write(&mut out, &attempt);
-        let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-        if !self.body.is_empty() || !bodyless {
-            write_header(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
-        }
-        out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&self.body);
-        out
-    }
-
-    fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority)
-    }
-
     /// Records a failed attempt for the choice of upstreams.
     pub(crate) fn record_failure(&self, gateway: &Gateway, chosen: &ChosenUpstream, error: &AttemptError) {
         if matches!(error, AttemptError::Unknown { .. }) && self.last_relay.get().is_none() {
             gateway.record_broken(&self.service, &chosen.id);
         }
+        let is_cut = self.last_relay.get().is_none() && gateway.is_isolated(&self.service);
         let now = gateway.clock.now();
         let mut heard_ms = None;
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
             heard_ms = upstream.heard_age(now).map(|age| age.as_millis() as u64);
             match error {
+                // Nothing is known of the upstream while its link is cut.
+                AttemptError::NotSent { .. } | AttemptError::Unknown { .. } if is_cut => {}
                 AttemptError::Refused {
                     wrong_incarnation: true,
                     ..
@@ -409,7 +391,10 @@
                     counter!("gentian_gateway_replaced_total", "service" => self.service.to_string()).increment(1);
                     upstream.mark_replaced(true, now);
                 }
-                AttemptError::NoPermit | AttemptError::OverLimit | AttemptError::Refused { .. } => {}
+                AttemptError::NoPermit
+                | AttemptError::OverLimit
+                | AttemptError::NoRoom
+                | AttemptError::Refused { .. } => {}
                 AttemptError::NotSent { .. } => upstream.record_connect_failure(now),
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! list. Header names are left to an implementation of [`dialect::HeaderCodec`].
 
 pub mod attempt;
+mod attempt_head;
 pub mod body;
 mod caller_connection;
 pub mod catalog_copy;
@@ -17,6 +18,8 @@
 pub mod lender;
 pub mod link;
 pub mod moving;
+mod node_clients;
+mod own_links;
 pub mod pool;
 mod rate_limits;
 mod rate_reporter;
@@ -30,6 +33,7 @@
 mod routing;
 pub mod routing_table;
 pub mod server;
+mod slots;
 pub mod stream;
 pub mod upstream_list;
 pub mod upstreams;
--- a/crates/gateway/tests/common/cut_link.rs
+++ b/crates/gateway/tests/common/cut_link.rs
@@ -26,6 +26,8 @@
     Reset,
     /// Open connections live on, and new ones are refused.
     RefuseNew,
+    /// Connections are accepted and closed.
+    Close,
 }
 
 /// A link of one host to one upstream.
@@ -80,7 +82,11 @@
                         while open.accept().is_ok() {}
                     }
                 }
-                (Cut::None, None) => listener = TcpListener::bind(self.address).ok(),
+                (Cut::None | Cut::Close, None) => listener = TcpListener::bind(self.address).ok(),
+                (Cut::Close, Some(open)) => {
+                    open.set_nonblocking(true).unwrap();
+                    while open.accept().is_ok() {}
+                }
                 (Cut::Hang, Some(_)) if waiting.is_empty() => waiting = self.fill_queue(),
                 (Cut::Hang, _) => {}
                 (Cut::Reset | Cut::RefuseNew, _) => listener = None,
@@ -115,7 +121,7 @@
                     thread::sleep(POLL);
                     continue;
                 }
-                Cut::Reset => break,
+                Cut::Reset | Cut::Close => break,
                 Cut::None | Cut::RefuseNew => {}
             }
             match from.read(&mut buffer) {
