Bound the waits of the relay tests, and wait for what hosts have applied

A test waited without a limit for a request to arrive, and hung in a trial that refused it; hosts were given a fixed time to apply the names of relays. The test fails after its limit now, and the leader of the tests waits until the hosts have taken the names. No assertion changes.

--- a/crates/gateway/tests/common/leader.rs
+++ b/crates/gateway/tests/common/leader.rs
@@ -30,15 +30,13 @@
         let (stop_flag, all) = (Arc::clone(&stop), hosts.to_vec());
         let thread = thread::spawn(move || exchange(&all, &stop_flag));
         let started = Instant::now();
-        while hosts
-            .iter()
-            .any(|shared| shared.relay_mark.load(Ordering::Relaxed) == 0)
-        {
+        // The hosts apply the names at the next exchange with their background threads.
+        let waits =
+            |shared: &Arc<Shared>| shared.relay_mark.load(Ordering::Relaxed) == 0 || shared.relays.lock().is_some();
+        while hosts.iter().any(waits) {
             assert!(started.elapsed() < TEST_TIMEOUT, "no host that relays is named");
             thread::sleep(INTERVAL);
         }
-        // The hosts apply the names at the next exchange with their background threads.
-        thread::sleep(Duration::from_millis(250));
         Self {
             stop,
             thread: Some(thread),
--- a/crates/gateway/tests/relayed_requests.rs
+++ b/crates/gateway/tests/relayed_requests.rs
@@ -129,7 +129,9 @@
     let pair = Pair::start(RetryMode::Stream, 1, &[&upstream]);
     let mut caller = pair.cut.connect();
     caller.send("", "prompt");
+    let sent = Instant::now();
     while upstream.request_count() == 0 {
+        assert!(sent.elapsed() < TEST_TIMEOUT, "the request does not arrive");
         thread::sleep(Duration::from_millis(5));
     }
     drop(caller);
