Log what a request holds, and streams that break off

Lines named a request by the id of one try, so that tries of one caller could not be put together, and a stream that broke off after its first event had no line until it ended. Both now have a hash of account, method, target, prompt and body, which is the same at each try on every host. It is computed only for requests that fail.

No decision goes by it yet.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,6 +7,7 @@
 mod customer;
 mod delta;
 mod error;
+mod fingerprint;
 mod listed;
 mod name;
 mod relay;
@@ -23,6 +24,7 @@
 pub use customer::{Account, Contract, CustomerLimits, KeyHash, MAX_ACCOUNTS, MAX_CLASSES};
 pub use delta::{CatalogDelta, Keyed, ListChanges, RouteKey};
 pub use error::{FieldError, ValidationErrors};
+pub use fingerprint::Fingerprint;
 pub use listed::ListedUpstream;
 pub use name::{
     AccountName, ChangeId, ClassName, CustomerId, DataCenter, HostId, ModelName, NodeId, RequestId, Revision,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -403,7 +403,8 @@
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
         }
-        info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "upstream" => &chosen.id,
+        info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "content" => %self.fingerprint(),
+            "upstream" => &chosen.id,
             "address" => %chosen.address, "fate" => %error, "load" => chosen.load, "heard_ms" => heard_ms,
             "reused" => self.last_reused.get(), "relay" => self.last_relay.get().map(|host| host.to_string()),
             "after_ms" => self.arrived.elapsed().as_millis() as u64,
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -1,6 +1,6 @@
 //! Serves the connections of callers, request by request.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -211,6 +211,7 @@
             last_upstream: RefCell::new(None),
             last_reused: Cell::new(false),
             last_relay: Cell::new(None),
+            fingerprint: OnceCell::new(),
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod events;
 pub mod exchange;
+mod fingerprint;
 pub mod gate;
 pub mod head;
 pub mod lender;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,12 +1,12 @@
 //! Serves one request, from its head to its final response.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use contract::{ClientAccount, RetryMode, Route, ServiceName};
+use contract::{ClientAccount, Fingerprint, RetryMode, Route, ServiceName};
 use metrics::{counter, histogram};
 use policy::retries::SendPermit;
 use rand::Rng;
@@ -68,6 +68,8 @@
     pub last_reused: Cell<bool>,
     /// The host that relayed the last attempt; `None` on the own link.
     pub last_relay: Cell<Option<SocketAddr>>,
+    /// Fingerprint of the request, once it was computed.
+    pub fingerprint: OnceCell<Fingerprint>,
 }
 
 /// Progress of a request, which determines the response when its time is up.
@@ -379,7 +381,9 @@
         let version = gateway.shared.table.load().as_ref().map(|table| table.version());
         let upstream = self.last_upstream.borrow();
         let upstream = upstream.as_ref();
+        let content = (label != "passed").then(|| self.fingerprint().to_string());
         info!(gateway.logger, "request ended"; "request" => &self.info.id, "outcome" => label, "why" => reason,
+            "content" => content,
             "account" => self.account.as_ref().map(|account| account.name.as_str()), "units" => self.quota_units as u64,
             "late" => late, "first_ms" => first_ms, "took_ms" => elapsed.as_millis() as u64,
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -66,6 +66,7 @@
         if !request.progress.get().output_started {
             return Err(error);
         }
+        log_broken(request, gateway, &error, parser.event_count(), kv_copy.is_some());
         let resumed = match &kv_copy {
             Some(kv_copy) => resume_from_copy(request, gateway, &parser, kv_copy, tried).await,
             None => None,
@@ -86,6 +87,15 @@
     }
 }
 
+/// Logs that a stream broke off after its first event.
+fn log_broken(request: &Request, gateway: &Gateway, error: &AttemptError, events: u64, has_copy: bool) {
+    let upstream = request.last_upstream.borrow();
+    info!(gateway.logger, "stream broke off"; "request" => &request.info.id, "content" => %request.fingerprint(),
+        "upstream" => upstream.as_ref().map(|upstream| upstream.id.as_str()), "why" => %error, "events" => events,
+        "copied" => has_copy, "resumable" => request.route.repeat == RetryMode::ResumableStream,
+        "arrivals" => request.progress.get().arrivals);
+}
+
 /// The upstream side of a stream.
 struct EventSource {
     response: UpstreamResponse,
