Log versions of upstreams beside streams that go on

No line told at which version a stream went on, nor which try a caller named as the one that began it. Both are read and logged now; no decision goes by them yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,9 @@
     pub key_hash: Option<KeyHash>,
     /// Id of the last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the try that brought the stream's first event, where the caller goes on with a stream; `None` if it does not
+    /// say.
+    pub resumes: Option<String>,
     /// Token counts of prompt and output; `None` if the caller does not say.
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order; prompts that start with the same parts share them in a cache.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -401,6 +401,8 @@
             "route" => &self.route.name, "service" => %self.service, "sends" => self.progress.get().sends,
             "arrivals" => self.progress.get().arrivals, "budgeted" => self.progress.get().budgeted,
             "upstream" => upstream.map(|upstream| upstream.id.as_str()),
+            "at_version" => upstream.map(|upstream| upstream.version.as_str()),
+            "resumes" => &self.info.resumes, "after" => self.info.last_event,
             "relay" => self.last_relay.get().map(|host| host.to_string()),
             "load" => upstream.map(|upstream| upstream.load),
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -97,7 +97,8 @@
 fn log_broken(request: &Request, gateway: &Gateway, error: &AttemptError, events: u64, has_copy: bool) {
     let upstream = request.last_upstream.borrow();
     info!(gateway.logger, "stream broke off"; "request" => &request.info.id, "content" => %request.fingerprint(),
-        "upstream" => upstream.as_ref().map(|upstream| upstream.id.as_str()), "why" => %error, "events" => events,
+        "upstream" => upstream.as_ref().map(|upstream| upstream.id.as_str()),
+        "version" => upstream.as_ref().map(|upstream| upstream.version.as_str()), "why" => %error, "events" => events,
         "copied" => has_copy, "resumable" => request.route.repeat == RetryMode::ResumableStream,
         "arrivals" => request.progress.get().arrivals);
 }
@@ -243,6 +244,7 @@
         Ok((response, attempt)) if response.is_acceptable() && response.head.start.status == 200 => {
             counter!("gentian_gateway_streams_moved_total").increment(1);
             info!(gateway.logger, "stream moved"; "request" => &request.info.id, "upstream" => &kv_copy.upstream.id,
+                "version" => &kv_copy.upstream.version,
                 "from" => %kv_copy.source, "after" => parser.last_id());
             Some(EventSource::new(response, attempt))
         }
@@ -280,7 +282,7 @@
             Ok((response, attempt)) if response.is_acceptable() && response.head.start.status == 200 => {
                 counter!("gentian_gateway_streams_resumed_total").increment(1);
                 info!(gateway.logger, "stream resumed"; "request" => &request.info.id, "upstream" => &chosen.id,
-                    "after" => parser.last_id());
+                    "version" => &chosen.version, "after" => parser.last_id());
                 return Some(EventSource::new(response, attempt));
             }
             Ok((response, attempt)) => {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -108,6 +108,8 @@
     pub id: String,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of its software; empty if none is known.
+    pub version: String,
     /// Predicted times that led to the choice.
     pub prediction: Prediction,
     /// Load that the prediction assumes, in requests.
@@ -232,6 +234,7 @@
         Ok(ChosenUpstream {
             id: chosen.listed.id.clone(),
             address: chosen.listed.address,
+            version: chosen.listed.version.clone(),
             prediction,
             load: candidate.map_or(0.0, |candidate| candidate.load),
             prefill,
