Let streams go on only at the version that began them

Cause: the version of a stream was a fact about an upstream on the list, looked at only while a rollout was known. A caller who came back at another host with the last event, a host that resumed a stream within a response, and the target of a move were chosen as if the stream began there. The class: a fact about a piece of work is looked up in a list of places, by whoever goes on with it, instead of being kept with the work.

Now a request keeps service and version of the upstream that sends the stream's first event, and goes on only there. The caller names the try that began its stream; while a service has several versions, or had within a minute, hosts tell two state nodes where streams begin, in batches, and ask three of them. Which ones follows from account and id, so that no node holds all of them and the id of another account's request names nothing. Where the version is not known and there are several, or none of its upstreams is left, the request is refused as not run. During a rollout a stream that has begun stays at its version as well.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -10,6 +10,7 @@
 mod fingerprint;
 mod listed;
 mod name;
+mod origin;
 mod relay;
 mod rollout;
 mod rule;
@@ -30,6 +31,7 @@
     AccountName, ChangeId, ClassName, CustomerId, DataCenter, HostId, ModelName, NodeId, RequestId, Revision,
     ServiceName, UpstreamId, Zone,
 };
+pub use origin::StreamOrigin;
 pub use relay::RelayHost;
 pub use rollout::{Histogram, Rollout, RolloutOrder, RolloutState, RolloutTrial, RouteTrial, TrialCounts};
 pub use rule::HostRule;
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -22,6 +22,8 @@
 
 /// Retry delay for a caller refused by a stopping host: by then the balancer sends it to another host.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Retry delay for a caller whose stream can't go on now.
+const NOT_RESUMED_RETRY: Duration = Duration::from_millis(500);
 /// Shortest and longest retry delay for a caller over its quota, in seconds.
 const QUOTA_RETRY_S: (f64, f64) = (0.05, 30.0);
 /// Longest wait for a body whose caller sets no timeout.
@@ -187,6 +189,12 @@
             let refusal = Refusal::closing(503, "not run: the host stops").with_retry_after(STOP_RETRY_AFTER);
             return Err(self.refuse(refusal, &id, false));
         }
+        let origin = gateway.find_origin(&info, account.as_ref(), (&route, &service)).await;
+        let origin = origin.map_err(|reason| {
+            let refusal = Refusal::new(503, format!("not run: {reason}"));
+            self.refuse(refusal.with_retry_after(NOT_RESUMED_RETRY), &id, keep_alive)
+        })?;
+        let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
         let permit = gateway.record_request(&service);
         let admitted = match &account {
             Some(account) => gateway.admit(account, &info).await,
@@ -211,6 +219,7 @@
             last_upstream: RefCell::new(None),
             last_reused: Cell::new(false),
             last_relay: Cell::new(None),
+            origin: RefCell::new(origin),
             fingerprint: OnceCell::new(),
         })
     }
--- a/crates/gateway/src/catalog_follower.rs
+++ b/crates/gateway/src/catalog_follower.rs
@@ -128,6 +128,9 @@
             known.members = update.members.iter().copied().collect();
             known.leader = update.leader.or(known.leader);
         }
+        if **self.sync.shared.members.load() != update.members {
+            self.sync.shared.members.store(Arc::new(update.members.clone()));
+        }
         self.sync.shared.near_node.store(Arc::new(Some(peer)));
         let age = Duration::from_millis(update.age_ms);
         self.adopt_share(update.entry_hosts);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -27,6 +27,7 @@
 
 use crate::dialect::{HeaderCodec, RequestInfo};
 use crate::lender::QuotaBorrower;
+use crate::origins::OriginClient;
 use crate::pool::ConnectionPool;
 use crate::quarantine::{CrashReporter, KnownQuarantine};
 use crate::routing_table::RoutingTable;
@@ -61,6 +62,8 @@
     pub quota_share: ArcSwap<Option<QuotaShare>>,
     /// Internal address of the leader of the state group; `None` while it is unknown.
     pub leader: ArcSwap<Option<SocketAddr>>,
+    /// Internal addresses of the state nodes; empty until one was reached.
+    pub members: ArcSwap<Vec<SocketAddr>>,
     /// Internal address of the state node that answered this host last; `None` before the first answer.
     pub near_node: ArcSwap<Option<SocketAddr>>,
     /// An upstream list that the event loop has not applied yet, with the time at which it was requested.
@@ -167,6 +170,8 @@
     pub(crate) brittle: RefCell<HashMap<ServiceName, Brittleness>>,
     /// Exchanges places at brittle upstreams with the leader.
     pub(crate) slots: Rc<SlotClient>,
+    /// Exchanges origins of streams with state nodes.
+    pub(crate) origins: OriginClient,
     /// Reports upstreams that crash under requests.
     pub(crate) crashes: CrashReporter,
 }
@@ -251,6 +256,7 @@
             stopping: Cell::default(),
             brittle: RefCell::default(),
             slots: Rc::default(),
+            origins: OriginClient::default(),
             crashes: CrashReporter::default(),
         }
     }
@@ -258,7 +264,14 @@
     /// Applies what the background threads have received, and fills in the next heartbeat.
     pub fn exchange_state(&self) {
         if let Some((list, list_time)) = self.shared.new_list.lock().take() {
-            let ended = self.upstreams.borrow_mut().update(list, list_time);
+            let (ended, has_mixed) = {
+                let mut upstreams = self.upstreams.borrow_mut();
+                (upstreams.update(list, list_time), upstreams.take_mixed())
+            };
+            if has_mixed {
+                slog::info!(self.logger, "upstreams have several versions");
+                self.retell_origins();
+            }
             if !ended.is_empty() {
                 slog::info!(self.logger, "upstreams leave"; "upstreams" => ended.join(","));
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod link;
 pub mod moving;
 mod node_clients;
+mod origins;
 mod own_links;
 pub mod pool;
 pub mod quarantine;
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -245,8 +245,8 @@
     /// Chooses the target; a move counts as a retry of the request.
     fn choose_target(&self, request: &Request, gateway: &Rc<Gateway>) -> Option<ChosenUpstream> {
         let tried = [self.source.id.clone()];
-        let version = gateway.upstreams.borrow_mut().version_of(&self.source.id);
-        let chosen = request.choose_of_version(gateway, &tried, version.as_deref()).ok()?;
+        let version = &self.source.version;
+        let chosen = request.choose_of_version(gateway, &tried, Some(version)).ok()?;
         // The copy occupies a slot on the target at once.
         if !chosen.prediction.has_slot || !request.reserve_send(gateway) {
             return None;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use contract::{ClientAccount, Fingerprint, RetryMode, Route, ServiceName};
+use contract::{ClientAccount, Fingerprint, RetryMode, Route, ServiceName, StreamOrigin};
 use metrics::{counter, histogram};
 use policy::retries::SendPermit;
 use rand::Rng;
@@ -68,6 +68,8 @@
     pub last_reused: Cell<bool>,
     /// The host that relayed the last attempt; `None` on the own link.
     pub last_relay: Cell<Option<SocketAddr>>,
+    /// Where the stream began: from the beginning on if the caller goes on with one, otherwise from its first event on.
+    pub origin: RefCell<Option<StreamOrigin>>,
     /// Fingerprint of the request, once it was computed.
     pub fingerprint: OnceCell<Fingerprint>,
 }
@@ -214,11 +216,14 @@
         Outcome::Refused(Refusal::new(503, format!("not run: {reason}")).with_retry_after(delay))
     }
 
+    /// Chooses an upstream; for a stream that has begun, one of the version at which it began.
     pub(crate) fn choose_upstream(&self, gateway: &Gateway, tried: &[String]) -> Result<ChosenUpstream, NoUpstream> {
-        self.choose_of_version(gateway, tried, None)
+        let origin = self.origin.borrow();
+        let version = origin.as_ref().map(|origin| origin.version.as_str());
+        self.choose_of_version(gateway, tried, version)
     }
 
-    /// Chooses an upstream; during a rollout, one of `version` if that is given.
+    /// Chooses an upstream, one of `version` if that is given.
     pub(crate) fn choose_of_version(
         &self,
         gateway: &Gateway,
@@ -349,6 +354,22 @@
         self.progress.set(progress);
     }
 
+    /// Records at which version the stream began, with its first event.
+    pub(crate) fn record_began(&self, gateway: &Gateway) {
+        if self.route.repeat != RetryMode::ResumableStream || self.origin.borrow().is_some() {
+            return;
+        }
+        let upstream = self.last_upstream.borrow();
+        let Some(upstream) = upstream.as_ref() else {
+            return;
+        };
+        self.origin.replace(Some(StreamOrigin {
+            service: self.service.clone(),
+            version: upstream.version.clone(),
+        }));
+        gateway.record_origin(self);
+    }
+
     /// Counts the request as started, once.
     pub(crate) fn count_usage(&self, gateway: &Gateway) {
         let mut progress = self.progress.get();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -72,13 +72,12 @@
         };
         let plan = &known.plan;
         let is_new = |upstream: &&Upstream| upstream.listed.version == plan.version;
-        if let Some(version) = need.version {
-            serving.retain(|upstream| upstream.listed.version == version);
-        }
         let age = now.since(known.received_at);
         let choice = choose_version(plan.state, plan.share, age, need.draw, !need.tried.is_empty());
         match choice {
             VersionChoice::NeverNew => serving.retain(|upstream| !is_new(upstream)),
+            // A stream goes on at the version that began it, whatever the share of the new one is by now.
+            _ if need.version.is_some() => {}
             VersionChoice::New if serving.iter().any(is_new) => {
                 if plan.state == RolloutState::Running && plan.share < 1.0 {
                     retain_canaries(serving, plan);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -100,6 +100,7 @@
         info!(self.gateway.logger, "serving"; "callers" => %settings.callers, "ready" => %settings.ready);
         spawn_local(Rc::clone(&self.gateway).release_slots());
         spawn_local(Rc::clone(&self.gateway).report_crashes());
+        spawn_local(Rc::clone(&self.gateway).tell_origins());
         let mut was_ready = false;
         let rate_reporter = RateReporter::default();
         loop {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -196,6 +196,7 @@
         let (events, parse_error) = take_events(parser);
         if !events.is_empty() {
             request.count_usage(gateway);
+            request.record_began(gateway);
             request.record_output();
             source.attempt.record_first_event();
             let written = sink.write(&events).await;
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -4,7 +4,7 @@
 mod upstream;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use policy::breaker::Breaker;
 use policy::fetch::plan_fetch;
 use policy::homes::{PartUsage, assume_former_homes_cached, assume_home_cached};
+use policy::origins::VersionMix;
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
@@ -45,6 +46,10 @@
     part_usage: PartUsage,
     /// Rollouts that run or have just ended.
     pub rollouts: Rollouts,
+    /// When each service last had several versions.
+    mixes: HashMap<ServiceName, VersionMix>,
+    /// Whether the last list brought a second version of a service.
+    has_mixed: bool,
     /// When the newest list was requested; `None` before the first one.
     pub list_time: Option<Tick>,
 }
@@ -70,7 +75,7 @@
     pub copy_ms: Option<f64>,
     /// Uniform in 0 to 1 and the same for all attempts of a request; chooses the version during a rollout.
     pub draw: f64,
-    /// Version that the upstream has to have during a rollout; `None` for any.
+    /// Version that the upstream has to have; `None` for any.
     pub version: Option<&'a str>,
 }
 
@@ -126,6 +131,9 @@
     /// The list has none for the service.
     #[display("no upstream is listed")]
     NoneListed,
+    /// The list has none of the version that the request needs.
+    #[display("no upstream of the stream's version is listed")]
+    NoVersion,
     /// All listed ones fail or were tried.
     #[display("every upstream fails")]
     AllFailing,
@@ -181,9 +189,38 @@
         }
         ended.extend(previous.into_keys());
         self.list_time = Some(list_time);
+        self.record_versions(list_time);
         ended
     }
 
+    /// Records how many versions each service has.
+    fn record_versions(&mut self, now: Tick) {
+        let mut versions: HashMap<&ServiceName, HashSet<&str>> = HashMap::new();
+        for upstream in self.all.values() {
+            let listed = &upstream.listed;
+            versions.entry(&listed.service).or_default().insert(&listed.version);
+        }
+        for (service, versions) in versions {
+            let mix = self.mixes.entry(service.clone()).or_default();
+            self.has_mixed |= mix.record(versions.len(), now);
+        }
+    }
+
+    /// Returns whether a service has got a second version since the last call.
+    pub(crate) fn take_mixed(&mut self) -> bool {
+        std::mem::take(&mut self.has_mixed)
+    }
+
+    /// Returns whether streams of several versions of a service may be running, as far as is known.
+    pub(crate) fn is_mixed(&self, service: &ServiceName, now: Tick) -> bool {
+        self.mixes.get(service).is_some_and(|mix| mix.is_mixed(now))
+    }
+
+    /// Returns whether streams of several versions of a service may be running, also from before its list was known.
+    pub(crate) fn may_be_mixed(&self, service: &ServiceName, now: Tick) -> bool {
+        self.mixes.get(service).is_none_or(|mix| mix.may_be_mixed(now))
+    }
+
     /// Chooses an upstream for a request.
     ///
     /// # Errors
@@ -266,6 +303,14 @@
     fn usable(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<Vec<&Upstream>, NoUpstream> {
         let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
         let mut serving: Vec<&Upstream> = self.all.values().filter(serves).collect();
+        if let Some(version) = need.version
+            && !serving.is_empty()
+        {
+            serving.retain(|upstream| upstream.listed.version == version);
+            if serving.is_empty() {
+                return Err(NoUpstream::NoVersion);
+            }
+        }
         self.rollouts.retain_version(&mut serving, need, now);
         if serving.is_empty() {
             return Err(NoUpstream::NoneListed);
@@ -360,12 +405,6 @@
         self.rollouts.start_trial(service, route, upstream)
     }
 
-    /// Returns the version of an upstream; `None` if it is not listed.
-    #[must_use]
-    pub fn version_of(&self, id: &str) -> Option<String> {
-        self.all.get(id).map(|upstream| upstream.listed.version.clone())
-    }
-
     /// Returns the address of an upstream of a service; `None` if it is not listed.
     #[must_use]
     pub fn address_of(&self, service: &ServiceName, id: &str) -> Option<SocketAddr> {
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -28,6 +28,7 @@
     CatalogRpcClient, CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded,
 };
 use wire::client::MAX_MESSAGE_BYTES;
+use wire::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
 use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use wire::rollout::{RolloutCall, RolloutReply};
@@ -282,6 +283,14 @@
         to_rpc_result(self.node.release_slots(request).await)
     }
 
+    async fn tell_origins(&self, request: Envelope<TellOrigins>) -> RpcResult<Envelope<ToldOrigins>> {
+        to_rpc_result(self.node.tell_origins(request).await)
+    }
+
+    async fn ask_origin(&self, request: Envelope<AskOrigin>) -> RpcResult<Envelope<KnownOrigin>> {
+        to_rpc_result(self.node.ask_origin(request).await)
+    }
+
     async fn report_crashes(&self, request: Envelope<ReportCrashes>) -> RpcResult<Envelope<ReportReply>> {
         to_rpc_result(self.node.report_crashes(request).await)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod life;
 pub mod limits;
 pub mod load;
+pub mod origins;
 pub mod pace;
 pub mod paging;
 pub mod parts;
--- /dev/null
+++ b/crates/policy/tests/stream_origins.rs
@@ -0,0 +1,96 @@
+//! What hosts and state nodes remember of the versions at which streams began.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use contract::{Fingerprint, ServiceName, StreamOrigin};
+use policy::Tick;
+use policy::origins::{ASKED, HOMES, MEMORY_TIME, StreamOrigins, VersionMix, home_nodes};
+use quickcheck::quickcheck;
+
+fn stream(content: u64) -> Fingerprint {
+    Fingerprint { account: 1, content }
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: ServiceName::from("m"),
+        version: version.to_owned(),
+    }
+}
+
+fn nodes(count: u16) -> Vec<SocketAddr> {
+    (0..count).map(|index| ([10, 0, 0, 1], index).into()).collect()
+}
+
+/// Guards against a stream whose origin is replaced by the version of a later try.
+#[test]
+fn first_counts() {
+    let mut origins = StreamOrigins::default();
+    let now = Tick::from_millis(100);
+    assert!(origins.record(stream(1), &origin("v1"), now));
+    assert!(!origins.record(stream(1), &origin("v2"), now));
+    assert_eq!(origins.get(&stream(1), now), Some(&origin("v1")));
+    assert_eq!(origins.get(&Fingerprint { account: 2, content: 1 }, now), None);
+}
+
+/// Guards against memory that grows with the number of streams, and against origins that are forgotten while streams last.
+#[test]
+fn bounded_memory() {
+    let mut origins = StreamOrigins::default();
+    let now = Tick::from_millis(100);
+    for content in 0..100_000 {
+        origins.record(stream(content), &origin("v1"), now);
+    }
+    assert!(origins.len() < 70_000, "{} origins", origins.len());
+    assert!(origins.get(&stream(99_999), now + Duration::from_secs(30)).is_some());
+    let later = now + MEMORY_TIME;
+    assert!(origins.get(&stream(99_999), later).is_none());
+    origins.record(stream(0), &origin("v2"), later);
+    assert_eq!(origins.len(), 1);
+}
+
+/// Guards against state nodes of which one is told of most streams.
+#[test]
+fn even_homes() {
+    let nodes = nodes(8);
+    let mut told: HashMap<SocketAddr, usize> = HashMap::new();
+    for content in 0..4_000 {
+        for node in home_nodes(&stream(content), &nodes, HOMES) {
+            *told.entry(node).or_default() += 1;
+        }
+    }
+    assert!(told.values().all(|count| (800..1_200).contains(count)), "{told:?}");
+}
+
+quickcheck! {
+    /// A node that was told is asked, also if another one has joined or left meanwhile.
+    fn nodes_change(content: u64, count: u8, lost: u8) -> bool {
+        let all = nodes(u16::from(count % 20) + 3);
+        let mut fewer = all.clone();
+        fewer.remove(usize::from(lost) % all.len());
+        let told = home_nodes(&stream(content), &all, HOMES);
+        let asked = home_nodes(&stream(content), &fewer, ASKED);
+        let told_fewer = home_nodes(&stream(content), &fewer, HOMES);
+        let asked_all = home_nodes(&stream(content), &all, ASKED);
+        told.iter().any(|node| asked.contains(node)) && told_fewer.iter().any(|node| asked_all.contains(node))
+    }
+}
+
+/// Guards against streams that cross over just after the last upstream of a version has left, or on a host that has just
+/// started.
+#[test]
+fn mixed_for_a_while() {
+    let at = |ms| Tick::from_millis(ms);
+    let mut mix = VersionMix::default();
+    assert!(mix.may_be_mixed(at(0)));
+    assert!(!mix.record(1, at(0)));
+    assert!(!mix.is_mixed(at(1_000)) && mix.may_be_mixed(at(1_000)));
+    assert!(!mix.may_be_mixed(at(0) + MEMORY_TIME));
+    assert!(mix.record(2, at(70_000)));
+    assert!(!mix.record(2, at(71_000)), "it is news once");
+    mix.record(1, at(72_000));
+    assert!(mix.is_mixed(at(100_000)));
+    assert!(!mix.may_be_mixed(at(71_000) + MEMORY_TIME));
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,6 +11,7 @@
 mod list_changes;
 pub mod lists;
 pub mod notices;
+pub mod origins;
 pub mod peers;
 pub mod program;
 mod quarantine;
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 use wire::Envelope;
 use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded};
+use wire::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
 use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
 use wire::raft::{Packet, RaftRpcServer};
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply, Lender};
@@ -27,6 +28,7 @@
 
 use crate::applied::{Command, Reply};
 use crate::core::StateRequest;
+use crate::origins::OriginStore;
 use crate::peers::PeerBatch;
 use crate::registry::{EntryRegistry, SharedLimits};
 
@@ -48,6 +50,7 @@
     node: NodeId,
     requests: Sender<StateRequest>,
     registry: Arc<EntryRegistry>,
+    origins: Arc<OriginStore>,
     clock: Clock,
     logger: Logger,
 }
@@ -55,7 +58,7 @@
 impl Rpc {
     /// Creates the server; calls become requests to the thread that owns the state.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         node: NodeId,
         requests: Sender<StateRequest>,
         registry: Arc<EntryRegistry>,
@@ -66,6 +69,7 @@
             node,
             requests,
             registry,
+            origins: Arc::default(),
             clock,
             logger,
         }
@@ -291,6 +295,14 @@
         Ok(self.envelope(lease.map_or(TakeSlotReply::Full, TakeSlotReply::Leased)))
     }
 
+    async fn tell_origins(&self, request: Envelope<TellOrigins>) -> RpcResult<Envelope<ToldOrigins>> {
+        Ok(self.envelope(self.origins.record(&request.body, self.clock.now())))
+    }
+
+    async fn ask_origin(&self, request: Envelope<AskOrigin>) -> RpcResult<Envelope<KnownOrigin>> {
+        Ok(self.envelope(self.origins.find(&request.body, self.clock.now())))
+    }
+
     async fn report_crashes(&self, request: Envelope<ReportCrashes>) -> RpcResult<Envelope<ReportReply>> {
         let leadership = self.request(StateRequest::Leadership).await?.body;
         if leadership.since.is_none() {
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Envelope;
+use crate::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
 use crate::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
 use crate::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use crate::rollout::{RolloutCall, RolloutReply};
@@ -49,6 +50,14 @@
     #[method(name = "release_slots")]
     async fn release_slots(&self, request: Envelope<ReleaseSlots>) -> RpcResult<()>;
 
+    /// Tells the node where streams began.
+    #[method(name = "tell_origins")]
+    async fn tell_origins(&self, request: Envelope<TellOrigins>) -> RpcResult<Envelope<ToldOrigins>>;
+
+    /// Asks the node where a stream began.
+    #[method(name = "ask_origin")]
+    async fn ask_origin(&self, request: Envelope<AskOrigin>) -> RpcResult<Envelope<KnownOrigin>>;
+
     /// Tells the leader of upstreams that crashed under requests.
     #[method(name = "report_crashes")]
     async fn report_crashes(&self, request: Envelope<ReportCrashes>) -> RpcResult<Envelope<ReportReply>>;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod digest;
 pub mod entry;
 mod envelope;
+pub mod origins;
 pub mod quarantine;
 pub mod raft;
 pub mod registry;
