Notice crashes of upstreams that accept connections to the last

Cause: an upstream that crashes closes its connections and its listener one after the other, and the outcome 'alive' was used for connections that broke after the check. Now a new connection has to stay open for 10 ms, and a check tells only of connections that broke before or within that time. crashed_upstreams/slow_crash had 4 arrivals before, 3 allowed; 3 in three runs after.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -13,15 +13,17 @@
 use policy::quarantine::{Crash, CrashHistory, MAX_CRASHES, MEMORY_TIME};
 use slog::{info, warn};
 use tokio::sync::{Notify, OnceCell, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wire::Envelope;
 use wire::catalog::CatalogRpcClient;
 use wire::quarantine::{QuarantineMark, QuarantineNews, ReportCrashes, ReportReply, ReportedCrash};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dial::DialError;
 use crate::exchange::AttemptError;
 use crate::gate::Gateway;
 use crate::node_clients::NodeClients;
+use crate::pool::Connection;
 use crate::request::Request;
 use crate::upstreams::ChosenUpstream;
 
@@ -29,8 +31,12 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest wait for a connection that shows that an upstream still exists.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which the outcome of such a check holds; all requests of an upstream that crashes break within it.
+/// Time for which an upstream counts as crashed after such a check; all its requests break within it.
 const CHECK_TIME: Duration = Duration::from_millis(200);
+/// Time that a new connection has to stay open: an upstream that is crashing may accept it and close it at once.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
+/// Most connections that are opened to find out; an upstream that closes them all has too many, but goes on.
+const MAX_CONNECTIONS: usize = 3;
 /// Time for which the leader's count is used until its news arrive.
 const COUNT_TIME: Duration = Duration::from_secs(1);
 
@@ -78,6 +84,13 @@
     crashed: OnceCell<bool>,
 }
 
+impl CrashCheck {
+    /// Returns whether the check also tells of a connection that broke at some time.
+    fn covers(&self, broken_at: Tick) -> bool {
+        self.crashed.get() == Some(&true) || broken_at.since(self.begun) < SETTLE_TIME
+    }
+}
+
 /// A crash that the leader has not been told of.
 #[derive(Debug)]
 struct Unreported {
@@ -191,6 +204,7 @@
         let check = {
             let mut checks = self.crashes.checks.borrow_mut();
             checks.retain(|_, check| now.since(check.begun) < CHECK_TIME);
+            checks.retain(|id, check| *id != chosen.id || check.covers(now));
             let new = || {
                 Rc::new(CrashCheck {
                     begun: now,
@@ -206,26 +220,39 @@
     }
 
     async fn refuses_connection(&self, service: &ServiceName, chosen: &ChosenUpstream, request_id: &str) -> bool {
-        match self.dial(service, chosen, request_id, CHECK_TIMEOUT).await {
-            Ok(connection) => {
-                self.pool.borrow_mut().put(connection, None);
-                false
-            }
-            Err(error) => {
-                let is_in_doubt = self.is_isolated(service) && !error.is_confirmed();
-                let is_cut = is_in_doubt && !self.reaches_another(service, &chosen.id).await;
-                info!(self.logger, "upstream takes no connection"; "request" => request_id, "service" => %service,
-                    "upstream" => &chosen.id, "cut_off" => is_cut, "error" => %error);
-                if is_cut {
+        for _ in 0..MAX_CONNECTIONS {
+            match self.dial(service, chosen, request_id, CHECK_TIMEOUT).await {
+                Ok(connection) if stays_open(&connection).await => {
+                    self.pool.borrow_mut().put(connection, None);
                     return false;
                 }
-                let now = self.clock.now();
-                if let Some(upstream) = self.upstreams.borrow_mut().get_mut(&chosen.id) {
-                    upstream.record_connect_failure(now);
-                }
-                true
+                Ok(_closed) => sleep(SETTLE_TIME).await,
+                Err(error) => return self.is_gone(service, chosen, request_id, &error).await,
             }
         }
+        false
+    }
+
+    /// Returns whether an upstream that took no connection is gone, and not this host cut off from it.
+    async fn is_gone(
+        &self,
+        service: &ServiceName,
+        chosen: &ChosenUpstream,
+        request_id: &str,
+        error: &DialError,
+    ) -> bool {
+        let is_in_doubt = self.is_isolated(service) && !error.is_confirmed();
+        let is_cut = is_in_doubt && !self.reaches_another(service, &chosen.id).await;
+        info!(self.logger, "upstream takes no connection"; "request" => request_id, "service" => %service,
+            "upstream" => &chosen.id, "cut_off" => is_cut, "error" => %error);
+        if is_cut {
+            return false;
+        }
+        let now = self.clock.now();
+        if let Some(upstream) = self.upstreams.borrow_mut().get_mut(&chosen.id) {
+            upstream.record_connect_failure(now);
+        }
+        true
     }
 
     /// Tells the leader of crashes as they are found out, several at a time.
@@ -309,3 +336,8 @@
         reporter.has_news.notify_one();
     }
 }
+
+/// Returns whether the other side leaves a new connection open.
+async fn stays_open(connection: &Connection) -> bool {
+    timeout(SETTLE_TIME, connection.stream.peek(&mut [0])).await.is_err()
+}
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -68,12 +69,23 @@
     /// Starts an upstream that answers with 200; some time after a request with a certain body it closes its listener and
     /// the connection.
     pub fn start_mortal(deadly_body: &'static str, delay: Duration) -> Self {
+        Self::start_crashing(deadly_body, delay, Duration::ZERO)
+    }
+
+    /// Starts an upstream that closes the connection of a request with a certain body, and its listener some time later;
+    /// it closes the connections that it accepts meanwhile.
+    pub fn start_dying(deadly_body: &'static str, linger: Duration) -> Self {
+        Self::start_crashing(deadly_body, Duration::ZERO, linger)
+    }
+
+    fn start_crashing(deadly_body: &'static str, delay: Duration, linger: Duration) -> Self {
         let address = free_address();
         let listener = TcpListener::bind(address).unwrap();
         let (requests, closed) = (Arc::default(), Arc::default());
         let (received, closed_at) = (Arc::clone(&requests), Arc::clone(&closed));
         thread::spawn(move || {
             let listener = Arc::new(Mutex::new(Some(listener)));
+            let dying = Arc::new(AtomicBool::new(false));
             loop {
                 let accepted = listener.lock().as_ref().map(|open| {
                     open.set_nonblocking(true).unwrap();
@@ -86,12 +98,26 @@
                     thread::sleep(Duration::from_millis(2));
                     continue;
                 };
+                if dying.load(Ordering::Relaxed) {
+                    continue;
+                }
                 stream.set_nonblocking(false).unwrap();
                 let (own, received, closed_at) = (Arc::clone(&listener), Arc::clone(&received), Arc::clone(&closed_at));
+                let dying = Arc::clone(&dying);
                 let script = move |request: &ReceivedRequest, stream: &mut TcpStream| {
                     if request.body == deadly_body.as_bytes() {
                         thread::sleep(delay);
-                        *own.lock() = None;
+                        dying.store(true, Ordering::Relaxed);
+                        let own = Arc::clone(&own);
+                        let close = move || {
+                            thread::sleep(linger);
+                            *own.lock() = None;
+                        };
+                        if linger.is_zero() {
+                            close();
+                        } else {
+                            thread::spawn(close);
+                        }
                         return false;
                     }
                     respond(request, stream, "200 OK", "Signed: s\r\n", "")
--- a/crates/gateway/tests/crashed_upstreams.rs
+++ b/crates/gateway/tests/crashed_upstreams.rs
@@ -13,6 +13,8 @@
 /// Tries of a caller, each of which may reach two upstreams.
 const TRIES: usize = 5;
 const UPSTREAMS: usize = 12;
+/// Time for which an upstream that crashes accepts connections.
+const LINGER: Duration = Duration::from_millis(6);
 
 /// Returns an upstream that closes the connection of each request without a response, and lives on.
 fn closing() -> Upstream {
@@ -78,3 +80,15 @@
     }
     assert_eq!(statuses, [502; TRIES]);
 }
+
+/// Guards against a crash that goes unnoticed because the upstream accepted a last connection and closed it.
+#[test]
+fn slow_crash() {
+    let dying: Vec<Upstream> = (0..UPSTREAMS)
+        .map(|_| Upstream::start_dying("deadly", LINGER))
+        .collect();
+    let host = Host::start(RetryMode::Idempotent, 2, &dying.iter().collect::<Vec<_>>());
+    let statuses: Vec<u16> = (0..TRIES).map(|_| host.request("", "deadly").status).collect();
+    let arrivals: usize = dying.iter().map(Upstream::request_count).sum();
+    assert_eq!(arrivals, 3, "responses {statuses:?}");
+}
