Pin that streams that have begun stay at their version during a rollout

gateway/rollout_versions had no stream that goes on: one at the version on trial, one at the old version after a rollout, and one whose version was rolled back.

--- a/crates/gateway/tests/rollout_versions.rs
+++ b/crates/gateway/tests/rollout_versions.rs
@@ -43,6 +43,16 @@
 
 /// Returns the version that a request goes to, `age` after the plan arrived.
 fn choose(upstreams: &Upstreams, draw: f64, tried: &[String], age: Duration) -> Result<String, NoUpstream> {
+    choose_after(upstreams, None, (draw, tried), age)
+}
+
+/// Returns the version that a stream goes on at that began at `began`; `None` if it has not begun.
+fn choose_after(
+    upstreams: &Upstreams,
+    began: Option<&str>,
+    (draw, tried): (f64, &[String]),
+    age: Duration,
+) -> Result<String, NoUpstream> {
     let (service, zone) = (ServiceName::from("till"), Zone::from("z"));
     let need = UpstreamNeed {
         service: &service,
@@ -54,7 +64,7 @@
         entry_hosts: 1,
         copy_ms: None,
         draw,
-        version: None,
+        version: began,
     };
     let chosen = upstreams.choose(&need, NOW + age)?;
     Ok(chosen.id.split('-').next_back().unwrap_or_default().to_owned())
@@ -97,3 +107,19 @@
     let new_only = upstreams(&["v2"], RolloutState::Running, 0.1);
     assert_eq!(choose(&new_only, 0.9, &[], Duration::ZERO), Ok("v2".to_owned()));
 }
+
+/// Guards against streams that go on at another version because of the share or the end of a rollout.
+#[test]
+fn begun_streams_stay() {
+    let tried = ["u2-v2".to_owned()];
+    let goes_on = |upstreams: &Upstreams, began| choose_after(upstreams, Some(began), (0.5, &tried), Duration::ZERO);
+    let versions = ["v1", "v1", "v2", "v2"];
+    let running = upstreams(&versions, RolloutState::Running, 0.1);
+    assert_eq!(goes_on(&running, "v2"), Ok("v2".to_owned()));
+    assert_eq!(goes_on(&running, "v1"), Ok("v1".to_owned()));
+    assert_eq!(goes_on(&running, "v0"), Err(NoUpstream::NoVersion));
+    let succeeded = upstreams(&versions, RolloutState::Succeeded, 1.0);
+    assert_eq!(goes_on(&succeeded, "v1"), Ok("v1".to_owned()));
+    let rolled_back = upstreams(&versions, RolloutState::RolledBack, 0.0);
+    assert_eq!(goes_on(&rolled_back, "v2"), Err(NoUpstream::NoneListed));
+}
