Find out about crashes apart from the request that shows them

A request that must run once and whose connection broke was answered only after the check of its upstream, 10 ms later or up to 100; what has been given up on is answered at once. And a caller who left during the check took the crash along, uncounted. Read in the code, no test shows either. The check runs on its own now, and only a request that may be sent again waits for it.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -13,6 +13,7 @@
 use policy::quarantine::{Crash, CrashHistory, MAX_CRASHES, MEMORY_TIME};
 use slog::{info, warn};
 use tokio::sync::{Notify, OnceCell, oneshot};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use wire::Envelope;
 use wire::catalog::CatalogRpcClient;
@@ -91,6 +92,18 @@
     }
 }
 
+/// An attempt whose connection ended before the response was complete.
+#[derive(Debug)]
+struct BrokenAttempt {
+    fingerprint: Fingerprint,
+    /// Id of the caller's try.
+    request: String,
+    service: ServiceName,
+    upstream: ChosenUpstream,
+    /// When the connection ended.
+    at: Tick,
+}
+
 /// A crash that the leader has not been told of.
 #[derive(Debug)]
 struct Unreported {
@@ -122,54 +135,70 @@
     /// Records that an attempt broke off if its upstream has crashed, and has the leader count it.
     ///
     /// Broken connections alone say little: they may have been reset, and an upstream that was announced to leave ends as
-    /// planned. It has crashed if it also takes no new connection, from other hosts either if this one is cut off.
-    pub(crate) async fn record_crash(&self, request: &Request, chosen: &ChosenUpstream, error: &AttemptError) {
-        let at = self.clock.now();
+    /// planned. It has crashed if it also takes no new connection, from other hosts either if this one is cut off. The
+    /// crash counts also if the caller leaves meanwhile. A request that is not sent again doesn't wait for it.
+    pub(crate) async fn record_crash(
+        self: &Rc<Self>,
+        request: &Request,
+        chosen: &ChosenUpstream,
+        error: &AttemptError,
+    ) {
         if !error.is_closed() || !self.stays_listed(&chosen.id) {
             return;
         }
-        if !self.has_crashed(request, chosen).await {
+        let broken = BrokenAttempt {
+            fingerprint: request.fingerprint(),
+            request: request.info.id.clone(),
+            service: request.service.clone(),
+            upstream: chosen.clone(),
+            at: self.clock.now(),
+        };
+        let recorded = spawn_local(Rc::clone(self).check_broken(broken));
+        if request.is_idempotent()
+            && let Err(error) = recorded.await
+        {
+            warn!(self.logger, "crash not recorded"; "request" => &request.info.id, "error" => %error);
+        }
+    }
+
+    async fn check_broken(self: Rc<Self>, broken: BrokenAttempt) {
+        if !self.has_crashed(&broken).await {
             return;
         }
-        let (seen_here, count) = self.note_crash(request, chosen, at);
-        // A request that is not sent again need not wait for the count.
-        let counted = if request.is_idempotent() {
-            count.await.ok()
-        } else {
-            None
-        };
-        let fingerprint = request.fingerprint();
+        let (seen_here, count) = self.note_crash(&broken);
+        // The report may have been lost; then only this host's count is known.
+        let counted = count.await.ok();
         if counted.is_some_and(|counted| counted as usize >= MAX_CRASHES) {
-            self.crashes.counted.borrow_mut().insert(fingerprint, self.clock.now());
+            let mut counted = self.crashes.counted.borrow_mut();
+            counted.insert(broken.fingerprint, self.clock.now());
         }
-        info!(self.logger, "upstream crashed under a request"; "request" => &request.info.id,
-            "content" => %fingerprint, "service" => %request.service, "upstream" => &chosen.id,
+        info!(self.logger, "upstream crashed under a request"; "request" => &broken.request,
+            "content" => %broken.fingerprint, "service" => %broken.service, "upstream" => &broken.upstream.id,
             "seen_here" => seen_here, "counted" => counted,
-            "took_ms" => self.clock.now().since(at).as_millis() as u64);
+            "took_ms" => self.clock.now().since(broken.at).as_millis() as u64);
     }
 
     /// Adds a crash to the history and to the next report; returns how many this host has seen under the request, and a
     /// receiver of the leader's count.
-    fn note_crash(&self, request: &Request, chosen: &ChosenUpstream, at: Tick) -> (usize, oneshot::Receiver<u32>) {
+    fn note_crash(&self, broken: &BrokenAttempt) -> (usize, oneshot::Receiver<u32>) {
         let crash = Crash {
-            upstream: xxh3_64(chosen.id.as_bytes()),
-            attempt: xxh3_64(request.info.id.as_bytes()),
-            at,
+            upstream: xxh3_64(broken.upstream.id.as_bytes()),
+            attempt: xxh3_64(broken.request.as_bytes()),
+            at: broken.at,
         };
-        let fingerprint = request.fingerprint();
-        counter!("gentian_gateway_crashes_total", "service" => request.service.to_string()).increment(1);
+        counter!("gentian_gateway_crashes_total", "service" => broken.service.to_string()).increment(1);
         let mut history = self.crashes.history.borrow_mut();
-        if !history.record(fingerprint, crash, at) {
+        if !history.record(broken.fingerprint, crash, broken.at) {
             counter!("gentian_gateway_crashes_unrecorded_total").increment(1);
         }
         let (reply, count) = oneshot::channel();
         self.crashes.unreported.borrow_mut().push(Unreported {
-            request: fingerprint,
+            request: broken.fingerprint,
             crash,
             reply: Some(reply),
         });
         self.crashes.has_news.notify_one();
-        (history.count(&fingerprint, at), count)
+        (history.count(&broken.fingerprint, broken.at), count)
     }
 
     /// Forgets the crashes under a request that has run to its end.
@@ -199,23 +228,24 @@
     }
 
     /// Returns whether an upstream takes no connection any more. Requests that break together share a check.
-    async fn has_crashed(&self, request: &Request, chosen: &ChosenUpstream) -> bool {
+    async fn has_crashed(&self, broken: &BrokenAttempt) -> bool {
         let now = self.clock.now();
         let check = {
             let mut checks = self.crashes.checks.borrow_mut();
-            checks.retain(|_, check| now.since(check.begun) < CHECK_TIME);
-            checks.retain(|id, check| *id != chosen.id || check.covers(now));
+            checks.retain(|id, check| {
+                now.since(check.begun) < CHECK_TIME && (*id != broken.upstream.id || check.covers(broken.at))
+            });
             let new = || {
                 Rc::new(CrashCheck {
                     begun: now,
                     crashed: OnceCell::new(),
                 })
             };
-            Rc::clone(checks.entry(chosen.id.clone()).or_insert_with(new))
+            Rc::clone(checks.entry(broken.upstream.id.clone()).or_insert_with(new))
         };
         *check
             .crashed
-            .get_or_init(|| self.refuses_connection(&request.service, chosen, &request.info.id))
+            .get_or_init(|| self.refuses_connection(&broken.service, &broken.upstream, &broken.request))
             .await
     }
 
