Remember that versions serve side by side while the list does not change

A host is told of the list of upstreams when it changes. When two versions had served for a minute without a change, it took the service for one with a single version: it told and asked nobody where streams began, and a stream that a caller took up could cross over. Found by reading. policy/stream_origins::mixed_for_a_while failed with the new line on the code before.

--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -100,26 +100,28 @@
 pub struct VersionMix {
     /// When the versions were first known.
     first_at: Option<Tick>,
-    /// When there were last several.
-    mixed_at: Option<Tick>,
+    /// Whether there are several.
+    several: bool,
+    /// When there were last several, if there are not now.
+    ended_at: Option<Tick>,
 }
 
 impl VersionMix {
     /// Records how many versions are listed. Returns whether there are several, and were not before.
     pub fn record(&mut self, versions: usize, now: Tick) -> bool {
         self.first_at.get_or_insert(now);
-        if versions < 2 {
-            return false;
-        }
         let was_mixed = self.is_mixed(now);
-        self.mixed_at = Some(now);
-        !was_mixed
+        if self.several && versions < 2 {
+            self.ended_at = Some(now);
+        }
+        self.several = versions > 1;
+        self.several && !was_mixed
     }
 
     /// Returns whether streams of several versions may be running, as far as is known.
     #[must_use]
     pub fn is_mixed(&self, now: Tick) -> bool {
-        self.mixed_at.is_some_and(|at| now.since(at) < MEMORY_TIME)
+        self.several || self.ended_at.is_some_and(|at| now.since(at) < MEMORY_TIME)
     }
 
     /// Returns whether streams of several versions may be running, also from before the versions were known here.
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -90,7 +90,8 @@
     assert!(!mix.may_be_mixed(at(0) + MEMORY_TIME));
     assert!(mix.record(2, at(70_000)));
     assert!(!mix.record(2, at(71_000)), "it is news once");
-    mix.record(1, at(72_000));
-    assert!(mix.is_mixed(at(100_000)));
-    assert!(!mix.may_be_mixed(at(71_000) + MEMORY_TIME));
+    assert!(mix.is_mixed(at(500_000)), "the list has not changed since");
+    mix.record(1, at(510_000));
+    assert!(mix.is_mixed(at(520_000)));
+    assert!(!mix.may_be_mixed(at(510_000) + MEMORY_TIME));
 }
