--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,7 +22,7 @@
     pub last_event: Option<u64>,
     /// Id of the try that brought the stream's first event, where the caller goes on with a stream; `None` if it does not
     /// say.
-    pub resumes: Option<String>,
+    pub began_as: Option<String>,
     /// Token counts of prompt and output; `None` if the caller does not say.
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order; prompts that start with the same parts share them in a cache.
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -72,7 +72,7 @@
             return Ok(None);
         }
         let begun = self.clock.now();
-        let stream = info.resumes.as_deref().map(|id| stream_key(account, id));
+        let stream = info.began_as.as_deref().map(|id| stream_key(account, id));
         let (origin, known) = match stream {
             Some(stream) => self.look_up(&stream, service).await,
             None => (None, "not named"),
@@ -86,7 +86,7 @@
             None => Ok(None),
         };
         let version = found.as_ref().ok().and_then(Option::as_ref);
-        info!(self.logger, "stream is taken up"; "request" => &info.id, "resumes" => &info.resumes,
+        info!(self.logger, "stream is taken up"; "request" => &info.id, "began_as" => &info.began_as,
             "after" => info.last_event, "version" => version.map(|origin| origin.version.as_str()), "known" => known,
             "mixed" => is_mixed, "error" => found.as_ref().err().map(ToString::to_string),
             "took_ms" => now.since(begun).as_millis() as u64);
@@ -155,7 +155,7 @@
         };
         let id = request
             .info
-            .resumes
+            .began_as
             .as_deref()
             .filter(|_| request.info.last_event.is_some());
         let stream = stream_key(request.account.as_ref(), id.unwrap_or(&request.info.id));
@@ -226,6 +226,24 @@
     }
 }
 
+impl Request {
+    /// Records at which version the stream began, with its first event.
+    pub(crate) fn record_began(&self, gateway: &Gateway) {
+        if self.route.repeat != RetryMode::ResumableStream || self.origin.borrow().is_some() {
+            return;
+        }
+        let upstream = self.last_upstream.borrow();
+        let Some(upstream) = upstream.as_ref() else {
+            return;
+        };
+        self.origin.replace(Some(StreamOrigin {
+            service: self.service.clone(),
+            version: upstream.version.clone(),
+        }));
+        gateway.record_origin(self);
+    }
+}
+
 /// Returns the key of a stream by the id of the try that began it. The account is part of it, so that an id of another
 /// account's request names nothing.
 fn stream_key(account: Option<&ClientAccount>, id: &str) -> Fingerprint {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -354,22 +354,6 @@
         self.progress.set(progress);
     }
 
-    /// Records at which version the stream began, with its first event.
-    pub(crate) fn record_began(&self, gateway: &Gateway) {
-        if self.route.repeat != RetryMode::ResumableStream || self.origin.borrow().is_some() {
-            return;
-        }
-        let upstream = self.last_upstream.borrow();
-        let Some(upstream) = upstream.as_ref() else {
-            return;
-        };
-        self.origin.replace(Some(StreamOrigin {
-            service: self.service.clone(),
-            version: upstream.version.clone(),
-        }));
-        gateway.record_origin(self);
-    }
-
     /// Counts the request as started, once.
     pub(crate) fn count_usage(&self, gateway: &Gateway) {
         let mut progress = self.progress.get();
@@ -423,7 +407,7 @@
             "arrivals" => self.progress.get().arrivals, "budgeted" => self.progress.get().budgeted,
             "upstream" => upstream.map(|upstream| upstream.id.as_str()),
             "at_version" => upstream.map(|upstream| upstream.version.as_str()),
-            "resumes" => &self.info.resumes, "after" => self.info.last_event,
+            "began_as" => &self.info.began_as, "after" => self.info.last_event,
             "relay" => self.last_relay.get().map(|host| host.to_string()),
             "load" => upstream.map(|upstream| upstream.load),
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -17,7 +17,7 @@
             timeout: number("wait-ms").map(Duration::from_millis),
             key_hash: head.get("key").map(KeyHash::of),
             last_event: number("after"),
-            resumes: head.get("resumes").map(str::to_owned),
+            began_as: head.get("began-as").map(str::to_owned),
             tokens: number("prompt")
                 .zip(number("most"))
                 .map(|(prompt, max_output)| TokenCounts { prompt, max_output }),
