Name prompt parts and times of an attempt in the lines of crashes

Lines named the number of prompt parts. Which parts the requests under which upstreams crash have in common, and whether such a request had its first event, could not be told. The ids don't depend on the parts before them, unlike the keys of cached parts.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -11,6 +11,7 @@
 mod listed;
 mod name;
 mod origin;
+mod part_id;
 mod relay;
 mod rollout;
 mod rule;
@@ -32,6 +33,7 @@
     ServiceName, UpstreamId, Zone,
 };
 pub use origin::StreamOrigin;
+pub use part_id::PartId;
 pub use relay::RelayHost;
 pub use rollout::{Histogram, Rollout, RolloutOrder, RolloutState, RolloutTrial, RouteTrial, TrialCounts};
 pub use rule::HostRule;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::moving::{KvCopy, StreamMover};
 use crate::pool::IdleNeed;
 use crate::reclaim_notice::ReclaimNotice;
-use crate::request::Request;
+use crate::request::{AttemptTimes, Request};
 use crate::rollouts::TrialSubject;
 use crate::server::SYNC_INTERVAL;
 use crate::slots::HeldSlot;
@@ -247,6 +247,10 @@
         if progress.arrivals > 1 {
             counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
         }
+        self.last_times.set(AttemptTimes {
+            sent_at: gateway.clock.now(),
+            began_at: None,
+        });
         let backlog_id = self.record_sent(gateway, chosen);
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
         let exchange = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref());
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -217,6 +217,7 @@
             progress: Cell::new(Progress::default()),
             permit: RefCell::new(Some(permit)),
             last_upstream: RefCell::new(None),
+            last_times: Cell::default(),
             last_reused: Cell::new(false),
             last_relay: Cell::new(None),
             origin: RefCell::new(origin),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use contract::KeyHash;
+use contract::{KeyHash, PartId};
 use policy::place::PromptPart;
 
 use crate::head::{Head, RequestLine, StatusLine};
@@ -27,6 +27,8 @@
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order; prompts that start with the same parts share them in a cache.
     pub prompt_parts: Vec<PromptPart>,
+    /// Parts of the prompt that other requests may have too: all but the last one.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// Size of a generation.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use contract::{Fingerprint, Revision, ServiceName};
+use contract::{Fingerprint, PartId, Revision, ServiceName};
 use metrics::counter;
 use policy::Tick;
 use policy::quarantine::{Crash, CrashHistory, MAX_CRASHES, MEMORY_TIME};
@@ -25,7 +25,7 @@
 use crate::gate::Gateway;
 use crate::node_clients::NodeClients;
 use crate::pool::Connection;
-use crate::request::Request;
+use crate::request::{AttemptTimes, Request};
 use crate::upstreams::ChosenUpstream;
 
 /// Longest wait for the leader's count. Data centres are a few milliseconds apart, and the caller waits meanwhile.
@@ -100,6 +100,8 @@
     request: String,
     service: ServiceName,
     upstream: ChosenUpstream,
+    parts: Vec<PartId>,
+    times: AttemptTimes,
     /// When the connection ended.
     at: Tick,
 }
@@ -151,6 +153,8 @@
             request: request.info.id.clone(),
             service: request.service.clone(),
             upstream: chosen.clone(),
+            parts: request.info.shared_parts.clone(),
+            times: request.last_times.get(),
             at: self.clock.now(),
         };
         let recorded = spawn_local(Rc::clone(self).check_broken(broken));
@@ -172,7 +176,11 @@
             let mut counted = self.crashes.counted.borrow_mut();
             counted.insert(broken.fingerprint, self.clock.now());
         }
+        let parts: Vec<String> = broken.parts.iter().map(PartId::to_string).collect();
+        let age_ms = |since: Tick| broken.at.since(since).as_millis() as u64;
         info!(self.logger, "upstream crashed under a request"; "request" => &broken.request,
+            "part_ids" => parts.join(","), "sent_ms" => age_ms(broken.times.sent_at),
+            "began_ms" => broken.times.began_at.map(age_ms),
             "content" => %broken.fingerprint, "service" => %broken.service, "upstream" => &broken.upstream.id,
             "seen_here" => seen_here, "counted" => counted,
             "took_ms" => self.clock.now().since(broken.at).as_millis() as u64);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use contract::{ClientAccount, Fingerprint, RetryMode, Route, ServiceName, StreamOrigin};
+use contract::{ClientAccount, Fingerprint, PartId, RetryMode, Route, ServiceName, StreamOrigin};
 use metrics::{counter, histogram};
+use policy::Tick;
 use policy::retries::SendPermit;
 use rand::Rng;
 use slog::info;
@@ -64,6 +65,8 @@
     pub permit: RefCell<Option<SendPermit>>,
     /// The upstream that was chosen last; `None` before the first choice.
     pub last_upstream: RefCell<Option<ChosenUpstream>>,
+    /// When the last attempt was sent and had its first event.
+    pub last_times: Cell<AttemptTimes>,
     /// Whether the last attempt used a pooled connection.
     pub last_reused: Cell<bool>,
     /// The host that relayed the last attempt; `None` on the own link.
@@ -74,6 +77,15 @@
     pub fingerprint: OnceCell<Fingerprint>,
 }
 
+/// When an attempt reached the steps that tell whether it can have crashed its upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptTimes {
+    /// When the request was sent to the upstream.
+    pub sent_at: Tick,
+    /// When the first event of a stream arrived; `None` before it.
+    pub began_at: Option<Tick>,
+}
+
 /// Progress of a request, which determines the response when its time is up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
@@ -331,6 +343,12 @@
         })
     }
 
+    /// Returns the ids of the prompt parts that other requests may have too, for logs; `None` without any.
+    fn part_ids(&self) -> Option<String> {
+        let ids: Vec<String> = self.info.shared_parts.iter().map(PartId::to_string).collect();
+        (!ids.is_empty()).then(|| ids.join(","))
+    }
+
     /// Returns whether another attempt may be made.
     pub(crate) fn has_attempts_left(&self) -> bool {
         self.progress.get().sends < self.route.attempts
@@ -341,6 +359,13 @@
         matches!(self.route.repeat, RetryMode::Idempotent | RetryMode::ResumableStream)
     }
 
+    /// Records the first event of the last attempt; the others change nothing.
+    pub(crate) fn record_event(&self, now: Tick) {
+        let mut times = self.last_times.get();
+        times.began_at.get_or_insert(now);
+        self.last_times.set(times);
+    }
+
     /// Records that a part of the response is being sent.
     pub(crate) fn record_output(&self) {
         let mut progress = self.progress.get();
@@ -399,6 +424,7 @@
         let upstream = self.last_upstream.borrow();
         let upstream = upstream.as_ref();
         let content = (label != "passed").then(|| self.fingerprint().to_string());
+        let part_ids = (label != "passed").then(|| self.part_ids()).flatten();
         info!(gateway.logger, "request ended"; "request" => &self.info.id, "outcome" => label, "why" => reason,
             "content" => content,
             "account" => self.account.as_ref().map(|account| account.name.as_str()), "units" => self.quota_units as u64,
@@ -416,7 +442,7 @@
             "target_ms" => self.route.target_ms, "pause_ms" => max_pause_ms, "longest_ms" => self.route.pause_ms,
             "cached" => upstream.map(|upstream| upstream.prefill.cached),
             "fetch" => upstream.and_then(|upstream| upstream.fetch_from).map(|source| source.to_string()),
-            "parts" => self.info.prompt_parts.len(), "prompt" => self.info.tokens.map(|tokens| tokens.prompt),
+            "parts" => self.info.prompt_parts.len(), "part_ids" => part_ids, "prompt" => self.info.tokens.map(|tokens| tokens.prompt),
             "version" => version);
     }
 }
