Restrict prompt parts under which upstreams crash

Cause: crashes were counted by the fingerprint of the whole request, so that each request had a count of its own. Keys of cached parts cover all parts before them, and can't recognise a part behind others.

Hosts now report the shared parts of each request that was about to begin, or had begun less than 250 ms ago, when its upstream crashed. The leader counts crashes one after the other by part; upstreams lost together count once. From two on hosts tell it when requests with the part have begun and gone on, which clears the part of the crashes before. From three on one request with it is sent at a time, as with a circuit breaker: requests with fewer restricted parts first, as their success leaves the bad part alone. From five on it is closed for 30 s, then twice as long after each trial that crashes. A part whose crashes another one explains better is closed for a second at most. A part only restricts requests that have all parts with which it has always crashed, and other accounts only after a crash of theirs.

Why it works: a bad part never clears itself, and a sound one does so with each request that begins without the bad one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -233,6 +233,10 @@
         if !gateway.take_rate(&chosen.id) {
             return Err(AttemptError::OverLimit);
         }
+        if let Err(left) = gateway.admit_parts(self).await {
+            gateway.pool.borrow_mut().put(connection, None);
+            return Err(AttemptError::Quarantined { left });
+        }
         let bytes = self.render(gateway, chosen, after, kv_copy);
         if let Some(slot) = &slot {
             slot.record_end(SlotEnd::Abandoned);
@@ -250,6 +254,7 @@
         self.last_times.set(AttemptTimes {
             sent_at: gateway.clock.now(),
             began_at: None,
+            went_on: false,
         });
         let backlog_id = self.record_sent(gateway, chosen);
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
@@ -273,7 +278,25 @@
         } else {
             attempt.record_received();
         }
-        match &response {
+        self.record_answer(gateway, chosen, &attempt, &response);
+        let response = response?;
+        if let Some(load) = response.info.load
+            && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
+        {
+            upstream.record_load(load, gateway.clock.now());
+        }
+        Ok((response, attempt))
+    }
+
+    /// Records what an answer tells of the upstream's limits.
+    fn record_answer(
+        &self,
+        gateway: &Gateway,
+        chosen: &ChosenUpstream,
+        attempt: &ActiveAttempt,
+        response: &Result<UpstreamResponse, AttemptError>,
+    ) {
+        match response {
             Ok(response) => {
                 gateway.record_rate_limit(&chosen.id, response.info.rate_limit);
                 gateway.record_brittleness(&self.service, &chosen.id, response.info.max_rejections, false);
@@ -291,13 +314,6 @@
             }
             Err(_) => {}
         }
-        let response = response?;
-        if let Some(load) = response.info.load
-            && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
-        {
-            upstream.record_load(load, gateway.clock.now());
-        }
-        Ok((response, attempt))
     }
 
     /// Provides a permit for the next arrival at an upstream, from the retry budget if the request has none; returns
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,8 +52,8 @@
         /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
         max_rejections: Option<u32>,
     },
-    /// Nothing was sent, because too many upstreams have crashed under the request.
-    #[display("not sent: too many upstreams have crashed under this request")]
+    /// Nothing was sent, because too many upstreams have crashed under the request or a part of its prompt.
+    #[display("not sent: too many upstreams have crashed under this request or a part of its prompt")]
     Quarantined {
         /// Time for which it is not sent.
         left: Duration,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,6 @@
 mod own_links;
 pub mod pool;
 pub mod quarantine;
-mod quarantine_watch;
 mod rate_limits;
 mod rate_reporter;
 pub mod reclaim_notice;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -27,7 +27,7 @@
 
 use crate::catalog_follower::CatalogFollower;
 use crate::gate::Shared;
-use crate::quarantine_watch;
+use crate::quarantine::watch;
 use crate::upstream_list::UpstreamList;
 
 /// Longest wait for a response of a state node. A node may hold a catalog request for a while before this time starts.
@@ -95,7 +95,7 @@
         let sync = self.clone();
         spawn(
             "quarantine",
-            Box::new(move || quarantine_watch::run(&sync, &watch_rpc, &watch_known)),
+            Box::new(move || watch::run(&sync, &watch_rpc, &watch_known)),
         )?;
         let sync = self.clone();
         spawn("list", Box::new(move || sync.poll_list(directory)))
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,6 +9,7 @@
 use contract::{ClientAccount, Fingerprint, PartId, RetryMode, Route, ServiceName, StreamOrigin};
 use metrics::{counter, histogram};
 use policy::Tick;
+use policy::quarantine::parts::SOUND_TIME;
 use policy::retries::SendPermit;
 use rand::Rng;
 use slog::info;
@@ -84,6 +85,8 @@
     pub sent_at: Tick,
     /// When the first event of a stream arrived; `None` before it.
     pub began_at: Option<Tick>,
+    /// Whether events arrived for long enough that the request can't have crashed the upstream.
+    pub went_on: bool,
 }
 
 /// Progress of a request, which determines the response when its time is up.
@@ -344,7 +347,7 @@
     }
 
     /// Returns the ids of the prompt parts that other requests may have too, for logs; `None` without any.
-    fn part_ids(&self) -> Option<String> {
+    pub(crate) fn part_ids(&self) -> Option<String> {
         let ids: Vec<String> = self.info.shared_parts.iter().map(PartId::to_string).collect();
         (!ids.is_empty()).then(|| ids.join(","))
     }
@@ -359,13 +362,23 @@
         matches!(self.route.repeat, RetryMode::Idempotent | RetryMode::ResumableStream)
     }
 
-    /// Records the first event of the last attempt; the others change nothing.
-    pub(crate) fn record_event(&self, now: Tick) {
+    /// Records an event of the last attempt.
+    pub(crate) fn record_event(&self, gateway: &Gateway) {
+        let now = gateway.clock.now();
         let mut times = self.last_times.get();
-        times.began_at.get_or_insert(now);
+        let began_at = *times.began_at.get_or_insert(now);
+        if !times.went_on && now.since(began_at) >= SOUND_TIME {
+            times.went_on = true;
+            gateway.record_sound(self, began_at);
+        }
         self.last_times.set(times);
     }
 
+    /// Returns whether an attempt ended before it began.
+    pub(crate) fn has_just_crashed(&self) -> bool {
+        self.progress.get().may_have_run && self.last_times.get().began_at.is_none()
+    }
+
     /// Records that a part of the response is being sent.
     pub(crate) fn record_output(&self) {
         let mut progress = self.progress.get();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -198,7 +198,7 @@
             request.count_usage(gateway);
             request.record_began(gateway);
             request.record_output();
-            request.record_event(gateway.clock.now());
+            request.record_event(gateway);
             source.attempt.record_first_event();
             let written = sink.write(&events).await;
             written.map_err(|error| ForwardError::Caller(error.to_string()))?;
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -29,7 +29,7 @@
 };
 use wire::client::MAX_MESSAGE_BYTES;
 use wire::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
-use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
+use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, TryParts, TryReply, WatchQuarantine};
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use wire::rollout::{RolloutCall, RolloutReply};
 use wire::slots::{ReleaseSlots, TakeSlot, TakeSlotReply};
@@ -295,6 +295,10 @@
         to_rpc_result(self.node.report_crashes(request).await)
     }
 
+    async fn try_parts(&self, request: Envelope<TryParts>) -> RpcResult<Envelope<TryReply>> {
+        to_rpc_result(self.node.try_parts(request).await)
+    }
+
     async fn watch_quarantine(&self, request: Envelope<WatchQuarantine>) -> RpcResult<Envelope<QuarantineReply>> {
         to_rpc_result(self.node.watch_quarantine(request).await)
     }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -5,6 +5,8 @@
 //! of its caller and over all entry hosts: after [`MAX_CRASHES`] it is not sent any more. Where many upstreams are lost at
 //! once, a request that runs for long can meet as many without being to blame, and is not sent again either.
 
+pub mod parts;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -18,7 +18,7 @@
 use policy::slots::{SlotLeases, SlotNeed};
 use slog::Logger;
 use tokio::sync::watch;
-use wire::quarantine::{QuarantineMark, QuarantineNews, ReportCrashes};
+use wire::quarantine::{QuarantineMark, QuarantineNews, ReportCrashes, TryParts, TryReply};
 use wire::registry::{BrittleNews, HeardLimit, Heartbeat, LeaderUpdate, LimitPart, QuotaShare, RelayList, ServiceLoad};
 use wire::rollout::RolloutPlan;
 use wire::slots::{ReleasedSlot, SlotEnd, TakeSlot};
@@ -249,6 +249,18 @@
         Some((counts, changed))
     }
 
+    /// Decides whether a host may send a request with suspected prompt parts; `None` if the term is not current.
+    pub fn try_parts(
+        &self,
+        term: u64,
+        (from, asked): (&NodeId, &TryParts),
+        logger: &Logger,
+        now: Tick,
+    ) -> Option<TryReply> {
+        let mut inner = self.inner.lock();
+        (inner.term == term).then(|| inner.quarantine.try_parts(from, asked, logger, now))
+    }
+
     /// Returns whether all hosts that follow the quarantine know it, but for one.
     #[must_use]
     pub fn knows_quarantine(&self, except: &NodeId, now: Tick) -> bool {
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -16,7 +16,7 @@
 use wire::Envelope;
 use wire::catalog::{CatalogRpcServer, Fetched, Follow, Followed, Publish, Published, Upload, Uploaded};
 use wire::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
-use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
+use wire::quarantine::{QuarantineReply, ReportCrashes, ReportReply, TryParts, TryReply, WatchQuarantine};
 use wire::raft::{Packet, RaftRpcServer};
 use wire::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply, Lender};
 use wire::rollout::{RolloutCall, RolloutReply};
@@ -316,10 +316,23 @@
             self.wait_quarantine_known(&request.from).await;
         }
         let counts = recorded.map(|(counts, _)| counts);
-        let unknown = || Unavailable::NoQuorum {
-            reason: "a new leader has not heard of the entry hosts".to_owned(),
+        Ok(self.envelope(counts.map_or_else(|| ReportReply::Unavailable(new_leader()), ReportReply::Counted)))
+    }
+
+    async fn try_parts(&self, request: Envelope<TryParts>) -> RpcResult<Envelope<TryReply>> {
+        let leadership = self.request(StateRequest::Leadership).await?.body;
+        let unavailable = if leadership.since.is_none() {
+            let leader = leadership.leader;
+            Unavailable::NotLeader { leader }
+        } else {
+            let asked = (&request.from, &request.body);
+            let now = self.clock.now();
+            if let Some(reply) = self.registry.try_parts(leadership.term, asked, &self.logger, now) {
+                return Ok(self.envelope(reply));
+            }
+            new_leader()
         };
-        Ok(self.envelope(counts.map_or_else(|| ReportReply::Unavailable(unknown()), ReportReply::Counted)))
+        Ok(self.envelope(TryReply::Unavailable(unavailable)))
     }
 
     async fn watch_quarantine(&self, request: Envelope<WatchQuarantine>) -> RpcResult<Envelope<QuarantineReply>> {
@@ -367,6 +380,13 @@
     }
 }
 
+/// Returns why a leader does not answer that no entry host has called yet.
+fn new_leader() -> Unavailable {
+    Unavailable::NoQuorum {
+        reason: "a new leader has not heard of the entry hosts".to_owned(),
+    }
+}
+
 fn stopping_error() -> ErrorObjectOwned {
     ErrorObjectOwned::owned(STOPPING_CODE, "the node is stopping or overloaded", None::<()>)
 }
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -9,7 +9,7 @@
 
 use crate::Envelope;
 use crate::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
-use crate::quarantine::{QuarantineReply, ReportCrashes, ReportReply, WatchQuarantine};
+use crate::quarantine::{QuarantineReply, ReportCrashes, ReportReply, TryParts, TryReply, WatchQuarantine};
 use crate::registry::{Borrow, BorrowReply, Heartbeat, HeartbeatReply};
 use crate::rollout::{RolloutCall, RolloutReply};
 use crate::slots::{ReleaseSlots, TakeSlot, TakeSlotReply};
@@ -62,6 +62,10 @@
     #[method(name = "report_crashes")]
     async fn report_crashes(&self, request: Envelope<ReportCrashes>) -> RpcResult<Envelope<ReportReply>>;
 
+    /// Asks the leader whether a request with suspected prompt parts may be sent.
+    #[method(name = "try_parts")]
+    async fn try_parts(&self, request: Envelope<TryParts>) -> RpcResult<Envelope<TryReply>>;
+
     /// Waits for changes of the requests that are not sent any more; only the leader knows them.
     #[method(name = "watch_quarantine")]
     async fn watch_quarantine(&self, request: Envelope<WatchQuarantine>) -> RpcResult<Envelope<QuarantineReply>>;
