Let one request at a time test an upstream that refused connections

Callers were refused, or waited for further attempts, while healthy upstreams were left: each request tried the same crashed upstreams again and again for as long as they stayed listed.

Cause: the breaker of an upstream opens after three failures, and lets one test through half a second later. The test was claimed when the request was sent, after the connection. A refused connection never claimed it, so that its failure was taken for one of requests under way when the breaker opened: the time until which it is open lay in the past for good, and all requests passed.

The test is now claimed when the request sets out for the upstream, before it connects; a refusal then doubles the time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -208,6 +208,9 @@
         }
         let runs_once = !self.is_idempotent();
         self.last_upstream.replace(Some(chosen.clone()));
+        if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
+            upstream.record_attempt(gateway.clock.now());
+        }
         let slot = gateway
             .reserve_slot(&self.service, chosen, self.deadline)
             .await
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -159,11 +159,16 @@
         self.own_requests += 1;
         self.load.sent(now);
         self.cached.store(prompt_parts, now);
-        // The choice has already asked the breaker; the claim keeps further requests away while it tests the upstream.
-        let _ = self.breaker.claim(now);
         backlog_id
     }
 
+    /// Records that a request is on its way to the upstream. The choice has already asked the breaker; this keeps further
+    /// requests away while one tests the upstream, from before it connects.
+    pub fn record_attempt(&mut self, now: Tick) {
+        // Another request may have claimed the test since the choice.
+        let _ = self.breaker.claim(now);
+    }
+
     /// Records the first event of a request, or its whole response.
     pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) {
         self.breaker.succeeded();
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -203,6 +203,7 @@
         let upstream = self.hosts[host]
             .get_mut(&chosen.id)
             .expect("the chosen upstream is listed");
+        upstream.record_attempt(now);
         let backlog_id = upstream.record_sent(&parts, &chosen, now);
         let index: usize = chosen.id[1..].parse().expect("a number");
         self.engines[index].enqueue(self.requests.len(), parts, output);
