Tell a whole response without length from a relay that ended

Callers of hosts that are cut off lost each response that has neither length nor chunks and ends with its connection: a plain one ended in 502 or ran again, a stream that was whole was resumed or broken off.

Cause: a host that relays closes in order when the upstream does, and also when it ends itself. The two can't be told apart from the connection's end, and so each was taken for a break.

The host that asks now names 16 random bytes, and the relay sends them after the last bytes if the upstream closed in order. Only bytes that may belong to the mark are kept back while a response goes on. Hosts of the version before send no mark, and their relays are treated as before.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -9,7 +9,7 @@
 use policy::isolation::Path;
 use slog::info;
 use tokio::time::{Instant, timeout};
-use wire::relay::RelayRequest;
+use wire::relay::{EndMark, RelayRequest};
 
 use crate::gate::Gateway;
 use crate::pool::{CONNECT_TIMEOUT, Connection, connect};
@@ -66,6 +66,7 @@
             request: request_id.to_owned(),
             service: service.clone(),
             upstream: chosen.id.clone(),
+            end_mark: Some(EndMark(rand::random())),
         };
         let path = self.path_to(service, &chosen.id);
         let relayed = self.dial_relays(&request, path, chosen.address, deadline);
@@ -148,7 +149,7 @@
             match connect_through(host, request).await {
                 Ok(stream) => {
                     counter!("gentian_gateway_relays_asked_total", "result" => "connected").increment(1);
-                    return Ok(Connection::relayed(stream, address, lease));
+                    return Ok(Connection::relayed(stream, address, lease, request.end_mark));
                 }
                 Err(error) => {
                     counter!("gentian_gateway_relays_asked_total", "result" => "failed").increment(1);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use crate::body::BodyDecoder;
+use crate::body::{BodyDecoder, BodyError};
 use crate::dialect::{HeaderCodec, ResponseInfo};
 use crate::head::{self, Head, StatusLine};
 use crate::pool::Connection;
@@ -235,7 +235,7 @@
     /// Fails if the connection ends before the body is complete.
     pub async fn next_chunk(&mut self) -> Result<BodyChunk, AttemptError> {
         loop {
-            let parsed = self.decoder.decode(&mut self.connection.buffer);
+            let parsed = self.decode();
             if let Some(bytes) = parsed.map_err(|error| AttemptError::unknown(error.to_string()))? {
                 return Ok(BodyChunk::Bytes(bytes));
             }
@@ -244,7 +244,7 @@
             }
             match self.connection.stream.read_buf(&mut self.connection.buffer).await {
                 // A host that relays may end before it has passed on everything.
-                Ok(0) if self.decoder.ends_on_close() && !self.connection.is_relayed() => return Ok(BodyChunk::End),
+                Ok(0) if self.decoder.ends_on_close() && self.connection.ended_in_order() => return Ok(BodyChunk::End),
                 Ok(0) => return Err(AttemptError::closed("closed within the answer")),
                 Ok(_) => {}
                 Err(error) => return Err(AttemptError::closed(format!("read: {error}"))),
@@ -252,6 +252,16 @@
         }
     }
 
+    fn decode(&mut self) -> Result<Option<Bytes>, BodyError> {
+        if !self.decoder.ends_on_close() {
+            return self.decoder.decode(&mut self.connection.buffer);
+        }
+        let mark = self.connection.split_mark();
+        let parsed = self.decoder.decode(&mut self.connection.buffer);
+        self.connection.buffer.unsplit(mark);
+        parsed
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
+use wire::relay::EndMark;
 
 use crate::relay::RelayLease;
 
@@ -40,6 +41,8 @@
     pub upstream: SocketAddr,
     /// The host that relays; `None` on the own link.
     pub relay: Option<RelayLease>,
+    /// Last bytes if the upstream closes in order, where another host relays.
+    end_mark: Option<EndMark>,
 }
 
 impl Connection {
@@ -50,13 +53,28 @@
             reused: false,
             upstream,
             relay,
+            end_mark: None,
         }
     }
 
     /// Wraps a connection that another host relays.
     #[must_use]
-    pub fn relayed(stream: TcpStream, upstream: SocketAddr, lease: RelayLease) -> Self {
-        Self::new(stream, upstream, Some(lease))
+    pub fn relayed(stream: TcpStream, upstream: SocketAddr, lease: RelayLease, end_mark: Option<EndMark>) -> Self {
+        Self {
+            end_mark,
+            ..Self::new(stream, upstream, Some(lease))
+        }
+    }
+
+    /// Removes the last bytes from the buffer that may belong to the mark of an orderly end.
+    pub(crate) fn split_mark(&mut self) -> BytesMut {
+        let overlap = self.end_mark.map_or(0, |mark| mark.overlap(&self.buffer));
+        self.buffer.split_off(self.buffer.len() - overlap)
+    }
+
+    /// Returns whether the upstream closed the connection, rather than a host that relays, given that it has ended.
+    pub(crate) fn ended_in_order(&self) -> bool {
+        !self.is_relayed() || self.end_mark.is_some_and(|mark| *self.buffer == mark.0)
     }
 
     /// Returns whether another host relays the connection.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, sleep_until, timeout};
-use wire::relay::{self, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest};
+use wire::relay::{self, EndMark, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest};
 
 use crate::gate::Gateway;
 use crate::pool::open;
@@ -141,7 +141,7 @@
         Ok(upstream) => {
             counter!("gentian_gateway_relayed_total", "result" => "connected").increment(1);
             if write_message(&mut stream, &RelayReply::Connected).await.is_ok() {
-                copy_both(&mut stream, upstream).await;
+                copy_both(&mut stream, upstream, request.end_mark).await;
             }
         }
         Err(refusal) => {
@@ -195,7 +195,7 @@
 ///
 /// A caller that leaves must end the work at the upstream, so the end of the other host's side closes both. A reset of
 /// the upstream's side is passed on as a reset, since an orderly end may complete a response.
-async fn copy_both(host: &mut TcpStream, mut upstream: TcpStream) {
+async fn copy_both(host: &mut TcpStream, mut upstream: TcpStream, end_mark: Option<EndMark>) {
     let (host_reader, mut host_writer) = host.split();
     let (upstream_reader, upstream_writer) = upstream.split();
     let last_byte = Cell::new(Instant::now());
@@ -206,6 +206,10 @@
     };
     match ended {
         Ok(()) => {
+            if let Some(mark) = end_mark {
+                // Without the mark, the other host takes the response for incomplete.
+                let _ = host_writer.write_all(&mark.0).await;
+            }
             // Closing with unread bytes would reset the connection before the other host has read the response.
             if host_writer.shutdown().await.is_ok() {
                 let _ = timeout(CLOSE_TIMEOUT, discard(host)).await;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,7 +1,8 @@
 //! Opening of a connection to an upstream through another entry host.
 //!
 //! A host that is cut off from an upstream connects to the relay port of another one and names the upstream. After a
-//! positive answer, the connection carries the bytes of the upstream's connection unchanged in both directions. The host
+//! positive answer, the connection carries the bytes of the upstream's connection unchanged in both directions, and at its
+//! end a mark if the upstream closed in order: a relay that ends closes its connections in order, too. The host
 //! that relays never sees requests: accounts, quotas, retries and deadlines are kept by the host that the caller asked.
 
 use contract::{NodeId, ServiceName};
@@ -15,6 +16,23 @@
 /// Longest message after its head.
 const MAX_BODY_BYTES: usize = 1_024;
 
+/// Length of an [`EndMark`].
+pub const MARK_BYTES: usize = 16;
+
+/// Last bytes on a relayed connection if the upstream has closed it in order, chosen at random by the host that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndMark(pub [u8; MARK_BYTES]);
+
+impl EndMark {
+    /// Returns how many of the last bytes received may belong to the mark.
+    #[must_use]
+    pub fn overlap(&self, received: &[u8]) -> usize {
+        let longest = MARK_BYTES.min(received.len());
+        let ends_with = |count: &usize| received.ends_with(&self.0[..*count]);
+        (1..=longest).rev().find(ends_with).unwrap_or(0)
+    }
+}
+
 /// Asks for a connection to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayRequest {
@@ -26,6 +44,9 @@
     pub service: ServiceName,
     /// Name of the upstream. Its address is that on the list of the host that relays.
     pub upstream: String,
+    /// Mark of an orderly end; `None` if the host knows no such marks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end_mark: Option<EndMark>,
 }
 
 /// The answer to [`RelayRequest`].
--- a/crates/wire/tests/relay_frames.rs
+++ b/crates/wire/tests/relay_frames.rs
@@ -2,7 +2,9 @@
 
 use contract::{NodeId, ServiceName};
 use quickcheck::quickcheck;
-use wire::relay::{FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest, body_length, decode, encode};
+use wire::relay::{
+    EndMark, FrameError, HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest, body_length, decode, encode,
+};
 
 fn split(bytes: &[u8]) -> (usize, &[u8]) {
     let (head, body) = bytes.split_at(HEAD_BYTES);
@@ -15,6 +17,7 @@
         request: "q1".to_owned(),
         service: ServiceName::from("m"),
         upstream: upstream.to_owned(),
+        end_mark: None,
     }
 }
 
@@ -59,3 +62,15 @@
         true
     }
 }
+
+/// Guards against bytes of a response that are taken for the mark of its end, or kept back without need.
+#[test]
+fn mark_overlap() {
+    let mark = EndMark(*b"0123456789abcdef");
+    let overlap = |received: &[u8]| mark.overlap(received);
+    assert_eq!(
+        [overlap(b""), overlap(b"x"), overlap(b"x0"), overlap(b"01201")],
+        [0, 0, 1, 2]
+    );
+    assert_eq!([overlap(b"x0123456789abcdef"), overlap(b"0123456789abcdefx")], [16, 0]);
+}
