Divide rate limits of upstreams by what callers ask of each host

When the platform hands most new connections to one host, that host refused most requests for upstreams that name a rate limit: parts of limits were even, and stayed with hosts to which no callers came any more.

Cause: the leader leased the same part to each host and renewed it for as long as the host sent heartbeats. Nothing told it how many requests came to a host.

Hosts now report the requests per second that callers ask of an upstream. Hosts of the version before are treated as holding even parts.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -15,6 +15,7 @@
 use policy::Tick;
 use policy::catalog_lag;
 use policy::isolation::Isolation;
+use policy::limits::DemandMeter;
 use policy::parts::Slack;
 use policy::quota::{Bucket, OverQuota};
 use policy::relays::Relays;
@@ -156,6 +157,8 @@
     quota_buckets: RefCell<HashMap<String, Bucket>>,
     retry_windows: RefCell<HashMap<ServiceName, RetryWindow>>,
     service_loads: RefCell<BTreeMap<String, ServiceLoad>>,
+    /// Requests per second that callers ask of each service.
+    demands: RefCell<HashMap<ServiceName, DemandMeter>>,
     prefill_averages: RefCell<BTreeMap<String, RateAverage>>,
     log_bucket: RefCell<Bucket>,
     /// Hosts that pass on requests of this one.
@@ -248,6 +251,7 @@
             quota_buckets: RefCell::default(),
             retry_windows: RefCell::default(),
             service_loads: RefCell::default(),
+            demands: RefCell::default(),
             prefill_averages: RefCell::default(),
             log_bucket: RefCell::new(Bucket::new(LOG_LINES_PER_S, Tick::default())),
             relays: Rc::default(),
@@ -298,7 +302,9 @@
         let mut heartbeat = self.shared.heartbeat.lock();
         heartbeat.began.clone_from(self.usage.borrow().counts());
         heartbeat.signs = self.upstreams.borrow().observations(self.clock.now());
-        heartbeat.limits = self.upstreams.borrow().heard_limits(self.clock.now());
+        let now = self.clock.now();
+        let wanted = |service: &ServiceName| self.demand(service, now);
+        heartbeat.limits = self.upstreams.borrow().heard_limits(wanted, now);
         heartbeat.trials = self.upstreams.borrow().trials();
         heartbeat.spare = self.overflow_units();
         heartbeat.load.clone_from(&self.service_loads.borrow());
@@ -476,6 +482,20 @@
             .add(ms / 1_000.0, now);
     }
 
+    /// Records that a caller asks for a service.
+    pub(crate) fn record_demand(&self, service: &ServiceName) {
+        let mut demands = self.demands.borrow_mut();
+        demands.entry(service.clone()).or_default().add(1.0, self.clock.now());
+    }
+
+    /// Returns the requests per second that callers ask of a service.
+    fn demand(&self, service: &ServiceName, now: Tick) -> f64 {
+        self.demands
+            .borrow()
+            .get(service)
+            .map_or(0.0, |demand| demand.rate(now))
+    }
+
     /// Adds `change` to the number of a service's requests that run on this entry host.
     pub fn record_running(&self, service: &ServiceName, change: f64) {
         let mut service_loads = self.service_loads.borrow_mut();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -132,6 +132,7 @@
 impl Request {
     /// Serves the request and returns how it ended, after everything has been written.
     pub async fn serve(&self, gateway: &Rc<Gateway>, out: &mut OwnedWriteHalf) -> Outcome {
+        gateway.record_demand(&self.service);
         gateway.record_running(&self.service, 1.0);
         let outcome = match timeout_at(self.deadline, self.run_attempts(gateway, out)).await {
             Ok(outcome) => outcome,
--- a/crates/gateway/src/upstreams/limits.rs
+++ b/crates/gateway/src/upstreams/limits.rs
@@ -1,7 +1,9 @@
 //! Rate limits that upstreams name, as this host exchanges them with the leader.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use contract::ServiceName;
 use policy::Tick;
 use policy::rate_limit::NamedLimit;
 use wire::registry::{HeardLimit, LimitPart};
@@ -9,16 +11,25 @@
 use super::{Upstream, Upstreams};
 
 impl Upstreams {
-    /// Returns the rate limits that the leader should know of.
+    /// Returns the rate limits that the leader should know of, given the requests per second that callers ask of services.
     #[must_use]
-    pub fn heard_limits(&self, now: Tick) -> Vec<HeardLimit> {
+    pub fn heard_limits(&self, wanted: impl Fn(&ServiceName) -> f64, now: Tick) -> Vec<HeardLimit> {
+        let mut counts: HashMap<&ServiceName, usize> = HashMap::new();
+        for upstream in self.all.values().filter(|upstream| !upstream.listed.leaving) {
+            *counts.entry(&upstream.listed.service).or_default() += 1;
+        }
         let heard = self.all.iter().filter_map(|(id, upstream)| {
-            let (named, held) = upstream.rate_limit.report(now)?;
+            let service = &upstream.listed.service;
+            // Callers ask for a service; its upstreams get like parts.
+            let wanted = wanted(service) / counts.get(service).copied().unwrap_or(1) as f64;
+            let (named, held) = upstream.rate_limit.report(wanted, now)?;
             Some(HeardLimit {
                 id: id.clone(),
                 per_s: named.per_s,
                 age_ms: now.since(named.at).as_millis() as u32,
-                held,
+                held: held.per_s > 0.0,
+                part: held.per_s,
+                wanted: held.wanted,
             })
         });
         heard.collect()
--- a/crates/policy/tests/rate_limit_parts.rs
+++ b/crates/policy/tests/rate_limit_parts.rs
@@ -5,6 +5,7 @@
 
 use contract::NodeId;
 use policy::Tick;
+use policy::limits::DemandMeter;
 use policy::rate_limit::{HostLimit, LimitLeases};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -32,12 +33,15 @@
     holders_end: Option<u64>,
     /// When the upstream names no limit any more.
     ends: Option<u64>,
+    /// When all callers come to the first host.
+    moved: Option<u64>,
 }
 
 struct Fleet {
     per_s: f64,
     faults: Faults,
     hosts: Vec<HostLimit>,
+    demands: Vec<DemandMeter>,
     leader: LimitLeases,
     /// Times at which requests reached the upstream, in milliseconds.
     arrivals: Vec<u64>,
@@ -53,6 +57,7 @@
             per_s,
             faults,
             hosts: vec![HostLimit::default(); count],
+            demands: vec![DemandMeter::default(); count],
             leader: LimitLeases::default(),
             arrivals: Vec::new(),
             lost: BTreeSet::new(),
@@ -85,8 +90,14 @@
                     self.heartbeat(index, now);
                 }
             }
-            for index in 0..count {
+            for caller in 0..count {
+                let index = if self.faults.moved.is_some_and(|moved| ms >= moved) {
+                    0
+                } else {
+                    caller
+                };
                 if rng.random_bool(DEMAND_PER_S / 1_000.0) && !self.lost.contains(&index) {
+                    self.demands[index].add(1.0, now);
                     self.send(index, now, ms);
                 }
             }
@@ -103,7 +114,7 @@
         }
         let node = NodeId::from(format!("e{index}"));
         let host = &mut self.hosts[index];
-        if let Some((named, held)) = host.report(now) {
+        if let Some((named, held)) = host.report(self.demands[index].rate(now), now) {
             self.leader.report(&node, UPSTREAM, named, held, now);
         }
         for part in self.leader.lease(&node, count_of(&self.hosts), now) {
@@ -223,6 +234,25 @@
     }
 }
 
+/// Guards against parts that stay with hosts to which no callers come any more.
+#[test]
+fn callers_move() {
+    for (count, per_s) in SIZES {
+        let faults = Faults {
+            moved: Some(20_000),
+            ..Faults::default()
+        };
+        assert_kept("callers move", count, per_s, &faults);
+        let arrivals = Fleet::new(count, per_s, faults).run(1).arrivals;
+        let later = arrivals.iter().filter(|at| **at >= 20_000 + CONTACT_MS).count() as f64 / 17.0;
+        let usable = per_s.min(DEMAND_PER_S * count as f64);
+        assert!(
+            later >= 0.75 * usable,
+            "{count} hosts, limit {per_s}: {later:.2} a second used"
+        );
+    }
+}
+
 /// Guards against an upstream that is passed over although it has recovered.
 #[test]
 fn limit_ends() {
@@ -257,11 +287,13 @@
 fn no_limit() {
     let (mut host, now) = (HostLimit::default(), Tick::from_millis(5_000));
     host.record_response(None, now);
-    assert_eq!(host.report(now), None);
+    assert_eq!(host.report(0.0, now), None);
     host.record_response(Some(2.0), now);
     host.record_response(None, now + Duration::from_millis(10));
-    let (named, held) = host.report(now + Duration::from_millis(20)).expect("the end is news");
-    assert_eq!((named.per_s, held), (None, false));
+    let (named, held) = host
+        .report(0.0, now + Duration::from_millis(20))
+        .expect("the end is news");
+    assert_eq!((named.per_s, held.per_s), (None, 0.0));
 }
 
 /// Guards against a saved-up part that is used after a freeze: the lease has ended meanwhile.
@@ -270,7 +302,7 @@
     let (node, mut leader, mut host) = (NodeId::from("e"), LimitLeases::default(), HostLimit::default());
     let at = |ms| Tick::from_millis(ms);
     host.record_response(Some(1.0), at(5_000));
-    let (named, held) = host.report(at(5_000)).expect("it heard of a limit");
+    let (named, held) = host.report(0.0, at(5_000)).expect("it heard of a limit");
     leader.report(&node, UPSTREAM, named, held, at(5_000));
     let part = leader.lease(&node, 8, at(5_000)).remove(0);
     host.record_part(part.named, part.per_s, at(5_000), at(5_010));
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -12,7 +12,7 @@
 use policy::Tick;
 use policy::catalog_lag::{CatalogLag, Progress};
 use policy::parts::{LoanLimit, NodeLender, QuotaAllocator, Slack, node_part};
-use policy::rate_limit::{LimitLeases, NamedLimit};
+use policy::rate_limit::{HeldPart, LimitLeases, NamedLimit};
 use policy::reclaim::{ReclaimGroup, ReportedReclaims};
 use policy::relays::{RelayDirectory, list_mark};
 use policy::slots::{SlotLeases, SlotNeed};
@@ -94,7 +94,16 @@
                 per_s: limit.per_s,
                 at: now - Duration::from_millis(u64::from(limit.age_ms)),
             };
-            self.rate_limits.report(from, &limit.id, named, limit.held, now);
+            let held = HeldPart {
+                // A host of the version before names no part; it holds an even one.
+                per_s: if limit.held && limit.part <= 0.0 {
+                    limit.per_s.unwrap_or_default() / f64::from(entries.max(1))
+                } else {
+                    limit.part
+                },
+                wanted: limit.wanted,
+            };
+            self.rate_limits.report(from, &limit.id, named, held, now);
         }
         let parts = self.rate_limits.lease(from, entries, now).into_iter();
         let part = parts.map(|part| LimitPart {
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -53,6 +53,12 @@
     pub age_ms: u32,
     /// Whether the host holds a part of it.
     pub held: bool,
+    /// Requests per second that the host may send by its part.
+    #[serde(default)]
+    pub part: f64,
+    /// Requests per second that callers of the host ask of the upstream.
+    #[serde(default)]
+    pub wanted: f64,
 }
 
 /// An entry host's part of the rate limit of an upstream.
