--- a/crates/gateway/src/quarantine/sound.rs
+++ b/crates/gateway/src/quarantine/sound.rs
@@ -5,7 +5,8 @@
 
 use contract::PartId;
 use policy::Tick;
-use policy::quarantine::parts::{PART_MEMORY, PartRule};
+use policy::quarantine::parts::PART_MEMORY;
+use policy::quarantine::rules::PartRule;
 
 /// Most parts that are remembered.
 const MAX_PARTS: usize = 8_192;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! once, a request that runs for long can meet as many without being to blame, and is not sent again either.
 
 pub mod parts;
+pub mod rules;
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/policy/tests/part_history.rs
+++ b/crates/policy/tests/part_history.rs
@@ -4,7 +4,8 @@
 
 use contract::PartId;
 use policy::Tick;
-use policy::quarantine::parts::{Admission, PartHistory, Suspect};
+use policy::quarantine::parts::{PartHistory, Suspect};
+use policy::quarantine::rules::Admission;
 use quickcheck::quickcheck;
 
 const SHARED: PartId = PartId(1);
--- a/crates/policy/tests/part_trials.rs
+++ b/crates/policy/tests/part_trials.rs
@@ -5,7 +5,8 @@
 
 use contract::PartId;
 use policy::Tick;
-use policy::quarantine::parts::{Admission, PartHistory, SOUND_TIME, Suspect};
+use policy::quarantine::parts::{PartHistory, SOUND_TIME, Suspect};
+use policy::quarantine::rules::Admission;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/state/src/quarantine.rs
+++ b/crates/state/src/quarantine.rs
@@ -6,7 +6,8 @@
 use contract::{Fingerprint, NodeId, PartId};
 use metrics::gauge;
 use policy::Tick;
-use policy::quarantine::parts::{PartHistory, PartRule, Suspect, TRIAL_CRASHES};
+use policy::quarantine::parts::{PartHistory, Suspect};
+use policy::quarantine::rules::{PartRule, TRIAL_CRASHES};
 use policy::quarantine::{Crash, CrashHistory, MAX_CRASHES};
 use slog::{Logger, info};
 use wire::quarantine::{
