--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -237,7 +237,10 @@
             return Err(AttemptError::OverLimit);
         }
         if let Err(left) = gateway.admit_parts(self).await {
-            gateway.pool.borrow_mut().put(connection, None);
+            // How long an upstream keeps a reused connection open is no longer known.
+            if !connection.reused {
+                gateway.pool.borrow_mut().put(connection, None);
+            }
             return Err(AttemptError::Quarantined { left });
         }
         let bytes = self.render(gateway, chosen, after, kv_copy);
