Don't close a sound part for long that met the crashes of two bad ones

Cause: a crash counted as explained only by a part that met as many crashes. A first part that both bad parts come with meets the crashes of both, more than each of them, and so counted as bad beyond doubt after five.

Another restricted part on the same upstream now explains a crash, however often it crashed. A bad part stands alone as soon as the others are cleared.

--- a/crates/policy/src/quarantine/parts.rs
+++ b/crates/policy/src/quarantine/parts.rs
@@ -194,7 +194,7 @@
     /// Returns how certain it is that a part is to blame for its crashes.
     fn blame(&self, part: PartId, record: &PartRecord) -> Blame {
         let own = record.count();
-        if self.count_unexplained(part, record, |other| other >= own) >= MIN_UNEXPLAINED {
+        if self.count_unexplained(part, record, |other| other >= own.min(TRIAL_CRASHES)) >= MIN_UNEXPLAINED {
             Blame::Sole
         } else if self.count_unexplained(part, record, |other| other > own) >= MIN_UNEXPLAINED {
             Blame::Shared
@@ -288,9 +288,9 @@
 /// What explains the crashes of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Blame {
-    /// No other part.
+    /// No other part that is restricted.
     Sole,
-    /// Other parts that met as many crashes.
+    /// Other parts, which met as many crashes at most.
     Shared,
     /// A part that met more crashes.
     Other,
--- a/crates/policy/tests/part_history.rs
+++ b/crates/policy/tests/part_history.rs
@@ -199,3 +199,20 @@
     assert!(is_free(&history, &[SHARED], 500));
     assert_eq!(history.start_trial(&[SHARED, BAD], ACCOUNT, at(510)), Ok(()));
 }
+
+/// Guards against a sound part that is closed for long because it was in the requests of two bad parts, and so met more
+/// crashes than each of them.
+#[test]
+fn between_bad_parts() {
+    let mut history = PartHistory::default();
+    for upstream in 0..6 {
+        let bad = if upstream % 2 == 0 { BAD } else { TOPIC };
+        crash(&mut history, &[SHARED, bad], upstream, 100 * (upstream + 1));
+    }
+    crash(&mut history, &[SHARED], 5, 600);
+    let left = history.admit(&[SHARED], ACCOUNT, at(610));
+    assert!(
+        matches!(left, Admission::Closed(left) if left <= Duration::from_secs(1)),
+        "{left:?}"
+    );
+}
