Log what upstreams ask for, and when attempts were chosen, sent and answered

Hypotheses of the incident differ in whether a host reads that an upstream asks for a pause, whether a request was chosen before it, and on which way it went out. The lines named neither the pause nor the times between choice, sending and answer.

What an upstream says of itself is now one type, filled from the head of every response on all ways (attempts, resumed streams, copies, responses to earlier requests), but for those of another incarnation. Nothing is decided by the new fields yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 use wire::slots::SlotEnd;
 
-use crate::exchange::{AttemptError, UpstreamResponse, send_request};
+use crate::exchange::{AttemptError, UpstreamResponse};
 use crate::gate::Gateway;
 use crate::moving::{KvCopy, StreamMover};
 use crate::pool::IdleNeed;
@@ -207,6 +207,7 @@
             return Err(AttemptError::NoPermit);
         }
         let runs_once = !self.is_idempotent();
+        let chosen_at = gateway.clock.now();
         self.last_upstream.replace(Some(chosen.clone()));
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
             upstream.record_attempt(gateway.clock.now());
@@ -258,13 +259,14 @@
             counter!("gentian_gateway_repeated_arrivals_total", "service" => self.service.to_string()).increment(1);
         }
         self.last_times.set(AttemptTimes {
+            chosen_at,
             sent_at: gateway.clock.now(),
             began_at: None,
             went_on: false,
         });
         let backlog_id = self.record_sent(gateway, chosen);
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
-        let exchange = send_request(connection, &bytes, &self.info.id, gateway.codec.as_ref());
+        let exchange = gateway.exchange((&self.service, &chosen.id), connection, &bytes, &self.info.id);
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
         let response = tokio::select! {
             response = exchange => response,
@@ -284,9 +286,15 @@
         } else {
             attempt.record_received();
         }
-        self.record_answer(gateway, chosen, &attempt, &response);
+        if let Err(AttemptError::Refused {
+            wrong_incarnation: false,
+            ..
+        }) = &response
+        {
+            attempt.record_slot_end(SlotEnd::Rejected);
+        }
         let response = response?;
-        if let Some(load) = response.info.load
+        if let Some(load) = response.info.news.load
             && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
         {
             upstream.record_load(load, gateway.clock.now());
@@ -294,34 +302,6 @@
         Ok((response, attempt))
     }
 
-    /// Records what an answer tells of the upstream's limits.
-    fn record_answer(
-        &self,
-        gateway: &Gateway,
-        chosen: &ChosenUpstream,
-        attempt: &ActiveAttempt,
-        response: &Result<UpstreamResponse, AttemptError>,
-    ) {
-        match response {
-            Ok(response) => {
-                gateway.record_rate_limit(&chosen.id, response.info.rate_limit);
-                gateway.record_brittleness(&self.service, &chosen.id, response.info.max_rejections, false);
-            }
-            // The response of another incarnation tells nothing of the chosen upstream.
-            Err(AttemptError::Refused {
-                wrong_incarnation: false,
-                rate_limit,
-                max_rejections,
-                ..
-            }) => {
-                gateway.record_rate_limit(&chosen.id, *rate_limit);
-                gateway.record_brittleness(&self.service, &chosen.id, *max_rejections, true);
-                attempt.record_slot_end(SlotEnd::Rejected);
-            }
-            Err(_) => {}
-        }
-    }
-
     /// Provides a permit for the next arrival at an upstream, from the retry budget if the request has none; returns
     /// whether there is one.
     pub(crate) fn reserve_send(&self, gateway: &Gateway) -> bool {
@@ -411,6 +391,8 @@
         }
         let is_cut = self.last_relay.get().is_none() && gateway.is_isolated(&self.service);
         let now = gateway.clock.now();
+        let was_sent = matches!(error, AttemptError::Refused { .. } | AttemptError::Unknown { .. });
+        let times = was_sent.then(|| self.last_times.get());
         let mut heard_ms = None;
         if let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id) {
             heard_ms = upstream.heard_age(now).map(|age| age.as_millis() as u64);
@@ -437,6 +419,8 @@
             "upstream" => &chosen.id,
             "address" => %chosen.address, "fate" => %error, "load" => chosen.load, "heard_ms" => heard_ms,
             "reused" => self.last_reused.get(), "relay" => self.last_relay.get().map(|host| host.to_string()),
+            "waited_ms" => times.map(|times| times.sent_at.since(times.chosen_at).as_millis() as u64),
+            "answered_ms" => times.map(|times| now.since(times.sent_at).as_millis() as u64),
             "after_ms" => self.arrived.elapsed().as_millis() as u64,
             "sends" => self.progress.get().sends, "arrivals" => self.progress.get().arrivals,
             "budgeted" => self.progress.get().budgeted);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -83,14 +83,35 @@
     pub wrong_incarnation: bool,
     /// Whether the response bears the upstream's signature.
     pub signed: bool,
+    /// What the upstream says of itself.
+    pub news: UpstreamNews,
+    /// How long the upstream keeps an idle connection open; `None` if it does not say.
+    pub idle_timeout: Option<Duration>,
+}
+
+/// What an upstream says of itself in a response, whichever request it responds to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UpstreamNews {
     /// Load of the upstream; `None` if it does not say.
     pub load: Option<ReportedLoad>,
     /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
     pub rate_limit: Option<f64>,
     /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
     pub max_rejections: Option<u32>,
-    /// How long the upstream keeps an idle connection open; `None` if it does not say.
-    pub idle_timeout: Option<Duration>,
+    /// For how long the upstream, which has turned a request away, wants no others from this host; `None` if it does not
+    /// say.
+    pub backoff: Option<BackoffHint>,
+    /// Whether the upstream is about to stop and takes no new requests.
+    pub leaving: bool,
+}
+
+/// The time for which an upstream wants no requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackoffHint {
+    /// It lasts this long from the response on.
+    Lasts(Duration),
+    /// The header does not say how long in a form that can be read; this is its value.
+    Unreadable(String),
 }
 
 /// Load as an upstream reports it.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -47,10 +47,6 @@
         status: u16,
         /// Whether another incarnation responds at the address.
         wrong_incarnation: bool,
-        /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
-        rate_limit: Option<f64>,
-        /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
-        max_rejections: Option<u32>,
     },
     /// Nothing was sent, because too many upstreams have crashed under the request or a part of its prompt.
     #[display("not sent: too many upstreams have crashed under this request or a part of its prompt")]
@@ -105,7 +101,8 @@
     request_sent: bool,
 }
 
-/// Sends a request and reads the response head. There is no timeout: the calling function limits the wait.
+/// Sends a request and reads the response head. There is no timeout: the calling function limits the wait. Calls `on_head`
+/// for each response of the upstream, also for those to earlier requests.
 ///
 /// # Errors
 /// Returns what is certain about the request if no response to it arrives.
@@ -114,15 +111,14 @@
     request: &[u8],
     id: &str,
     codec: &dyn HeaderCodec,
+    on_head: &mut dyn FnMut(&ResponseInfo),
 ) -> Result<UpstreamResponse, AttemptError> {
-    let (head, info, decoder, request_sent) = send_and_read(&mut connection, request, id, codec).await?;
+    let (head, info, decoder, request_sent) = send_and_read(&mut connection, request, id, codec, on_head).await?;
     if info.not_run || info.wrong_incarnation {
         let (status, wrong_incarnation) = (head.start.status, info.wrong_incarnation);
         return Err(AttemptError::Refused {
             status,
             wrong_incarnation,
-            rate_limit: info.rate_limit,
-            max_rejections: info.max_rejections,
         });
     }
     Ok(UpstreamResponse {
@@ -141,6 +137,7 @@
     request: &[u8],
     id: &str,
     codec: &dyn HeaderCodec,
+    on_head: &mut dyn FnMut(&ResponseInfo),
 ) -> Result<(Head<StatusLine>, ResponseInfo, BodyDecoder, bool), AttemptError> {
     let Connection { stream, buffer, .. } = connection;
     let (mut reader, mut writer) = stream.split();
@@ -151,6 +148,7 @@
     let mut skipped = 0;
     loop {
         if let Some((head, info, decoder)) = next_response(buffer, codec)? {
+            on_head(&info);
             if info.id.as_deref().is_none_or(|answered_id| answered_id == id) {
                 return Ok((head, info, decoder, request_sent && !write_failed));
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,5 +39,6 @@
 mod slots;
 pub mod stream;
 pub mod upstream_list;
+mod upstream_news;
 pub mod upstreams;
 pub mod usage;
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -22,7 +22,7 @@
 
 use crate::dialect::KvCopyRequest;
 use crate::events::EventParser;
-use crate::exchange::{AttemptError, send_request};
+use crate::exchange::AttemptError;
 use crate::gate::Gateway;
 use crate::reclaim_notice::ReclaimNotice;
 use crate::request::Request;
@@ -348,7 +348,9 @@
         })?;
     let mut bytes = Vec::new();
     gateway.codec.write_copy(&mut bytes, copy_request);
-    let mut response = send_request(connection, &bytes, &copy_request.request_id, gateway.codec.as_ref()).await?;
+    let mut response = gateway
+        .exchange((service, &source.id), connection, &bytes, &copy_request.request_id)
+        .await?;
     let status = response.head.start.status;
     Ok((status, response.read_body().await?))
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -81,6 +81,8 @@
 /// When an attempt reached the steps that tell whether it can have crashed its upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AttemptTimes {
+    /// When the upstream was chosen.
+    pub chosen_at: Tick,
     /// When the request was sent to the upstream.
     pub sent_at: Tick,
     /// When the first event of a stream arrived; `None` before it.
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use contract::KeyHash;
-use gateway::dialect::{AttemptHeaders, HeaderCodec, KvCopyRequest, RequestInfo, ResponseInfo, TokenCounts};
+use gateway::dialect::{
+    AttemptHeaders, BackoffHint, HeaderCodec, KvCopyRequest, RequestInfo, ResponseInfo, TokenCounts, UpstreamNews,
+};
 use gateway::head::{Head, RequestLine, StatusLine};
 
 /// Headers with names for the tests.
@@ -69,9 +71,15 @@
             not_run: head.get("not-run").is_some(),
             wrong_incarnation: head.start.status == 421,
             signed: head.get("signed").is_some(),
-            load: None,
-            rate_limit: head.get("limit").and_then(|text| text.parse().ok()),
-            max_rejections: None,
+            news: UpstreamNews {
+                rate_limit: head.get("limit").and_then(|text| text.parse().ok()),
+                backoff: head.get("pause").map(|text| match text.parse() {
+                    Ok(seconds) => BackoffHint::Lasts(Duration::from_secs_f64(seconds)),
+                    Err(_unreadable) => BackoffHint::Unreadable(text.to_owned()),
+                }),
+                leaving: head.get("leaving").is_some(),
+                ..UpstreamNews::default()
+            },
             idle_timeout: None,
         }
     }
