--- a/crates/gateway/tests/common/leader.rs
+++ b/crates/gateway/tests/common/leader.rs
@@ -66,6 +66,7 @@
             let Some(update) = registry.heartbeat(TERM, (&from, beat), &limits, now) else {
                 continue;
             };
+            *shared.observations.lock() = Some((update.signs, Tick(started.elapsed())));
             if let Some(relays) = update.relays {
                 shared.record_relays(relays);
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod host;
 mod leader;
+mod pair;
 mod upstream;
 
 use std::time::Duration;
@@ -14,6 +15,7 @@
 pub use cut_link::{Cut, CutLink};
 pub use host::Host;
 pub use leader::Leader;
+pub use pair::{PAIR_TIMEOUT_MS, Pair, cut_off};
 pub use upstream::{ReceivedRequest, Script, Upstream, listed, respond, send_event, start_stream};
 
 /// Longest wait for anything, so that no test hangs.
--- a/crates/gateway/tests/relayed_requests.rs
+++ b/crates/gateway/tests/relayed_requests.rs
@@ -10,46 +10,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Host, Leader, ReceivedRequest, TEST_TIMEOUT, Upstream, listed, respond, send_event, start_stream};
+use common::{
+    Host, Leader, PAIR_TIMEOUT_MS, Pair, ReceivedRequest, TEST_TIMEOUT, Upstream, cut_off, respond, send_event,
+    start_stream,
+};
 use contract::{NodeId, RelayHost, RetryMode, ServiceName, Zone};
-use gateway::gate::Shared;
-use load::trial::process::free_address;
 use serde::de::DeserializeOwned;
 use wire::relay::{HEAD_BYTES, RelayRefusal, RelayReply, RelayRequest, body_length, decode, encode};
 
-const TIMEOUT_MS: u64 = 3_000;
-
-/// A host whose connections to upstreams are all refused, and one that reaches them.
-struct Pair {
-    cut: Host,
-    relay: Host,
-    _leader: Leader,
-}
-
-impl Pair {
-    fn start(repeat: RetryMode, attempts: u32, upstreams: &[&Upstream]) -> Self {
-        let cut = cut_off(repeat, attempts, upstreams);
-        let relay = Host::shared(repeat, attempts, TIMEOUT_MS, upstreams);
-        let all = [Arc::clone(&cut), Arc::clone(&relay)];
-        Self {
-            cut: Host::run(cut),
-            relay: Host::run(relay),
-            _leader: Leader::start(&all),
-        }
-    }
-}
-
-/// Returns the state of a host whose connections to upstreams are all refused.
-fn cut_off(repeat: RetryMode, attempts: u32, upstreams: &[&Upstream]) -> Arc<Shared> {
-    let shared = Host::shared(repeat, attempts, TIMEOUT_MS, upstreams);
-    let mut list = listed(upstreams);
-    for entry in &mut list {
-        entry.address = free_address();
-    }
-    shared.new_list.lock().as_mut().unwrap().0 = list;
-    shared
-}
-
 fn streaming(events: u64, pause: Duration) -> Upstream {
     Upstream::start(Box::new(move |request, stream| {
         start_stream(request, stream);
@@ -283,7 +251,7 @@
         assert!(response.head.contains("Retry-After"));
     }
     assert!(
-        sent.elapsed() < Duration::from_millis(TIMEOUT_MS),
+        sent.elapsed() < Duration::from_millis(PAIR_TIMEOUT_MS),
         "{:?}",
         sent.elapsed()
     );
