Keep the pauses that overloaded upstreams ask for

What callers saw: questions refused for seconds while other upstreams of the service were free, as most attempts went to those that turned everything away. The upstreams got up to 167 requests of a host in 3 s for which they had asked it to send none (2 are allowed from half a second on).

Cause: nobody read Retry-After of an upstream, and a refusal that says "not run" is no failure, so that nothing kept the next request away; an upstream that turns all away looks free by its load. The class: an instruction of the other side that is not read, or not kept at the moment of acting.

What decides whether an upstream may get a request is now one type, policy::send_gate: breaker, rate limit, pause and replacement, asked at the choice and again right before the bytes are sent; nothing was sent then, so that neither an attempt nor a retry is used up. It belongs to the incarnation and outlasts lists that drop the upstream. After a pause a host waits up to a quarter of it more, at random, and sends one request first. While all pause, callers are refused at once and told the first end; calls that copy a KV cache away wait too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -234,15 +234,15 @@
                 })?,
         };
         self.last_relay.set(connection.relay.as_ref().map(|lease| lease.host));
-        if !gateway.take_rate(&chosen.id) {
-            return Err(AttemptError::OverLimit);
-        }
-        if let Err(left) = gateway.admit_parts(self).await {
+        let admitted = gateway.admit_parts(self).await;
+        let admitted = admitted.map_err(|left| AttemptError::Quarantined { left });
+        // What is known of the upstream may have changed since it was chosen.
+        if let Err(error) = admitted.and_then(|()| gateway.claim_send(&chosen.id).map_err(AttemptError::Held)) {
             // How long an upstream keeps a reused connection open is no longer known.
             if !connection.reused {
                 gateway.pool.borrow_mut().put(connection, None);
             }
-            return Err(AttemptError::Quarantined { left });
+            return Err(error);
         }
         let bytes = self.render(gateway, chosen, after, kv_copy);
         if let Some(slot) = &slot {
@@ -407,7 +407,7 @@
                     upstream.mark_replaced(true, now);
                 }
                 AttemptError::NoPermit
-                | AttemptError::OverLimit
+                | AttemptError::Held(_)
                 | AttemptError::NoRoom
                 | AttemptError::Quarantined { .. }
                 | AttemptError::Refused { .. } => {}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
+use policy::send_gate::Hold;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::body::{BodyDecoder, BodyError};
@@ -28,9 +29,10 @@
     /// Nothing was sent, because the retry budget is used up.
     #[display("not sent: the retry budget is used up")]
     NoPermit,
-    /// Nothing was sent, because this host's part of the upstream's rate limit is used up.
-    #[display("not sent: the rate limit of the upstream is used up")]
-    OverLimit,
+    /// Nothing was sent, because the upstream may get no request of this host now.
+    #[display("not sent: {_0}")]
+    #[error(ignore)]
+    Held(Hold),
     /// Nothing was sent, because the upstream is brittle and has no room.
     #[display("not sent: the upstream has no room")]
     NoRoom,
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -346,6 +346,7 @@
         .map_err(|error| AttemptError::NotSent {
             reason: error.to_string(),
         })?;
+    gateway.claim_call(&source.id).map_err(AttemptError::Held)?;
     let mut bytes = Vec::new();
     gateway.codec.write_copy(&mut bytes, copy_request);
     let mut response = gateway
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -18,21 +18,14 @@
         gauge!("gentian_gateway_limited_upstreams_count").set(upstreams.limited_count() as f64);
     }
 
-    /// Takes a request from this host's part of an upstream's rate limit; returns whether it may be sent now.
-    pub(crate) fn take_rate(&self, upstream_id: &str) -> bool {
-        let mut upstreams = self.upstreams.borrow_mut();
-        let upstream = upstreams.get_mut(upstream_id);
-        upstream.is_none_or(|upstream| upstream.rate_limit.take(self.clock.now()))
-    }
-
     /// Records the rate limit that an upstream named in a response, or that it named none.
     pub(crate) fn record_rate_limit(&self, upstream_id: &str, per_s: Option<f64>) {
         let mut upstreams = self.upstreams.borrow_mut();
         let Some(upstream) = upstreams.get_mut(upstream_id) else {
             return;
         };
-        let before = upstream.rate_limit.per_s();
-        upstream.rate_limit.record_response(per_s, self.clock.now());
+        let before = upstream.gate.limit.per_s();
+        upstream.gate.limit.record_response(per_s, self.clock.now());
         if before != per_s {
             info!(self.logger, "rate limit of an upstream"; "upstream" => upstream_id, "per_s" => per_s,
                 "before" => before);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -205,8 +205,9 @@
             self.record_failure(gateway, &chosen, &error);
             gateway.record_crash(self, &chosen, &error).await;
             match &error {
-                AttemptError::NotSent { .. } | AttemptError::OverLimit | AttemptError::NoRoom => failed_connects += 1,
-                AttemptError::NoPermit | AttemptError::Refused { .. } => {}
+                AttemptError::NotSent { .. } | AttemptError::NoRoom => failed_connects += 1,
+                // Nothing was sent, and the next choice leaves the upstream out.
+                AttemptError::Held(_) | AttemptError::NoPermit | AttemptError::Refused { .. } => {}
                 AttemptError::Quarantined { .. } => {
                     last_error = Some(error);
                     break;
@@ -218,14 +219,14 @@
             }
             last_error = Some(error);
         }
-        self.failure_outcome(last_error)
+        self.failure_outcome(gateway, last_error)
     }
 
     /// Returns the outcome when no further attempt is made.
-    fn failure_outcome(&self, last_error: Option<AttemptError>) -> Outcome {
+    fn failure_outcome(&self, gateway: &Gateway, last_error: Option<AttemptError>) -> Outcome {
         let delay = match &last_error {
             Some(AttemptError::Quarantined { left }) => *left,
-            _ => self.retry_delay(),
+            _ => self.delay_until_placed(self.choose_upstream(gateway, &[]).err()),
         };
         let reason = last_error.map_or_else(|| "no attempt was made".to_owned(), |error| error.to_string());
         if self.progress.get().may_have_run {
@@ -271,14 +272,16 @@
     }
 
     fn refuse_unplaced(&self, reason: NoUpstream) -> Refusal {
-        let wait = match reason {
-            NoUpstream::AllLimited { wait } => wait,
-            _ => None,
-        };
-        let delay = wait.map_or_else(|| self.retry_delay(), |wait| wait.min(self.longest_delay()));
+        let delay = self.delay_until_placed(Some(reason));
         Refusal::new(503, format!("not run: {reason}")).with_retry_after(delay)
     }
 
+    /// Returns the delay after which a refused caller should try again, given why no upstream would take its request now.
+    fn delay_until_placed(&self, reason: Option<NoUpstream>) -> Duration {
+        let wait = reason.and_then(|reason| reason.wait()).unwrap_or_default();
+        (wait + self.retry_delay()).min(self.longest_delay())
+    }
+
     /// Returns the longest delay after which the caller would still try again.
     fn longest_delay(&self) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -19,6 +19,7 @@
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
+use policy::send_gate::{Hold, SendGate};
 use wire::registry::UpstreamObservation;
 
 pub use upstream::Upstream;
@@ -36,10 +37,16 @@
 /// Requests per slot up to which an upstream is chosen: one that runs and one in its queue. It refuses any more.
 const MAX_LOAD_PER_SLOT: f64 = 2.0;
 
+/// Time for which it is remembered what an upstream that is no longer listed has said. A list may drop an upstream that
+/// the next one names again.
+const FORMER_TIME: Duration = Duration::from_mins(10);
+
 /// All listed upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     all: HashMap<String, Upstream>,
+    /// Upstreams that are no longer listed.
+    former: HashMap<String, FormerUpstream>,
     reachability: HashMap<Zone, Rc<Reachability>>,
     /// Learnt prefill speed by service.
     speeds: HashMap<ServiceName, Rc<RefCell<SpeedEstimate>>>,
@@ -55,6 +62,15 @@
     pub list_time: Option<Tick>,
 }
 
+/// What is remembered of an upstream that is no longer listed.
+#[derive(Debug)]
+struct FormerUpstream {
+    /// Start of the incarnation.
+    start: u64,
+    gate: SendGate,
+    gone_at: Tick,
+}
+
 /// Requirements of a request on its upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamNeed<'a> {
@@ -107,6 +123,20 @@
     parts.get(index).map_or(0, |part| part.key)
 }
 
+/// Returns why no upstream is left, given what keeps requests from each.
+fn all_held(holds: &[Hold]) -> NoUpstream {
+    let wait = holds.iter().filter_map(Hold::left).min();
+    let is_pausing = |hold: &Hold| matches!(hold, Hold::Pausing { .. });
+    let is_limited = |hold: &Hold| matches!(hold, Hold::Limited { .. });
+    if holds.iter().any(is_pausing) {
+        NoUpstream::AllPausing { wait }
+    } else if holds.iter().any(is_limited) {
+        NoUpstream::AllLimited { wait }
+    } else {
+        NoUpstream::AllFailing
+    }
+}
+
 /// The upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChosenUpstream {
@@ -141,6 +171,12 @@
     /// All are full.
     #[display("every upstream is full")]
     AllFull,
+    /// All that would take the request have asked this host for a pause, or limit their requests.
+    #[display("every upstream has asked for a pause")]
+    AllPausing {
+        /// Time until this host may send one.
+        wait: Option<Duration>,
+    },
     /// All that would take the request limit their requests.
     #[display("every upstream limits its requests")]
     AllLimited {
@@ -149,6 +185,17 @@
     },
 }
 
+impl NoUpstream {
+    /// Returns the time until an upstream may get a request, if it is known.
+    #[must_use]
+    pub const fn wait(&self) -> Option<Duration> {
+        match self {
+            Self::AllPausing { wait } | Self::AllLimited { wait } => *wait,
+            Self::NoneListed | Self::NoVersion | Self::AllFailing | Self::AllFull => None,
+        }
+    }
+}
+
 impl Upstreams {
     /// Applies a list, keeping the state of upstreams that stay. Returns the upstreams that started to leave or are
     /// gone.
@@ -170,13 +217,17 @@
                         ended.push(id.clone());
                     }
                     if known.listed.address != listed.address {
-                        known.clear_replaced();
+                        known.gate.clear_replaced();
                     }
                     known.listed = listed;
                     known
                 }
                 None => {
                     let mut started = Upstream::new(listed, (reach, speed), list_time);
+                    let former = self.former.remove(&id);
+                    if let Some(former) = former.filter(|former| former.start == started.listed.start) {
+                        started.gate = former.gate;
+                    }
                     if self.list_time.is_some() {
                         started.record_alive(list_time);
                     }
@@ -188,12 +239,35 @@
             }
             self.all.insert(id, upstream);
         }
-        ended.extend(previous.into_keys());
+        self.remember(previous, list_time, &mut ended);
         self.list_time = Some(list_time);
         self.record_versions(list_time);
         ended
     }
 
+    /// Keeps what upstreams that are no longer listed have said, and adds them to those that have ended.
+    fn remember(&mut self, gone: HashMap<String, Upstream>, gone_at: Tick, ended: &mut Vec<String>) {
+        self.former
+            .retain(|_, former| gone_at.since(former.gone_at) < FORMER_TIME);
+        for (id, upstream) in gone {
+            ended.push(id.clone());
+            let former = FormerUpstream {
+                start: upstream.listed.start,
+                gate: upstream.gate,
+                gone_at,
+            };
+            self.former.insert(id, former);
+        }
+    }
+
+    /// Returns what decides whether requests may be sent to an upstream, listed or not; `None` if nothing is known of it.
+    pub(crate) fn gate_mut(&mut self, id: &str) -> Option<&mut SendGate> {
+        if let Some(upstream) = self.all.get_mut(id) {
+            return Some(&mut upstream.gate);
+        }
+        self.former.get_mut(id).map(|former| &mut former.gate)
+    }
+
     /// Chooses an upstream for a request.
     ///
     /// # Errors
@@ -288,18 +362,17 @@
         if serving.is_empty() {
             return Err(NoUpstream::NoneListed);
         }
-        let accepts = |upstream: &&Upstream| {
-            !upstream.is_replaced(now) && upstream.breaker.allows(now) && !need.tried.contains(&upstream.listed.id)
-        };
-        let mut usable: Vec<&Upstream> = serving.into_iter().filter(accepts).collect();
-        if usable.is_empty() {
-            return Err(NoUpstream::AllFailing);
+        let mut holds = Vec::new();
+        let mut usable: Vec<&Upstream> = Vec::new();
+        for upstream in serving {
+            match upstream.gate.check(now) {
+                Ok(()) if need.tried.contains(&upstream.listed.id) => {}
+                Ok(()) => usable.push(upstream),
+                Err(hold) => holds.push(hold),
+            }
         }
-        let waits = usable.iter().filter_map(|upstream| upstream.rate_limit.wait(now));
-        let wait = waits.min();
-        usable.retain(|upstream| upstream.rate_limit.wait(now) == Some(Duration::ZERO));
         if usable.is_empty() {
-            return Err(NoUpstream::AllLimited { wait });
+            return Err(all_held(&holds));
         }
         // If all upstreams are cut off, they are used all the same.
         let reached = |upstream: &&Upstream| !upstream.reachability.is_silent(need.runs_once, now);
@@ -330,7 +403,7 @@
             }
             upstream.others_busy_until = received_at + Duration::from_millis(u64::from(observation.backlog_ms));
             upstream.overdue_until = received_at + Duration::from_millis(u64::from(observation.overdue_ms));
-            if observation.replaced && !upstream.is_replaced(received_at) {
+            if observation.replaced && !upstream.gate.is_replaced(received_at) {
                 upstream.mark_replaced(false, received_at);
             }
         }
@@ -389,7 +462,7 @@
     pub(crate) fn close_breakers(&mut self, service: &ServiceName) {
         let serving = self.all.values_mut();
         for upstream in serving.filter(|upstream| upstream.listed.service == *service) {
-            upstream.breaker = Breaker::default();
+            upstream.gate.breaker = Breaker::default();
         }
     }
 
--- a/crates/gateway/src/upstreams/limits.rs
+++ b/crates/gateway/src/upstreams/limits.rs
@@ -22,7 +22,7 @@
             let service = &upstream.listed.service;
             // Callers ask for a service; its upstreams get like parts.
             let wanted = wanted(service) / counts.get(service).copied().unwrap_or(1) as f64;
-            let (named, held) = upstream.rate_limit.report(wanted, now)?;
+            let (named, held) = upstream.gate.limit.report(wanted, now)?;
             Some(HeardLimit {
                 id: id.clone(),
                 per_s: named.per_s,
@@ -47,9 +47,10 @@
                 per_s: part.per_s,
                 at: asked_at - Duration::from_millis(u64::from(part.age_ms)),
             };
-            let before = (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now));
-            upstream.rate_limit.record_part(named, part.part, asked_at, now);
-            if before != (upstream.rate_limit.per_s(), upstream.rate_limit.part_per_s(now)) {
+            let limit = &mut upstream.gate.limit;
+            let before = (limit.per_s(), limit.part_per_s(now));
+            limit.record_part(named, part.part, asked_at, now);
+            if before != (limit.per_s(), limit.part_per_s(now)) {
                 changed.push(part.clone());
             }
         }
@@ -59,7 +60,7 @@
     /// Returns the number of upstreams that limit their requests.
     #[must_use]
     pub fn limited_count(&self) -> usize {
-        let limited = |upstream: &&Upstream| upstream.rate_limit.per_s().is_some();
+        let limited = |upstream: &&Upstream| upstream.gate.limit.per_s().is_some();
         self.all.values().filter(limited).count()
     }
 }
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -7,12 +7,11 @@
 use contract::ListedUpstream;
 use policy::Tick;
 use policy::backlog::{Backlog, SentRequest};
-use policy::breaker::Breaker;
 use policy::load::{LoadEstimate, LoadReport};
 use policy::pace::{RelativeSpeed, SpeedEstimate};
 use policy::place::{CachedParts, Candidate, PromptPart};
-use policy::rate_limit::HostLimit;
 use policy::reach::Reachability;
+use policy::send_gate::{Heard, SendGate};
 use wire::registry::UpstreamObservation;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,9 +24,6 @@
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2_500);
 /// Age up to which a load reported to this host is passed on to the others; longer than a heartbeat interval.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
-/// Time for which an upstream is left alone after another incarnation responded at its address: longer than the list
-/// names an upstream that has ended. After that, a request finds out again, in case the response was wrong.
-const REPLACED_TIME: Duration = Duration::from_secs(10);
 /// Age up to which this host reports a replaced upstream to the others; longer than a heartbeat interval.
 const MAX_REPLACED_AGE: Duration = Duration::from_secs(1);
 /// Time for which a replaced upstream casts doubt on the others of its service: upstreams that end together are found
@@ -42,21 +38,14 @@
 /// Share of an upstream's slots up to which other requests hardly slow down the prefill of a prompt.
 const MAX_UNQUEUED_SHARE: f64 = 0.5;
 
-/// That another incarnation responded at an upstream's address.
-#[derive(Clone, Copy, Debug)]
-struct Replaced {
-    at: Tick,
-    /// Whether it responded to a request of this host.
-    own: bool,
-}
-
 /// An upstream with the state known of it.
 #[derive(Debug)]
 pub struct Upstream {
     /// Entry of the upstream list.
     pub listed: ListedUpstream,
     load: LoadEstimate,
-    pub(super) breaker: Breaker,
+    /// Whether requests may be sent.
+    pub(crate) gate: SendGate,
     cached: CachedParts,
     /// Number of requests that this host runs there.
     pub(super) own_requests: u32,
@@ -76,15 +65,11 @@
     relative_speed: RelativeSpeed,
     /// Reachability of the data centre.
     pub(super) reachability: Rc<Reachability>,
-    /// When another incarnation responded at the address, to this host or to another one.
-    replaced: Option<Replaced>,
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
     /// responded yet.
     alive_at: Option<Tick>,
     /// When anything last arrived on this host's own link.
     own_link_at: Option<Tick>,
-    /// Rate limit that the upstream names, and this host's part of it.
-    pub(crate) rate_limit: HostLimit,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
 }
@@ -103,17 +88,15 @@
             id_hash: xxh3_64(listed.id.as_bytes()),
             listed,
             load: LoadEstimate::default(),
-            breaker: Breaker::default(),
+            gate: SendGate::default(),
             cached: CachedParts::default(),
             own_requests: 0,
             backlog: Backlog::default(),
             last_report: None,
             others_busy_until: Tick::default(),
             overdue_until: Tick::default(),
-            replaced: None,
             alive_at: None,
             own_link_at: None,
-            rate_limit: HostLimit::default(),
             notice: Rc::default(),
         }
     }
@@ -166,12 +149,12 @@
     /// requests away while one tests the upstream, from before it connects.
     pub fn record_attempt(&mut self, now: Tick) {
         // Another request may have claimed the test since the choice.
-        let _ = self.breaker.claim(now);
+        let _ = self.gate.breaker.claim(now);
     }
 
     /// Records the first event of a request, or its whole response.
     pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) {
-        self.breaker.succeeded();
+        self.gate.breaker.succeeded();
         self.record_alive(now);
         let Some(first_event) = self
             .backlog
@@ -212,28 +195,17 @@
     /// Records that the upstream did not accept a connection.
     pub fn record_connect_failure(&mut self, now: Tick) {
         self.reachability.record_connect_timeout(now);
-        self.breaker.failed(now);
+        self.gate.breaker.failed(now);
     }
 
     /// Records a failed request.
     pub fn record_failure(&mut self, now: Tick) {
-        self.breaker.failed(now);
+        self.gate.breaker.failed(now);
     }
 
     /// Records that another incarnation responded at the address; `own` tells whether to a request of this host.
     pub fn mark_replaced(&mut self, own: bool, now: Tick) {
-        self.replaced = Some(Replaced { at: now, own });
-    }
-
-    /// Forgets that another incarnation responded, because the address has changed.
-    pub(super) fn clear_replaced(&mut self) {
-        self.replaced = None;
-    }
-
-    /// Returns whether another incarnation has the address, as far as is known.
-    pub(super) fn is_replaced(&self, now: Tick) -> bool {
-        self.replaced
-            .is_some_and(|replaced| now.since(replaced.at) < REPLACED_TIME)
+        self.gate.record_replaced(Heard { at: now, own });
     }
 
     /// Records a load that the upstream reported.
@@ -284,8 +256,7 @@
 
     /// Returns whether another incarnation was found at the address lately.
     pub(super) fn casts_doubt(&self, now: Tick) -> bool {
-        self.replaced
-            .is_some_and(|replaced| now.since(replaced.at) < DOUBT_TIME)
+        self.gate.replaced_age(now).is_some_and(|age| age < DOUBT_TIME)
     }
 
     /// Returns what other entry hosts should know of the upstream, if anything.
@@ -298,8 +269,9 @@
         let backlog_ms = self.backlog.pending_ms(now) as u32;
         let overdue_ms = self.backlog.overdue_ms(now) as u32;
         let replaced = self
-            .replaced
-            .is_some_and(|replaced| replaced.own && now.since(replaced.at) < MAX_REPLACED_AGE);
+            .gate
+            .own_replaced_age(now)
+            .is_some_and(|age| age < MAX_REPLACED_AGE);
         (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || replaced).then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! tested and replayed.
 
 pub mod backlog;
+pub mod backoff;
 pub mod breaker;
 pub mod budget;
 pub mod cache;
@@ -38,6 +39,7 @@
 pub mod rollout;
 pub mod room;
 pub mod route;
+pub mod send_gate;
 pub mod slots;
 pub mod sources;
 mod time;
