Send nothing new to upstreams that say in their answers that they leave

What callers saw: requests to upstreams that had already said that they stop; those in flight when they did were lost.

Cause: only the platform's list told which upstreams leave, and it may be late, silent, frozen, or drop the upstream and name it again as ready. The class is that of the pauses.

Any answer that says so closes the gate of this incarnation for good (policy::send_gate): no list takes it back, a list without the upstream neither, and no leader is needed. Other hosts hear of it with their next heartbeat, by id and start, so that another incarnation with the id is not affected. If all of a service leave, callers are refused at once. Copies of KV caches away from it still run.

--- a/crates/gateway/src/quarantine/check.rs
+++ b/crates/gateway/src/quarantine/check.rs
@@ -46,7 +46,7 @@
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams
             .get_mut(id)
-            .is_some_and(|upstream| !upstream.listed.leaving && upstream.notice().time_left(now).is_none())
+            .is_some_and(|upstream| !upstream.is_leaving() && upstream.notice().time_left(now).is_none())
     }
 
     /// Returns whether an upstream takes no connection any more. Requests that break together share a check.
--- a/crates/gateway/src/upstream_news.rs
+++ b/crates/gateway/src/upstream_news.rs
@@ -5,7 +5,7 @@
 use contract::ServiceName;
 use metrics::counter;
 use policy::Tick;
-use policy::send_gate::{Hold, SendGate};
+use policy::send_gate::{Heard, Hold, SendGate};
 use slog::{info, warn};
 
 use crate::dialect::{BackoffHint, ResponseInfo};
@@ -80,7 +80,22 @@
                 }
             }
         }
-        if news.leaving && self.may_log() {
+        if news.leaving {
+            self.record_leaving(upstream, told);
+        }
+    }
+
+    fn record_leaving(&self, upstream: &str, told: &ResponseInfo) {
+        let heard = Heard {
+            at: self.clock.now(),
+            own: true,
+        };
+        let mut upstreams = self.upstreams.borrow_mut();
+        let is_new = upstreams
+            .gate_mut(upstream)
+            .is_some_and(|gate| gate.record_leaving(heard));
+        if is_new {
+            counter!("gentian_gateway_leaving_told_total").increment(1);
             info!(self.logger, "upstream says that it leaves"; "upstream" => upstream, "request" => &told.id);
         }
     }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -19,7 +19,7 @@
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
-use policy::send_gate::{Hold, SendGate};
+use policy::send_gate::{Heard, Hold, SendGate};
 use wire::registry::UpstreamObservation;
 
 pub use upstream::Upstream;
@@ -162,6 +162,9 @@
     /// The list has none for the service.
     #[display("no upstream is listed")]
     NoneListed,
+    /// All that the list has are leaving.
+    #[display("every upstream is leaving")]
+    AllLeaving,
     /// The list has none of the version that the request needs.
     #[display("no upstream of the stream's version is listed")]
     NoVersion,
@@ -191,7 +194,7 @@
     pub const fn wait(&self) -> Option<Duration> {
         match self {
             Self::AllPausing { wait } | Self::AllLimited { wait } => *wait,
-            Self::NoneListed | Self::NoVersion | Self::AllFailing | Self::AllFull => None,
+            Self::NoneListed | Self::AllLeaving | Self::NoVersion | Self::AllFailing | Self::AllFull => None,
         }
     }
 }
@@ -348,8 +351,13 @@
 
     /// Returns the upstreams of a service that may take a request, ordered by id.
     fn usable(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<Vec<&Upstream>, NoUpstream> {
-        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
+        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service;
         let mut serving: Vec<&Upstream> = self.all.values().filter(serves).collect();
+        let is_listed = !serving.is_empty();
+        serving.retain(|upstream| !upstream.is_leaving());
+        if serving.is_empty() && is_listed {
+            return Err(NoUpstream::AllLeaving);
+        }
         if let Some(version) = need.version
             && !serving.is_empty()
         {
@@ -395,6 +403,9 @@
     /// Applies the observations of other entry hosts.
     pub fn merge_observations(&mut self, observations: &[UpstreamObservation], received_at: Tick) {
         for observation in observations {
+            if let Some(start) = observation.leaving {
+                self.mark_leaving(&observation.id, start, received_at);
+            }
             let Some(upstream) = self.all.get_mut(&observation.id) else {
                 continue;
             };
@@ -409,6 +420,17 @@
         }
     }
 
+    /// Records that an incarnation of an upstream has told another host that it leaves.
+    fn mark_leaving(&mut self, id: &str, start: u64, at: Tick) {
+        let known_start = match (self.all.get(id), self.former.get(id)) {
+            (Some(upstream), _) => Some(upstream.listed.start),
+            (None, former) => former.map(|former| former.start),
+        };
+        if let Some(gate) = self.gate_mut(id).filter(|_| known_start == Some(start)) {
+            gate.record_leaving(Heard { at, own: false });
+        }
+    }
+
     /// Returns what this host has seen of running rollouts, by service.
     #[must_use]
     pub fn trials(&self) -> BTreeMap<String, RolloutTrial> {
@@ -485,7 +507,7 @@
     pub fn listed(&self, service: &ServiceName) -> impl Iterator<Item = (String, SocketAddr)> {
         let serving = self.all.values().filter(move |upstream| {
             let listed = &upstream.listed;
-            listed.service == *service && !listed.leaving
+            listed.service == *service && !upstream.is_leaving()
         });
         serving.map(|upstream| (upstream.listed.id.clone(), upstream.listed.address))
     }
--- a/crates/gateway/src/upstreams/limits.rs
+++ b/crates/gateway/src/upstreams/limits.rs
@@ -15,7 +15,7 @@
     #[must_use]
     pub fn heard_limits(&self, wanted: impl Fn(&ServiceName) -> f64, now: Tick) -> Vec<HeardLimit> {
         let mut counts: HashMap<&ServiceName, usize> = HashMap::new();
-        for upstream in self.all.values().filter(|upstream| !upstream.listed.leaving) {
+        for upstream in self.all.values().filter(|upstream| !upstream.is_leaving()) {
             *counts.entry(&upstream.listed.service).or_default() += 1;
         }
         let heard = self.all.iter().filter_map(|(id, upstream)| {
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -26,6 +26,9 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
 /// Age up to which this host reports a replaced upstream to the others; longer than a heartbeat interval.
 const MAX_REPLACED_AGE: Duration = Duration::from_secs(1);
+/// Age up to which this host tells the others that an upstream has said that it leaves. Its responses to what it still runs
+/// say so again.
+const MAX_LEAVING_AGE: Duration = Duration::from_secs(2);
 /// Time for which a replaced upstream casts doubt on the others of its service: upstreams that end together are found
 /// out one after the other.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
@@ -233,6 +236,11 @@
         self.alive_at = self.alive_at.max(Some(at));
     }
 
+    /// Returns whether the upstream takes no new requests, as the list or the upstream itself says.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.gate.is_leaving()
+    }
+
     /// Returns whether the upstream responded lately, so that it very likely still exists.
     pub(super) fn is_proven(&self, now: Tick) -> bool {
         self.alive_at.is_some_and(|at| now.since(at) < PROOF_TIME)
@@ -272,12 +280,16 @@
             .gate
             .own_replaced_age(now)
             .is_some_and(|age| age < MAX_REPLACED_AGE);
-        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || replaced).then(|| UpstreamObservation {
+        let told_leaving = self.gate.own_leaving_age(now).filter(|age| *age < MAX_LEAVING_AGE);
+        let leaving = told_leaving.map(|_| self.listed.start);
+        let is_news = load.is_some() || backlog_ms > 0 || overdue_ms > 0 || replaced || leaving.is_some();
+        is_news.then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
             backlog_ms,
             overdue_ms,
             replaced,
+            leaving,
         })
     }
 }
--- a/crates/gateway/tests/replaced_news.rs
+++ b/crates/gateway/tests/replaced_news.rs
@@ -87,6 +87,26 @@
     assert_eq!(choose(&host, 1, &[], at_ms(12_000)), Some(first));
 }
 
+/// Guards against requests to an upstream of which another host knows that it leaves, also if a list drops it meanwhile, and
+/// against another incarnation with its id that is left alone with it.
+#[test]
+fn leaves_elsewhere() {
+    let observation = UpstreamObservation {
+        id: "u000".to_owned(),
+        leaving: Some(1),
+        ..UpstreamObservation::default()
+    };
+    let mut host = host_with(1);
+    host.update(vec![], at_ms(500));
+    host.merge_observations(std::slice::from_ref(&observation), at_ms(1_000));
+    host.update(vec![listed(0)], at_ms(2_000));
+    assert_eq!(choose(&host, 1, &[], at_ms(100_000)), None);
+    let restarted = ListedUpstream { start: 2, ..listed(0) };
+    host.update(vec![restarted], at_ms(101_000));
+    host.merge_observations(&[observation], at_ms(101_000));
+    assert_eq!(choose(&host, 1, &[], at_ms(101_000)), Some("u000".to_owned()));
+}
+
 /// Guards against a fleet in which each host finds out by itself that upstreams were replaced: nine tenths of 90
 /// upstreams are restarted at once, the list still names the old ones, and 58 hosts pay for each of them.
 #[test]
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -80,7 +80,7 @@
         load: None,
         backlog_ms: 0,
         overdue_ms: 900,
-        replaced: false,
+        ..UpstreamObservation::default()
     };
     host.merge_observations(&[observation], at_ms(1_000));
     assert_ne!(choose(&host, &prompt_parts), first);
--- a/crates/policy/src/send_gate.rs
+++ b/crates/policy/src/send_gate.rs
@@ -19,6 +19,9 @@
 /// Why an upstream gets no request of this host now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Hold {
+    /// It has said that it leaves.
+    #[display("it leaves")]
+    Leaving,
     /// Another incarnation has its address.
     #[display("another incarnation has its address")]
     Replaced,
@@ -46,7 +49,7 @@
         match self {
             Self::Pausing { left } => Some(*left),
             Self::Limited { left } => *left,
-            Self::Replaced | Self::Failing => None,
+            Self::Leaving | Self::Replaced | Self::Failing => None,
         }
     }
 }
@@ -69,6 +72,8 @@
     pub limit: HostLimit,
     /// Pause that the upstream asks for.
     pub backoff: Backoff,
+    /// That the upstream leaves, which is never taken back.
+    leaving: Option<Heard>,
     /// That another incarnation has the upstream's address.
     replaced: Option<Heard>,
 }
@@ -110,6 +115,9 @@
 
     /// Checks what upstreams say of themselves.
     fn check_news(&self, now: Tick) -> Result<(), Hold> {
+        if self.is_leaving() {
+            return Err(Hold::Leaving);
+        }
         if self.is_replaced(now) {
             return Err(Hold::Replaced);
         }
@@ -124,6 +132,27 @@
         Ok(())
     }
 
+    /// Records that the upstream leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, heard: Heard) -> bool {
+        let is_new = self.leaving.is_none();
+        if is_new || heard.own {
+            self.leaving = Some(heard);
+        }
+        is_new
+    }
+
+    /// Returns whether the upstream has said that it leaves.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Returns the time since the upstream told this host that it leaves; `None` if it has not.
+    #[must_use]
+    pub fn own_leaving_age(&self, now: Tick) -> Option<Duration> {
+        own_age(self.leaving, now)
+    }
+
     /// Records that another incarnation responded at the upstream's address.
     pub const fn record_replaced(&mut self, heard: Heard) {
         self.replaced = Some(heard);
--- a/crates/policy/tests/send_gate.rs
+++ b/crates/policy/tests/send_gate.rs
@@ -75,6 +75,20 @@
     assert_eq!(gate.check(at_ms(2)).unwrap_err().left(), None);
 }
 
+/// Guards against an upstream that is used again although it leaves, and against news of others that hide what the host has
+/// heard itself.
+#[test]
+fn leaving_stays() {
+    let mut gate = SendGate::default();
+    let heard = |ms, own| Heard { at: at_ms(ms), own };
+    assert!(gate.record_leaving(heard(1_000, true)));
+    assert!(!gate.record_leaving(heard(1_500, false)));
+    assert_eq!(gate.own_leaving_age(at_ms(2_000)), Some(Duration::from_secs(1)));
+    assert_eq!(gate.claim(at_ms(1_000_000_000)), Err(Hold::Leaving));
+    // Copies of what it still runs are made away from it.
+    assert_eq!(gate.claim_call(at_ms(2_000)), Ok(()));
+}
+
 quickcheck! {
     /// Guards against any order of pauses in which a request is sent before the last of them has ended.
     fn longest_counts(pauses: Vec<(u16, u16)>, probe: u16) -> bool {
--- a/crates/state/src/shared_observations.rs
+++ b/crates/state/src/shared_observations.rs
@@ -15,10 +15,12 @@
 /// Most observations in one answer: those of the busiest upstreams. Entry hosts have to avoid only a few upstreams; the
 /// observations of all, at 70 bytes each, would fill the slow links of a large deployment.
 const MAX_OBSERVATIONS: usize = 64;
-/// Most replaced upstreams in one answer, beside the busiest ones.
-const MAX_REPLACED: usize = 128;
+/// Most upstreams in one answer that were replaced or leave, beside the busiest ones.
+const MAX_GONE: usize = 128;
 /// Age up to which a report of a replaced upstream is shared: hosts that hear of it keep it for longer.
 const REPLACED_TTL: Duration = Duration::from_secs(1);
+/// Age up to which a report of an upstream that leaves is shared. Hosts that hear of it keep it.
+const LEAVING_TTL: Duration = Duration::from_secs(2);
 /// Weight of one running or waiting request, in milliseconds of unprocessed prompts.
 const REQUEST_WEIGHT_MS: u32 = 30;
 /// Backlog below which none is reported: the prompts of a few small requests.
@@ -41,6 +43,8 @@
     backlogs: BTreeMap<NodeId, Backlog>,
     /// When a host reported last that another incarnation has the address.
     replaced: Option<Tick>,
+    /// Start of the incarnation that leaves, and when a host reported it last.
+    leaving: Option<(u64, Tick)>,
 }
 
 /// What one entry host has reported about its own requests at an upstream.
@@ -66,7 +70,7 @@
 #[derive(Debug)]
 struct Summary {
     at: Tick,
-    /// Replaced upstreams first, then the busiest.
+    /// Upstreams that were replaced or leave first, then the busiest.
     upstreams: Vec<UpstreamSummary>,
 }
 
@@ -80,6 +84,8 @@
     overdue_ms: (u64, u64),
     /// Whether another incarnation has the address.
     replaced: bool,
+    /// Start of the incarnation that leaves.
+    leaving: Option<u64>,
 }
 
 impl Observations {
@@ -96,6 +102,9 @@
             if observed.replaced {
                 known.replaced = Some(now);
             }
+            if let Some(start) = observed.leaving {
+                known.leaving = Some((start, now));
+            }
             let backlog = known.backlogs.entry(from.clone()).or_default();
             backlog.unread = Duration::from_millis(u64::from(observed.backlog_ms));
             backlog.overdue = Duration::from_millis(u64::from(observed.overdue_ms));
@@ -129,13 +138,13 @@
         counter!("gentian_state_summaries_total").increment(1);
         self.upstreams.retain(|_, view| {
             view.expire(now);
-            view.load.is_some() || !view.backlogs.is_empty() || view.replaced.is_some()
+            view.load.is_some() || !view.backlogs.is_empty() || view.replaced.is_some() || view.leaving.is_some()
         });
         let summaries = self.upstreams.iter_mut().map(|(id, view)| view.summarize(id, now));
         let mut upstreams: Vec<UpstreamSummary> = summaries.collect();
-        upstreams.sort_by_key(|upstream| std::cmp::Reverse((upstream.replaced, upstream.weight())));
-        let replaced = upstreams.iter().filter(|upstream| upstream.replaced).count();
-        upstreams.truncate(MAX_OBSERVATIONS + replaced.min(MAX_REPLACED));
+        upstreams.sort_by_key(|upstream| std::cmp::Reverse((upstream.is_gone(), upstream.weight())));
+        let gone = upstreams.iter().filter(|upstream| upstream.is_gone()).count();
+        upstreams.truncate(MAX_OBSERVATIONS + gone.min(MAX_GONE));
         self.summary = Some(Summary { at: now, upstreams });
     }
 }
@@ -146,6 +155,7 @@
         self.load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
         self.backlogs.retain(|_, backlog| backlog.lasts_until() > now);
         self.replaced = self.replaced.filter(|at| now.since(*at) < REPLACED_TTL);
+        self.leaving = self.leaving.filter(|(_, at)| now.since(*at) < LEAVING_TTL);
     }
 
     /// Adds up the backlogs of all hosts, reduced by the time since they were reported. Of the overruns the largest
@@ -168,6 +178,7 @@
             unread_ms,
             overdue_ms,
             replaced: self.replaced.is_some(),
+            leaving: self.leaving.map(|(start, _)| start),
         }
     }
 }
@@ -197,15 +208,21 @@
         let backlog_ms = reported(self.unread_ms.saturating_sub(own.unread));
         let overdue_ms = reported(overdue);
         let load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
-        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || self.replaced).then(|| UpstreamObservation {
+        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || self.is_gone()).then(|| UpstreamObservation {
             id: self.id.clone(),
             load: load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32)),
             backlog_ms,
             overdue_ms,
             replaced: self.replaced,
+            leaving: self.leaving,
         })
     }
 
+    /// Returns whether the upstream was replaced or leaves.
+    const fn is_gone(&self) -> bool {
+        self.replaced || self.leaving.is_some()
+    }
+
     /// Returns how strongly the observations speak against the upstream, in milliseconds.
     fn weight(&self) -> u64 {
         let (running, waiting, _) = self.load.unwrap_or_default();
--- a/crates/state/tests/shared_news.rs
+++ b/crates/state/tests/shared_news.rs
@@ -42,7 +42,7 @@
             load,
             backlog_ms,
             overdue_ms: 0,
-            replaced: false,
+            ..UpstreamObservation::default()
         }],
         ..Heartbeat::default()
     }
@@ -72,7 +72,7 @@
             load: None,
             backlog_ms: 0,
             overdue_ms,
-            replaced: false,
+            ..UpstreamObservation::default()
         }],
         ..Heartbeat::default()
     }
@@ -141,7 +141,7 @@
         load: Some((at, 0, 10)),
         backlog_ms: 0,
         overdue_ms: 0,
-        replaced: false,
+        ..UpstreamObservation::default()
     });
     let all = Heartbeat {
         signs: signs.collect(),
@@ -238,3 +238,22 @@
         .expect("the counter is shown");
     assert!(count <= 500 / 20 + 1, "{count} summaries in half a second");
 }
+
+/// Guards against hosts that find out one by one that an upstream leaves, and against news that outlast their source.
+#[test]
+fn leaving_told() {
+    let registry = EntryRegistry::default();
+    let leaving = Heartbeat {
+        signs: vec![UpstreamObservation {
+            id: "u".to_owned(),
+            leaving: Some(7),
+            ..UpstreamObservation::default()
+        }],
+        ..Heartbeat::default()
+    };
+    heartbeat(&registry, "e1", leaving, 1_000);
+    let news = heartbeat(&registry, "e2", Heartbeat::default(), 1_100);
+    assert_eq!(news.signs.len(), 1);
+    assert_eq!((news.signs[0].id.as_str(), news.signs[0].leaving), ("u", Some(7)));
+    assert!(heartbeat(&registry, "e2", Heartbeat::default(), 4_000).signs.is_empty());
+}
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -152,6 +152,9 @@
     /// Whether another incarnation answered at the upstream's address.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub replaced: bool,
+    /// Start of the incarnation that has said that it leaves; `None` if none has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<u64>,
 }
 
 /// A position in the change history of the list of upstreams.
