Keep pauses and departures of upstreams on relayed connections

What callers saw: nothing by themselves; upstreams that had asked a host for a pause went on getting requests from it, as other hosts sent them through it.

Cause: an upstream means the host whose connection it sees, but a relay passes bytes and reads no responses, and opens connections whatever it knows itself. The class is that of the pauses.

A pause binds the host that read it, on its own link and through others, and the host that relayed it: the reader tells it at once on the relay port, and a host opens no connection for others to an upstream that wants nothing of it. Such a refusal says nothing about whether the upstream is reached, so that it confirms no crash and keeps no host from relaying to others. Older hosts read the news as a request for a connection, which the sender closes. Connections that are open already go on; their users are turned away themselves.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -67,6 +67,7 @@
             service: service.clone(),
             upstream: chosen.id.clone(),
             end_mark: Some(EndMark(rand::random())),
+            news: None,
         };
         let path = self.path_to(service, &chosen.id);
         let relayed = self.dial_relays(&request, path, chosen.address, deadline);
@@ -157,7 +158,7 @@
                         "service" => %request.service, "upstream" => &request.upstream, "error" => %error);
                     // Where this host is cut off, one that does not reach this upstream may reach others. Elsewhere the
                     // next request asks another host, as this one may be cut off without knowing it yet.
-                    if path == Path::Own || !error.is_of_upstream() {
+                    if !error.is_held() && (path == Path::Own || !error.is_of_upstream()) {
                         let now = self.clock.now();
                         self.relays.borrow_mut().record_refused(host, &request.service, now);
                     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,6 +61,11 @@
 }
 
 impl RelayError {
+    /// Returns whether the upstream wants nothing of the host that was asked.
+    pub(crate) const fn is_held(&self) -> bool {
+        matches!(self, Self::Refused(RelayRefusal::Held(_)))
+    }
+
     /// Returns whether the failure concerns the upstream and not the host that was asked.
     pub(crate) const fn is_of_upstream(&self) -> bool {
         matches!(self, Self::Refused(RelayRefusal::Unreached(_) | RelayRefusal::Unlisted))
@@ -163,6 +168,10 @@
 
 /// Connects to an upstream for another host.
 async fn open_relayed(gateway: &Gateway, request: &RelayRequest) -> Result<TcpStream, RelayRefusal> {
+    if let Some(news) = &request.news {
+        gateway.record_relayed_news(&request.upstream, news);
+        return Err(RelayRefusal::Held("as told".to_owned()));
+    }
     if gateway.stopping.get() {
         return Err(RelayRefusal::Stopping);
     }
@@ -177,6 +186,9 @@
         .borrow()
         .address_of(&request.service, &request.upstream);
     let address = address.ok_or(RelayRefusal::Unlisted)?;
+    gateway
+        .claim_relayed(&request.upstream)
+        .map_err(|hold| RelayRefusal::Held(hold.to_string()))?;
     let connected = timeout(UPSTREAM_CONNECT_TIMEOUT, open(address, gateway.settings.source)).await;
     let stream = connected.map_err(io::Error::from).flatten();
     let stream = stream.map_err(|error| RelayRefusal::Unreached(error.to_string()))?;
--- a/crates/gateway/src/upstream_news.rs
+++ b/crates/gateway/src/upstream_news.rs
@@ -1,17 +1,22 @@
 //! Exchanges with upstreams, and what each of their responses says of the upstream itself.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use contract::ServiceName;
 use metrics::counter;
 use policy::Tick;
+use policy::backoff::MAX_PAUSE;
 use policy::send_gate::{Heard, Hold, SendGate};
 use slog::{info, warn};
+use tokio::task::spawn_local;
+use wire::relay::{RelayRequest, RelayedNews};
 
 use crate::dialect::{BackoffHint, ResponseInfo};
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
 use crate::gate::Gateway;
 use crate::pool::Connection;
+use crate::relay::connect_through;
 
 impl Gateway {
     /// Sends a request to an upstream of a service and reads the response head. Records what this response, and those to
@@ -27,8 +32,56 @@
         id: &str,
     ) -> Result<UpstreamResponse, AttemptError> {
         let sent_at = self.clock.now();
-        let mut on_head = |told: &ResponseInfo| self.record_news(service, upstream, told, sent_at);
-        send_request(connection, request, id, self.codec.as_ref(), &mut on_head).await
+        let relay = connection.relay.as_ref().map(|lease| lease.host);
+        let mut relayed = RelayedNews::default();
+        let mut on_head = |told: &ResponseInfo| {
+            self.record_news(service, upstream, told, sent_at);
+            add_news(&mut relayed, told);
+        };
+        let response = send_request(connection, request, id, self.codec.as_ref(), &mut on_head).await;
+        if let Some(host) = relay.filter(|_| !relayed.is_empty()) {
+            self.tell_relay(host, (service, upstream), relayed);
+        }
+        response
+    }
+
+    /// Tells the host that relays what the upstream has said, as it passes bytes and reads no responses.
+    fn tell_relay(&self, host: SocketAddr, (service, upstream): (&ServiceName, &str), news: RelayedNews) {
+        let request = RelayRequest {
+            from: self.settings.node.clone(),
+            request: String::new(),
+            service: service.clone(),
+            upstream: upstream.to_owned(),
+            end_mark: None,
+            news: Some(news),
+        };
+        let logger = self.logger.clone();
+        spawn_local(async move {
+            let told = connect_through(host, &request).await;
+            // The other host takes the news by refusing a connection.
+            if let Err(error) = told
+                && !error.is_held()
+            {
+                counter!("gentian_gateway_relays_untold_total").increment(1);
+                warn!(logger, "relay not told of an upstream"; "host" => %host, "upstream" => &request.upstream,
+                    "error" => %error);
+            }
+        });
+    }
+
+    /// Records what another host has read on a connection that this host relays.
+    pub(crate) fn record_relayed_news(&self, upstream: &str, news: &RelayedNews) {
+        let now = self.clock.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        if let Some(gate) = upstreams.gate_mut(upstream) {
+            let pause = Duration::from_millis(news.pause_ms);
+            gate.backoff.record_pause(pause, rand::random(), now);
+            if news.leaving {
+                gate.record_leaving(Heard { at: now, own: true });
+            }
+        }
+        info!(self.logger, "told of an upstream"; "upstream" => upstream, "pause_ms" => news.pause_ms,
+            "leaving" => news.leaving);
     }
 
     /// Takes the right to send a request to an upstream now.
@@ -39,6 +92,14 @@
         self.claim_by(upstream, SendGate::claim)
     }
 
+    /// Takes the right to open a connection to an upstream for another host.
+    ///
+    /// # Errors
+    /// Returns why the upstream may get nothing.
+    pub(crate) fn claim_relayed(&self, upstream: &str) -> Result<(), Hold> {
+        self.claim_by(upstream, SendGate::claim_relayed)
+    }
+
     /// Takes the right to send a call about a request that an upstream runs already.
     ///
     /// # Errors
@@ -112,3 +173,14 @@
             "lasts_ms" => lasts.as_millis() as u64, "left_ms" => left.as_millis() as u64, "not_run" => told.not_run);
     }
 }
+
+/// Adds what a response says to what the host that relays it has to know.
+fn add_news(relayed: &mut RelayedNews, told: &ResponseInfo) {
+    if told.wrong_incarnation {
+        return;
+    }
+    if let Some(BackoffHint::Lasts(lasts)) = &told.news.backoff {
+        relayed.pause_ms = relayed.pause_ms.max(lasts.min(&MAX_PAUSE).as_millis() as u64);
+    }
+    relayed.leaving |= told.news.leaving;
+}
--- a/crates/gateway/tests/relayed_requests.rs
+++ b/crates/gateway/tests/relayed_requests.rs
@@ -45,6 +45,7 @@
         service: ServiceName::from("till"),
         upstream: upstream.to_owned(),
         end_mark: None,
+        news: None,
     };
     stream.write_all(&encode(&request).unwrap()).unwrap();
     let reply = read_message(&mut stream);
--- a/crates/policy/src/send_gate.rs
+++ b/crates/policy/src/send_gate.rs
@@ -113,6 +113,17 @@
         Err(Hold::Pausing { left })
     }
 
+    /// Takes the right to open a connection for a request of another host, which keeps its own part of the rate limit.
+    ///
+    /// # Errors
+    /// Returns why the upstream may get nothing.
+    pub fn claim_relayed(&mut self, now: Tick) -> Result<(), Hold> {
+        if self.is_leaving() {
+            return Err(Hold::Leaving);
+        }
+        self.claim_call(now)
+    }
+
     /// Checks what upstreams say of themselves.
     fn check_news(&self, now: Tick) -> Result<(), Hold> {
         if self.is_leaving() {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -47,6 +47,28 @@
     /// Mark of an orderly end; `None` if the host knows no such marks.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub end_mark: Option<EndMark>,
+    /// What the upstream has said of itself on a connection that the host relays; no connection is wanted then. `None` where
+    /// one is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub news: Option<RelayedNews>,
+}
+
+/// What an upstream has said of itself, told to the host that relays by the host that has read it. The upstream means the
+/// host whose connection it sees.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedNews {
+    /// Milliseconds for which it wants no requests of the host; zero if it has not asked for a pause.
+    pub pause_ms: u64,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+impl RelayedNews {
+    /// Returns whether the upstream has said nothing that concerns the host that relays.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.pause_ms == 0 && !self.leaving
+    }
 }
 
 /// The answer to [`RelayRequest`].
@@ -73,6 +95,9 @@
     /// The host is about to stop.
     #[display("it stops")]
     Stopping,
+    /// The upstream wants no requests of the host.
+    #[display("the upstream gets nothing of it: {_0}")]
+    Held(String),
     /// The upstream did not accept the connection.
     #[display("the upstream is not reached: {_0}")]
     Unreached(String),
--- a/crates/wire/tests/relay_frames.rs
+++ b/crates/wire/tests/relay_frames.rs
@@ -18,6 +18,7 @@
         service: ServiceName::from("m"),
         upstream: upstream.to_owned(),
         end_mark: None,
+        news: None,
     }
 }
 
