Keep the pauses that engines ask of the leader

The leader asks two engines of each group for reclaims every 200 ms. One that turned this away and asked for a pause was asked again in its turn, as the client read the status alone: the same cause as at entry hosts, found by reading.

--- a/crates/upstream/src/directory.rs
+++ b/crates/upstream/src/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use contract::ListedUpstream;
+use derive_more::{Display, Error};
 
 /// A source of the list of upstreams.
 pub trait Directory: Send {
@@ -17,11 +18,21 @@
     fn rate(&self) -> f64;
 }
 
+/// An engine that gave no answer about its planned end.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{reason}")]
+pub struct ProbeError {
+    /// Why there is no answer, for people.
+    pub reason: String,
+    /// For how long the engine wants no requests of this host; zero if it has not asked for a pause.
+    pub pause: Duration,
+}
+
 /// A client that asks model engines about their planned end.
 pub trait EngineProbe: Send {
     /// Returns the time until the engine is taken away, or `None` if that is not announced.
     ///
     /// # Errors
-    /// Returns a human-readable cause if the engine can't be asked.
-    fn left(&self, address: SocketAddr) -> Result<Option<Duration>, String>;
+    /// Fails if the engine can't be asked, or turns the question away.
+    fn left(&self, address: SocketAddr) -> Result<Option<Duration>, ProbeError>;
 }
