Take only the answer to a probe for the end of a pause

A late answer to an earlier request on the probe's connection counted as one to the probe. Found by reading; what callers see is one request more that may be turned away.

--- a/crates/gateway/src/upstream_news.rs
+++ b/crates/gateway/src/upstream_news.rs
@@ -35,7 +35,8 @@
         let relay = connection.relay.as_ref().map(|lease| lease.host);
         let mut relayed = RelayedNews::default();
         let mut on_head = |told: &ResponseInfo| {
-            self.record_news(service, upstream, told, sent_at);
+            let answers = told.id.as_deref().is_none_or(|answered_id| answered_id == id);
+            self.record_news(service, upstream, told, answers.then_some(sent_at));
             add_news(&mut relayed, told);
         };
         let response = send_request(connection, request, id, self.codec.as_ref(), &mut on_head).await;
@@ -118,8 +119,8 @@
         claimed
     }
 
-    /// Records what the response to a request that was sent at `sent_at` says of the upstream.
-    fn record_news(&self, service: &ServiceName, upstream: &str, told: &ResponseInfo, sent_at: Tick) {
+    /// Records what a response says of the upstream; `sent_at` tells when its request was sent, if that is known.
+    fn record_news(&self, service: &ServiceName, upstream: &str, told: &ResponseInfo, sent_at: Option<Tick>) {
         // The response of another incarnation tells nothing of the upstream that was meant.
         if told.wrong_incarnation {
             return;
@@ -134,9 +135,10 @@
                 warn!(self.logger, "pause of an upstream not readable"; "upstream" => upstream,
                     "request" => &told.id, "value" => text);
             }
-            None if told.not_run => {}
             None => {
-                if let Some(gate) = self.upstreams.borrow_mut().gate_mut(upstream) {
+                if let Some(sent_at) = sent_at.filter(|_| !told.not_run)
+                    && let Some(gate) = self.upstreams.borrow_mut().gate_mut(upstream)
+                {
                     gate.backoff.record_taken(sent_at);
                 }
             }
