--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -162,8 +162,8 @@
     /// The list has none for the service.
     #[display("no upstream is listed")]
     NoneListed,
-    /// All that the list has are leaving.
-    #[display("every upstream is leaving")]
+    /// All that the list has ready have said that they leave.
+    #[display("every upstream has said that it leaves")]
     AllLeaving,
     /// The list has none of the version that the request needs.
     #[display("no upstream of the stream's version is listed")]
@@ -351,10 +351,10 @@
 
     /// Returns the upstreams of a service that may take a request, ordered by id.
     fn usable(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<Vec<&Upstream>, NoUpstream> {
-        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service;
+        let serves = |upstream: &&Upstream| upstream.listed.service == *need.service && !upstream.listed.leaving;
         let mut serving: Vec<&Upstream> = self.all.values().filter(serves).collect();
         let is_listed = !serving.is_empty();
-        serving.retain(|upstream| !upstream.is_leaving());
+        serving.retain(|upstream| !upstream.gate.is_leaving());
         if serving.is_empty() && is_listed {
             return Err(NoUpstream::AllLeaving);
         }
