--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,6 +1,8 @@
 //! The listed upstreams with the state known of each: load, failures and cached prompt parts.
 
+mod former;
 mod limits;
+mod no_upstream;
 mod upstream;
 mod versions;
 
@@ -19,9 +21,10 @@
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
-use policy::send_gate::{Heard, Hold, SendGate};
 use wire::registry::UpstreamObservation;
 
+use former::FormerUpstream;
+pub use no_upstream::NoUpstream;
 pub use upstream::Upstream;
 
 use crate::rollouts::{Rollouts, TrialSubject};
@@ -37,10 +40,6 @@
 /// Requests per slot up to which an upstream is chosen: one that runs and one in its queue. It refuses any more.
 const MAX_LOAD_PER_SLOT: f64 = 2.0;
 
-/// Time for which it is remembered what an upstream that is no longer listed has said. A list may drop an upstream that
-/// the next one names again.
-const FORMER_TIME: Duration = Duration::from_mins(10);
-
 /// All listed upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -62,15 +61,6 @@
     pub list_time: Option<Tick>,
 }
 
-/// What is remembered of an upstream that is no longer listed.
-#[derive(Debug)]
-struct FormerUpstream {
-    /// Start of the incarnation.
-    start: u64,
-    gate: SendGate,
-    gone_at: Tick,
-}
-
 /// Requirements of a request on its upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamNeed<'a> {
@@ -123,20 +113,6 @@
     parts.get(index).map_or(0, |part| part.key)
 }
 
-/// Returns why no upstream is left, given what keeps requests from each.
-fn all_held(holds: &[Hold]) -> NoUpstream {
-    let wait = holds.iter().filter_map(Hold::left).min();
-    let is_pausing = |hold: &Hold| matches!(hold, Hold::Pausing { .. });
-    let is_limited = |hold: &Hold| matches!(hold, Hold::Limited { .. });
-    if holds.iter().any(is_pausing) {
-        NoUpstream::AllPausing { wait }
-    } else if holds.iter().any(is_limited) {
-        NoUpstream::AllLimited { wait }
-    } else {
-        NoUpstream::AllFailing
-    }
-}
-
 /// The upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChosenUpstream {
@@ -156,49 +132,6 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
-/// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
-pub enum NoUpstream {
-    /// The list has none for the service.
-    #[display("no upstream is listed")]
-    NoneListed,
-    /// All that the list has ready have said that they leave.
-    #[display("every upstream has said that it leaves")]
-    AllLeaving,
-    /// The list has none of the version that the request needs.
-    #[display("no upstream of the stream's version is listed")]
-    NoVersion,
-    /// All listed ones fail or were tried.
-    #[display("every upstream fails")]
-    AllFailing,
-    /// All are full.
-    #[display("every upstream is full")]
-    AllFull,
-    /// All that would take the request have asked this host for a pause, or limit their requests.
-    #[display("every upstream has asked for a pause")]
-    AllPausing {
-        /// Time until this host may send one.
-        wait: Option<Duration>,
-    },
-    /// All that would take the request limit their requests.
-    #[display("every upstream limits its requests")]
-    AllLimited {
-        /// Time until this host may send one; `None` if other hosts hold all limits.
-        wait: Option<Duration>,
-    },
-}
-
-impl NoUpstream {
-    /// Returns the time until an upstream may get a request, if it is known.
-    #[must_use]
-    pub const fn wait(&self) -> Option<Duration> {
-        match self {
-            Self::AllPausing { wait } | Self::AllLimited { wait } => *wait,
-            Self::NoneListed | Self::AllLeaving | Self::NoVersion | Self::AllFailing | Self::AllFull => None,
-        }
-    }
-}
-
 impl Upstreams {
     /// Applies a list, keeping the state of upstreams that stay. Returns the upstreams that started to leave or are
     /// gone.
@@ -248,29 +181,6 @@
         ended
     }
 
-    /// Keeps what upstreams that are no longer listed have said, and adds them to those that have ended.
-    fn remember(&mut self, gone: HashMap<String, Upstream>, gone_at: Tick, ended: &mut Vec<String>) {
-        self.former
-            .retain(|_, former| gone_at.since(former.gone_at) < FORMER_TIME);
-        for (id, upstream) in gone {
-            ended.push(id.clone());
-            let former = FormerUpstream {
-                start: upstream.listed.start,
-                gate: upstream.gate,
-                gone_at,
-            };
-            self.former.insert(id, former);
-        }
-    }
-
-    /// Returns what decides whether requests may be sent to an upstream, listed or not; `None` if nothing is known of it.
-    pub(crate) fn gate_mut(&mut self, id: &str) -> Option<&mut SendGate> {
-        if let Some(upstream) = self.all.get_mut(id) {
-            return Some(&mut upstream.gate);
-        }
-        self.former.get_mut(id).map(|former| &mut former.gate)
-    }
-
     /// Chooses an upstream for a request.
     ///
     /// # Errors
@@ -380,7 +290,7 @@
             }
         }
         if usable.is_empty() {
-            return Err(all_held(&holds));
+            return Err(NoUpstream::all_held(&holds));
         }
         // If all upstreams are cut off, they are used all the same.
         let reached = |upstream: &&Upstream| !upstream.reachability.is_silent(need.runs_once, now);
@@ -420,17 +330,6 @@
         }
     }
 
-    /// Records that an incarnation of an upstream has told another host that it leaves.
-    fn mark_leaving(&mut self, id: &str, start: u64, at: Tick) {
-        let known_start = match (self.all.get(id), self.former.get(id)) {
-            (Some(upstream), _) => Some(upstream.listed.start),
-            (None, former) => former.map(|former| former.start),
-        };
-        if let Some(gate) = self.gate_mut(id).filter(|_| known_start == Some(start)) {
-            gate.record_leaving(Heard { at, own: false });
-        }
-    }
-
     /// Returns what this host has seen of running rollouts, by service.
     #[must_use]
     pub fn trials(&self) -> BTreeMap<String, RolloutTrial> {
