Share timed prefills among entry hosts

Cause: by its own samples alone a host took most of a minute to learn the speed of the engines: on a deployment whose engines prefill 140 tokens in a ms, hosts assumed 30 (median) after 18 s and 117 after 38 s. Change: heartbeats carry the newest prefills that found no other work at their upstream, the leader tells each host those of the others, and hosts learn from them as from their own. Numbers keep a sample from counting twice; without a leader hosts learn by themselves as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -156,8 +156,12 @@
     /// Records the first event, or a whole response.
     pub(crate) fn record_first_event(&self) {
         self.record_part();
-        if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
-            upstream.record_first_event(self.backlog_id, self.gateway.clock.now());
+        let now = self.gateway.clock.now();
+        let mut upstreams = self.gateway.upstreams.borrow_mut();
+        let upstream = upstreams.get_mut(&self.chosen.id);
+        let timed = upstream.and_then(|upstream| upstream.record_first_event(self.backlog_id, now));
+        if let Some(sample) = timed {
+            self.gateway.prefills.borrow_mut().record(sample);
         }
     }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -23,13 +23,17 @@
 use policy::slots::Brittleness;
 use slog::Logger;
 use telemetry::Clock;
-use wire::registry::{BrittleNews, Heartbeat, LimitPart, QuotaShare, RelayList, ServiceLoad, UpstreamObservation};
+use wire::registry::{
+    BrittleNews, Heartbeat, LimitPart, PrefillSample, PrefillSamples, QuotaShare, RelayList, ServiceLoad,
+    UpstreamObservation,
+};
 use wire::rollout::RolloutPlan;
 
 use crate::dialect::{HeaderCodec, RequestInfo};
 use crate::lender::QuotaBorrower;
 use crate::origins::OriginClient;
 use crate::pool::ConnectionPool;
+use crate::prefill_samples::OwnPrefills;
 use crate::quarantine::{CrashReporter, KnownQuarantine};
 use crate::routing_table::RoutingTable;
 use crate::slots::SlotClient;
@@ -46,6 +50,8 @@
 const AVERAGING_TIME: Duration = Duration::from_secs(4);
 /// Shortest time that the average is taken to cover; over less, a single prompt would look like a surge.
 const MIN_AVERAGING_TIME: Duration = Duration::from_secs(1);
+/// Prefills of other hosts that wait for the event loop; further ones are dropped, for example after a freeze.
+const MAX_UNAPPLIED: usize = 256;
 /// Number of entry hosts that is assumed until the leader reports it.
 const DEFAULT_ENTRY_COUNT: u32 = 32;
 
@@ -87,6 +93,10 @@
     pub relay_mark: AtomicU64,
     /// Requests that are not sent, as the leader told them last.
     pub quarantine: Mutex<KnownQuarantine>,
+    /// Prefills timed by other entry hosts that the event loop has not learnt from yet.
+    pub prefills: Mutex<Vec<PrefillSample>>,
+    /// Position up to which the leader has told such prefills; zero without any.
+    pub prefill_mark: AtomicU64,
     /// Content of the next heartbeat to the leader.
     pub heartbeat: Mutex<Heartbeat>,
 }
@@ -108,6 +118,18 @@
         self.relay_mark.store(list.mark, Ordering::Relaxed);
     }
 
+    /// Records prefills that other entry hosts have timed.
+    pub fn record_prefills(&self, told: PrefillSamples) {
+        if told.is_empty() {
+            return;
+        }
+        self.prefill_mark.store(told.next, Ordering::Relaxed);
+        let mut prefills = self.prefills.lock();
+        if prefills.len() < MAX_UNAPPLIED {
+            prefills.extend(told.samples);
+        }
+    }
+
     /// Returns whether a table holds everything that operators have been told is in force.
     #[must_use]
     pub fn is_current(&self, table: &RoutingTable, now: Tick) -> bool {
@@ -177,6 +199,8 @@
     pub(crate) origins: OriginClient,
     /// Reports upstreams that crash under requests.
     pub(crate) crashes: CrashReporter,
+    /// Prefills that this host has timed.
+    pub(crate) prefills: RefCell<OwnPrefills>,
 }
 
 /// Exponentially decaying average of units per second.
@@ -262,6 +286,7 @@
             slots: Rc::default(),
             origins: OriginClient::default(),
             crashes: CrashReporter::default(),
+            prefills: RefCell::default(),
         }
     }
 
@@ -285,6 +310,8 @@
                 .borrow_mut()
                 .merge_observations(&observations, received_at);
         }
+        let prefills = std::mem::take(&mut *self.shared.prefills.lock());
+        self.upstreams.borrow_mut().learn_prefills(&prefills);
         if let Some((parts, asked_at)) = self.shared.limits.lock().take() {
             self.apply_limits(&parts, asked_at);
         }
@@ -310,6 +337,7 @@
         heartbeat.load.clone_from(&self.service_loads.borrow());
         heartbeat.zone.clone_from(&self.settings.zone);
         heartbeat.relay = self.relay_offer();
+        heartbeat.prefills = self.prefills.borrow().newest();
         let now = self.clock.now();
         for (service, average) in self.prefill_averages.borrow_mut().iter_mut() {
             heartbeat.load.entry(service.clone()).or_default().reading = average.per_s(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod origins;
 mod own_links;
 pub mod pool;
+mod prefill_samples;
 pub mod quarantine;
 mod rate_limits;
 mod rate_reporter;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -138,6 +138,7 @@
             let mut heartbeat = self.shared.heartbeat.lock().clone();
             heartbeat.run = self.incarnation;
             heartbeat.relay_mark = self.shared.relay_mark.load(Ordering::Relaxed);
+            heartbeat.prefill_mark = self.shared.prefill_mark.load(Ordering::Relaxed);
             upstream_list.fill_request(&mut heartbeat);
             let sent_at = self.clock.now();
             let heartbeat = Envelope::new(&self.node, Revision(self.active_version()), heartbeat);
@@ -158,6 +159,7 @@
                         if !update.brittle.is_empty() {
                             *self.shared.brittle.lock() = Some((update.brittle, self.clock.now()));
                         }
+                        self.shared.record_prefills(update.prefills);
                         if let Some(relays) = update.relays {
                             self.shared.record_relays(relays);
                         }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -21,12 +21,13 @@
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
-use wire::registry::UpstreamObservation;
+use wire::registry::{PrefillSample, UpstreamObservation};
 
 use former::FormerUpstream;
 pub use no_upstream::NoUpstream;
 pub use upstream::Upstream;
 
+use crate::prefill_samples::is_plausible;
 use crate::rollouts::{Rollouts, TrialSubject};
 
 /// Milliseconds by which predictions may differ and still count as equal. Among equal ones entry hosts prefer the same
@@ -330,6 +331,19 @@
         }
     }
 
+    /// Learns from prefills that other entry hosts have timed. Those of upstreams that are not listed here are left out.
+    pub fn learn_prefills(&mut self, samples: &[PrefillSample]) {
+        for sample in samples.iter().filter(|sample| is_plausible(sample)) {
+            if let Some(upstream) = self.all.get_mut(&sample.id) {
+                let prefill = PrefillWork {
+                    cached: sample.cached,
+                    fresh: sample.fresh,
+                };
+                upstream.learn_prefill(prefill, sample.ms);
+            }
+        }
+    }
+
     /// Returns what this host has seen of running rollouts, by service.
     #[must_use]
     pub fn trials(&self) -> BTreeMap<String, RolloutTrial> {
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -6,13 +6,13 @@
 
 use contract::ListedUpstream;
 use policy::Tick;
-use policy::backlog::{Backlog, SentRequest};
+use policy::backlog::{Backlog, FirstEvent, SentRequest};
 use policy::load::{LoadEstimate, LoadReport};
-use policy::pace::{RelativeSpeed, SpeedEstimate};
+use policy::pace::{PrefillWork, RelativeSpeed, SpeedEstimate};
 use policy::place::{CachedParts, Candidate, PromptPart};
 use policy::reach::Reachability;
 use policy::send_gate::{Heard, SendGate};
-use wire::registry::UpstreamObservation;
+use wire::registry::{PrefillSample, UpstreamObservation};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{ChosenUpstream, UpstreamNeed};
@@ -155,22 +155,28 @@
         let _ = self.gate.breaker.claim(now);
     }
 
-    /// Records the first event of a request, or its whole response.
-    pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) {
+    /// Records the first event of a request, or its whole response. Returns the timed prefill if the request found no
+    /// other work at the upstream.
+    pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) -> Option<PrefillSample> {
         self.gate.breaker.succeeded();
         self.record_alive(now);
-        let Some(first_event) = self
-            .backlog
-            .first_event(backlog_id, now)
-            .filter(|first_event| first_event.sent.unqueued)
-        else {
-            return;
-        };
+        let first_event = self.backlog.first_event(backlog_id, now);
+        let FirstEvent { sent, elapsed_ms } = first_event.filter(|first_event| first_event.sent.unqueued)?;
+        self.learn_prefill(sent.prefill, elapsed_ms);
+        Some(PrefillSample {
+            id: self.listed.id.clone(),
+            cached: sent.prefill.cached,
+            fresh: sent.prefill.fresh,
+            ms: elapsed_ms,
+        })
+    }
+
+    /// Learns the speed of the upstream and of its service from a prefill that found no other work.
+    pub(super) fn learn_prefill(&mut self, prefill: PrefillWork, ms: f64) {
         let mut service_speed = self.service_speed.borrow_mut();
-        let (prefill, rates) = (first_event.sent.prefill, service_speed.rates());
-        self.relative_speed
-            .learn(first_event.elapsed_ms, rates.base_ms + rates.prefill_ms(prefill));
-        service_speed.learn(prefill, first_event.elapsed_ms, self.relative_speed.factor());
+        let rates = service_speed.rates();
+        self.relative_speed.learn(ms, rates.base_ms + rates.prefill_ms(prefill));
+        service_speed.learn(prefill, ms, self.relative_speed.factor());
     }
 
     /// Records that a request has ended.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod notices;
 pub mod origins;
 pub mod peers;
+mod prefill_samples;
 pub mod program;
 mod quarantine;
 pub mod raft;
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -25,6 +25,7 @@
 
 use crate::core::Leadership;
 use crate::list_changes::UpstreamList;
+use crate::prefill_samples::SharedPrefills;
 use crate::quarantine::Quarantine;
 use crate::rollouts::Trials;
 use crate::shared_observations::Observations;
@@ -59,6 +60,7 @@
     quarantine: Quarantine,
     catalog_lag: CatalogLag,
     trials: Trials,
+    prefills: SharedPrefills,
     /// Plans of rollouts, with the term in which they were made.
     rollouts: (u64, Vec<RolloutPlan>),
     /// Number of entry hosts that the replicated state holds.
@@ -163,6 +165,7 @@
             inner.relays = RelayDirectory::new(now);
             inner.slots = SlotLeases::new(now);
             inner.quarantine = Quarantine::default();
+            inner.prefills = SharedPrefills::default();
             inner.term = term;
             inner.stored_count = shared.entry_hosts;
         }
@@ -176,6 +179,7 @@
         inner.loads.insert(from.clone(), (now, beat.load));
         inner.observations.record(from, beat.signs, now);
         inner.trials.record(from, beat.run, beat.trials, now);
+        inner.prefills.record(from, beat.run, beat.prefills);
         inner.relays.record(from, &beat.zone, beat.relay, now);
         let allocator = inner
             .allocator
@@ -201,6 +205,7 @@
             },
             relays: inner.relays_of(from, &beat.zone, beat.relay_mark, now),
             brittle: inner.brittle_services(now),
+            prefills: inner.prefills.of_others(from, beat.prefill_mark),
         })
     }
 
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -40,6 +40,43 @@
     /// Mark of the hosts that pass on requests of this one, as it was last told; zero without any.
     #[serde(default)]
     pub relay_mark: u64,
+    /// Prefills that the host has timed lately.
+    #[serde(default, skip_serializing_if = "PrefillSamples::is_empty")]
+    pub prefills: PrefillSamples,
+    /// Position up to which the host has received the samples of others; zero without any.
+    #[serde(default)]
+    pub prefill_mark: u64,
+}
+
+/// The newest prefills that one entry host has timed, or those of others that the leader tells it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PrefillSamples {
+    /// Number of the sample after the last one. Numbers only grow within a process, so that a sample that is told again
+    /// is recognised.
+    pub next: u64,
+    /// The samples, oldest first.
+    pub samples: Vec<PrefillSample>,
+}
+
+impl PrefillSamples {
+    /// Returns whether there are none.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+}
+
+/// The time to first event of a request that found no other work at its upstream.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PrefillSample {
+    /// Name of the upstream.
+    pub id: String,
+    /// Prompt tokens that were assumed to be cached.
+    pub cached: u64,
+    /// Prompt tokens that were not.
+    pub fresh: u64,
+    /// Milliseconds from sending the request to its first event.
+    pub ms: f64,
 }
 
 /// A rate limit that an upstream named to an entry host, or that has ended.
@@ -115,6 +152,9 @@
     /// Services whose upstreams are brittle.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub brittle: Vec<BrittleNews>,
+    /// Prefills that other entry hosts have timed.
+    #[serde(default, skip_serializing_if = "PrefillSamples::is_empty")]
+    pub prefills: PrefillSamples,
 }
 
 /// A service whose upstreams fail when they have to reject too many requests.
