Give an account's quota to its more urgent requests first

Cause: an account that sends several times its usual has its least urgent requests served and its long, more urgent ones refused (429): short requests fit what is left of the quota at each entry host, a long prompt needs more than the whole share of a host and gets all of it from the leader's pool, which is empty. Change: for two seconds after a request was refused for lack of quota, less urgent ones of the same account and service are held back, but for one in eight; what they leave overflows into the leader's pool. A long prompt first takes what the host's own share holds and borrows the rest. Without quotas, or within them, nothing changes.

--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -197,7 +197,7 @@
         let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
         let permit = gateway.record_request(&service);
         let admitted = match &account {
-            Some(account) => gateway.admit(account, &info).await,
+            Some(account) => gateway.admit(account, (&service, route.priority), &info).await,
             None => Ok(0.0),
         };
         let name = account.as_ref().map(|account| account.name.as_str());
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -21,6 +21,7 @@
 use policy::relays::Relays;
 use policy::retries::{RetryBounds, RetryWindow, SendPermit};
 use policy::slots::Brittleness;
+use policy::urgency::UrgencyGate;
 use slog::Logger;
 use telemetry::Clock;
 use wire::registry::{
@@ -52,6 +53,9 @@
 const MIN_AVERAGING_TIME: Duration = Duration::from_secs(1);
 /// Prefills of other hosts that wait for the event loop; further ones are dropped, for example after a freeze.
 const MAX_UNAPPLIED: usize = 256;
+/// Delay told to a caller whose request leaves the quota to more urgent ones, in seconds: by then it is known whether these
+/// are still refused.
+const HELD_BACK_WAIT_S: f64 = 1.0;
 /// Number of entry hosts that is assumed until the leader reports it.
 const DEFAULT_ENTRY_COUNT: u32 = 32;
 
@@ -177,6 +181,8 @@
     pub usage: RefCell<UsageCounter>,
     borrower: QuotaBorrower,
     quota_buckets: RefCell<HashMap<String, Bucket>>,
+    /// Accounts and services of which requests were refused lately for lack of quota.
+    urgencies: RefCell<HashMap<(String, ServiceName), UrgencyGate>>,
     retry_windows: RefCell<HashMap<ServiceName, RetryWindow>>,
     service_loads: RefCell<BTreeMap<String, ServiceLoad>>,
     /// Requests per second that callers ask of each service.
@@ -273,6 +279,7 @@
             upstreams: RefCell::default(),
             pool: RefCell::default(),
             quota_buckets: RefCell::default(),
+            urgencies: RefCell::default(),
             retry_windows: RefCell::default(),
             service_loads: RefCell::default(),
             demands: RefCell::default(),
@@ -325,6 +332,8 @@
             self.adopt_relays(hosts);
         }
         self.renew_crash_reports();
+        let now = self.clock.now();
+        self.urgencies.borrow_mut().retain(|_, gate| !gate.is_idle(now));
         self.pool.borrow_mut().close_expired();
         let mut heartbeat = self.shared.heartbeat.lock();
         heartbeat.began.clone_from(self.usage.borrow().counts());
@@ -349,30 +358,88 @@
     ///
     /// # Errors
     /// Returns how long the request would have to wait for room in the quota.
-    pub async fn admit(&self, account: &ClientAccount, info: &RequestInfo) -> Result<f64, OverQuota> {
+    pub async fn admit(
+        &self,
+        account: &ClientAccount,
+        (service, priority): (&ServiceName, u8),
+        info: &RequestInfo,
+    ) -> Result<f64, OverQuota> {
         let Some(quota) = account.quota else {
             return Ok(0.0);
         };
+        let key = (account.name.clone(), service.clone());
+        let held_back = self
+            .urgencies
+            .borrow_mut()
+            .get_mut(&key)
+            .is_some_and(|gate| !gate.passes(priority, self.clock.now()));
+        if held_back {
+            counter!("gentian_gateway_quota_held_back_total", "service" => service.to_string()).increment(1);
+            return Err(self.held_back(account, &quota));
+        }
+        let taken = self.take_or_borrow(account, &quota, info).await;
+        if taken.is_err() {
+            let mut urgencies = self.urgencies.borrow_mut();
+            urgencies
+                .entry(key)
+                .or_default()
+                .record_refused(priority, self.clock.now());
+        }
+        taken
+    }
+
+    /// Returns the refusal of a request that leaves the quota to more urgent ones of its account.
+    fn held_back(&self, account: &ClientAccount, quota: &Quota) -> OverQuota {
+        let buckets = self.quota_buckets.borrow();
+        let rate = quota.per_s * self.quota_fraction();
+        OverQuota {
+            wait_s: HELD_BACK_WAIT_S,
+            balance: buckets.get(&account.name).map_or(0.0, Bucket::balance),
+            rate,
+        }
+    }
+
+    async fn take_or_borrow(
+        &self,
+        account: &ClientAccount,
+        quota: &Quota,
+        info: &RequestInfo,
+    ) -> Result<f64, OverQuota> {
         let tokens = info.tokens.map(|tokens| (tokens.prompt + tokens.max_output) as f64);
         let units = if quota.tokens {
             tokens.unwrap_or(quota.plain)
         } else {
             1.0
         };
-        if self.take_units(account, &quota, units, TakeMode::Whole).is_ok() {
+        if self.take_units(account, quota, units, TakeMode::Whole).is_ok() {
             return Ok(units);
         }
-        match self.borrower.borrow(&account.name, units).await {
+        // A long prompt needs more than a host's share holds. What the share holds goes into it, so that the leader's pool
+        // lasts for more of them.
+        let own = self.take_available(account, units);
+        match self.borrower.borrow(&account.name, units - own).await {
             Some(true) => Ok(units),
-            Some(false) => self.take_units(account, &quota, units, TakeMode::Whole).map(|()| units),
-            // While the leader can't be reached, each entry host goes by its own share, which large requests may
-            // overdraw.
-            None => self
-                .take_units(account, &quota, units, TakeMode::Overdraw)
-                .map(|()| units),
+            lent => {
+                self.refund(&account.name, own);
+                // While the leader can't be reached, each entry host goes by its own share, which large requests may
+                // overdraw.
+                let mode = if lent.is_some() {
+                    TakeMode::Whole
+                } else {
+                    TakeMode::Overdraw
+                };
+                self.take_units(account, quota, units, mode).map(|()| units)
+            }
         }
     }
 
+    /// Takes as many units as the host's share of the account's quota holds; returns their number.
+    fn take_available(&self, account: &ClientAccount, units: f64) -> f64 {
+        let mut quota_buckets = self.quota_buckets.borrow_mut();
+        let bucket = quota_buckets.get_mut(&account.name);
+        bucket.map_or(0.0, |bucket| bucket.take_available(units, self.clock.now()))
+    }
+
     fn take_units(&self, account: &ClientAccount, quota: &Quota, units: f64, mode: TakeMode) -> Result<(), OverQuota> {
         let now = self.clock.now();
         let fraction = self.quota_fraction();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod slots;
 pub mod sources;
 mod time;
+pub mod urgency;
 
 pub use time::Tick;
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -95,11 +95,25 @@
         })
     }
 
+    /// Takes as many of the units as the bucket holds, and returns their number.
+    pub fn take_available(&mut self, units: f64, now: Tick) -> f64 {
+        self.fill(now);
+        let taken = units.min(self.units).max(0.0);
+        self.units -= taken;
+        taken
+    }
+
     /// Returns the units of a request that no upstream ran to the bucket.
     pub fn refund(&mut self, units: f64) {
         self.units = (self.units + units).min(self.burst);
     }
 
+    /// Returns the units in the bucket as of its last use.
+    #[must_use]
+    pub const fn balance(&self) -> f64 {
+        self.units
+    }
+
     /// Returns the units that arrived while the bucket was full, since the start; other entry hosts may use them.
     #[must_use]
     pub const fn overflow(&self) -> f64 {
