Predict the momentary pace of upstreams from reported figures

Cause: learnt speeds follow over dozens of answers and miss a slowness of some hundred milliseconds, which some services report in each response. Change: policy::pace::moment keeps the newest figure of an upstream, and learns for each service the mean of figures and how fast one loses its value. RelativeSpeed::learn_paced divides a time by the expected pace. SentRequest holds the pace that its predictions assume.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -5,6 +5,7 @@
 
 use crate::Tick;
 use crate::pace::PrefillWork;
+use crate::pace::moment::ExpectedPace;
 
 /// Longest wait for a first event that counts as a sign of a backlog; a request that waits longer is taken for lost.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
@@ -21,6 +22,8 @@
     /// Whether no other work was known to be queued before it, so that its time to first event measures its own prompt
     /// only.
     pub unqueued: bool,
+    /// Momentary pace that the predictions assume.
+    pub pace: ExpectedPace,
 }
 
 /// A request whose first event has arrived.
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -4,6 +4,8 @@
 //! twice too high, prompts queue up behind each other until all are late, and only half of the engines needed are
 //! ordered.
 
+pub mod moment;
+
 /// Slot time of a request before any has ended, in milliseconds. It is that of a plain call, and short for a stream, so
 /// that an unknown service does not look full.
 const INITIAL_RUN_MS: f64 = 100.0;
@@ -200,8 +202,17 @@
     /// Updates the factor with an answer that began after `elapsed_ms`, where the service's rates predict
     /// `expected_ms`.
     pub fn learn(&mut self, elapsed_ms: f64, expected_ms: f64) {
-        let change = self.step.take(elapsed_ms > expected_ms * self.factor);
+        self.learn_paced(elapsed_ms, expected_ms, 1.0);
+    }
+
+    /// Updates the factor as [`RelativeSpeed::learn`] does, with an answer for which a momentary factor of `pace` was
+    /// expected.
+    ///
+    /// The bounds give way by that factor, so that the lasting factor can make up for an upstream whose reports are far
+    /// off.
+    pub fn learn_paced(&mut self, elapsed_ms: f64, expected_ms: f64, pace: f64) {
+        let change = self.step.take(elapsed_ms / pace > expected_ms * self.factor);
         let factor = self.factor.powf(1.0 - RETURN_SHARE) * change.exp();
-        self.factor = factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
+        self.factor = factor.clamp(FACTOR_RANGE.0 / pace.max(1.0), FACTOR_RANGE.1 / pace.min(1.0));
     }
 }
--- a/crates/policy/tests/prompt_place.rs
+++ b/crates/policy/tests/prompt_place.rs
@@ -49,6 +49,7 @@
         prefill_ms: RATES.prefill_ms(prefill),
         predicted_ms,
         unqueued: true,
+        ..SentRequest::default()
     }
 }
 
