Use, learn and share the pace that upstreams report

Cause: the fourth figure of the load header was ignored. Change: the platform's headers decode it into ReportedLoad::pace; a wrong one is counted and logged once a second. Predictions multiply the learnt rates with the expected pace, and the lasting speeds learn from times without it. UpstreamObservation::pace tells other hosts, the leader keeps the newest by time of measurement, and reserves half of the observations in an answer for upstreams that were slowed lately. Metrics show mean, slowest, lifetime and age; 'request ended' shows pace and age.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use contract::ServiceName;
-use metrics::counter;
+use metrics::{counter, histogram};
 use policy::Tick;
 use policy::reach::Reachability;
 use slog::info;
@@ -185,7 +185,7 @@
         }
         let now = self.gateway.clock.now();
         if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
-            upstream.record_end(self.backlog_id, self.sent_at, now);
+            upstream.record_end(self.backlog_id, &self.chosen, self.sent_at, now);
         }
     }
 }
@@ -378,6 +378,10 @@
     fn record_sent(&self, gateway: &Gateway, chosen: &ChosenUpstream) -> u64 {
         let now = gateway.clock.now();
         gateway.record_prefill(&self.service, chosen.prediction.prefill_ms);
+        if let Some(age) = chosen.pace.age {
+            histogram!("gentian_gateway_pace_age_seconds", "service" => self.service.to_string())
+                .record(age.as_secs_f64());
+        }
         let mut upstreams = gateway.upstreams.borrow_mut();
         upstreams.record_use(&self.info.prompt_parts, now);
         let upstream = upstreams.get_mut(&chosen.id);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use contract::{KeyHash, PartId};
+use policy::pace::moment::{BadPace, Pace};
 use policy::place::PromptPart;
 
 use crate::head::{Head, RequestLine, StatusLine};
@@ -94,6 +95,8 @@
 pub struct UpstreamNews {
     /// Load of the upstream; `None` if it does not say.
     pub load: Option<ReportedLoad>,
+    /// What is wrong with the pace in the load; `None` if it is right or missing.
+    pub bad_pace: Option<BadPace>,
     /// Requests per second that the upstream takes from all entry hosts together; `None` without a limit.
     pub rate_limit: Option<f64>,
     /// Rejections in a second beyond which the upstream fails; `None` if it bears any number.
@@ -123,6 +126,8 @@
     pub waiting: u32,
     /// Most requests that run at once.
     pub slots: u32,
+    /// Momentary pace of its machine; `None` if it reports none that can be read.
+    pub pace: Option<Pace>,
 }
 
 /// Reads and writes the headers of callers and upstreams.
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -161,6 +161,8 @@
     demands: RefCell<HashMap<ServiceName, DemandMeter>>,
     prefill_averages: RefCell<BTreeMap<String, RateAverage>>,
     log_bucket: RefCell<Bucket>,
+    /// When a pace that could not be read was logged last.
+    pub(crate) bad_pace_at: Cell<Option<Tick>>,
     /// Hosts that pass on requests of this one.
     pub(crate) relays: Rc<RefCell<Relays>>,
     /// Own links to upstreams by service.
@@ -254,6 +256,7 @@
             demands: RefCell::default(),
             prefill_averages: RefCell::default(),
             log_bucket: RefCell::new(Bucket::new(LOG_LINES_PER_S, Tick::default())),
+            bad_pace_at: Cell::default(),
             relays: Rc::default(),
             isolations: RefCell::default(),
             relayed: Cell::default(),
--- a/crates/gateway/src/rate_reporter.rs
+++ b/crates/gateway/src/rate_reporter.rs
@@ -1,4 +1,5 @@
-//! Reports the learnt speed of engines: always as metrics, and in the log when it has changed.
+//! Reports the speed of upstreams: the momentary pace and the learnt speed as metrics, and the learnt speed in the log
+//! when it has changed.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -26,6 +27,7 @@
 impl RateReporter {
     /// Updates the metrics, and logs the rates that have changed.
     pub(crate) fn report(&self, upstreams: &Upstreams, logger: &Logger, now: Tick) {
+        report_paces(upstreams, now);
         for (service, rates) in upstreams.all_rates() {
             let name = service.to_string();
             gauge!("gentian_gateway_read_tokens_per_ms", "service" => name.clone()).set(1.0 / rates.token_ms);
@@ -42,6 +44,16 @@
     }
 }
 
+/// Updates the metrics of services whose upstreams report their pace.
+fn report_paces(upstreams: &Upstreams, now: Tick) {
+    for (service, paces) in upstreams.paces(now) {
+        let name = service.to_string();
+        gauge!("gentian_gateway_pace_mean", "service" => name.clone()).set(paces.mean);
+        gauge!("gentian_gateway_pace_slowest", "service" => name.clone()).set(paces.slowest);
+        gauge!("gentian_gateway_pace_lifetime_seconds", "service" => name).set(paces.lifetime.as_secs_f64());
+    }
+}
+
 fn rates_changed(a: &EngineRates, b: &EngineRates) -> bool {
     let changed = |a: f64, b: f64| (a / b).ln().abs() > MIN_LOG_CHANGE;
     changed(a.token_ms, b.token_ms) || changed(a.attention_ms, b.attention_ms) || changed(a.run_ms, b.run_ms)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -458,6 +458,8 @@
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
             "reading_ms" => upstream.map(|upstream| upstream.prediction.prefill_ms as u64),
             "before_ms" => upstream.map(|upstream| upstream.prediction.backlog_ms as u64),
+            "pace" => upstream.and_then(|upstream| upstream.pace.known_factor()),
+            "pace_age_ms" => upstream.and_then(|upstream| upstream.pace.age_ms()),
             "target_ms" => self.route.target_ms, "pause_ms" => max_pause_ms, "longest_ms" => self.route.pause_ms,
             "cached" => upstream.map(|upstream| upstream.prefill.cached),
             "fetch" => upstream.and_then(|upstream| upstream.fetch_from).map(|source| source.to_string()),
--- a/crates/gateway/src/upstream_news.rs
+++ b/crates/gateway/src/upstream_news.rs
@@ -7,6 +7,7 @@
 use metrics::counter;
 use policy::Tick;
 use policy::backoff::MAX_PAUSE;
+use policy::pace::moment::BadPace;
 use policy::send_gate::{Heard, Hold, SendGate};
 use slog::{info, warn};
 use tokio::task::spawn_local;
@@ -18,6 +19,9 @@
 use crate::pool::Connection;
 use crate::relay::connect_through;
 
+/// Shortest interval between two log lines about paces that can't be read; a faulty service sends one in each response.
+const BAD_PACE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Gateway {
     /// Sends a request to an upstream of a service and reads the response head. Records what this response, and those to
     /// earlier requests before it, say of the upstream.
@@ -126,6 +130,16 @@
             return;
         }
         let news = &told.news;
+        if let Some(error) = news.bad_pace {
+            self.record_bad_pace(service, upstream, error);
+        }
+        // The response to an earlier request may have waited on the connection, and its pace is as old.
+        if let Some(pace) = news.load.and_then(|load| load.pace)
+            && sent_at.is_some()
+            && let Some(known) = self.upstreams.borrow_mut().get_mut(upstream)
+        {
+            known.record_pace(pace, self.clock.now());
+        }
         self.record_rate_limit(upstream, news.rate_limit);
         self.record_brittleness(service, upstream, news.max_rejections, told.not_run);
         match &news.backoff {
@@ -148,6 +162,19 @@
         }
     }
 
+    /// Counts a pace that can't be read, and logs it unless another one was logged lately.
+    fn record_bad_pace(&self, service: &ServiceName, upstream: &str, error: BadPace) {
+        counter!("gentian_gateway_bad_paces_total", "service" => service.to_string()).increment(1);
+        let now = self.clock.now();
+        let is_recent = |at: Tick| now.since(at) < BAD_PACE_INTERVAL;
+        if self.bad_pace_at.get().is_some_and(is_recent) {
+            return;
+        }
+        self.bad_pace_at.set(Some(now));
+        warn!(self.logger, "pace of an upstream not readable"; "service" => %service, "upstream" => upstream,
+            "error" => %error);
+    }
+
     fn record_leaving(&self, upstream: &str, told: &ResponseInfo) {
         let heard = Heard {
             at: self.clock.now(),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -3,10 +3,11 @@
 mod former;
 mod limits;
 mod no_upstream;
+mod paces;
+mod service_speed;
 mod upstream;
 mod versions;
 
-use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,13 +19,16 @@
 use policy::fetch::plan_fetch;
 use policy::homes::{PartUsage, assume_former_homes_cached, assume_home_cached};
 use policy::origins::VersionMix;
-use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
+use policy::pace::moment::ExpectedPace;
+use policy::pace::{EngineRates, PrefillWork};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
 use wire::registry::UpstreamObservation;
 
 use former::FormerUpstream;
 pub use no_upstream::NoUpstream;
+pub use paces::PaceSummary;
+use service_speed::ServiceSpeed;
 pub use upstream::Upstream;
 
 use crate::rollouts::{Rollouts, TrialSubject};
@@ -47,8 +51,8 @@
     /// Upstreams that are no longer listed.
     former: HashMap<String, FormerUpstream>,
     reachability: HashMap<Zone, Rc<Reachability>>,
-    /// Learnt prefill speed by service.
-    speeds: HashMap<ServiceName, Rc<RefCell<SpeedEstimate>>>,
+    /// Learnt speed by service.
+    speeds: HashMap<ServiceName, ServiceSpeed>,
     /// How often prompts share their parts.
     part_usage: PartUsage,
     /// Rollouts that run or have just ended.
@@ -128,6 +132,8 @@
     pub load: f64,
     /// Prompt tokens that the upstream is assumed to have cached, and those that it has to prefill.
     pub prefill: PrefillWork,
+    /// Momentary pace that the prediction assumes.
+    pub pace: ExpectedPace,
     /// Address of the upstream from which it fetches cached parts of the prompt first.
     pub fetch_from: Option<SocketAddr>,
 }
@@ -141,7 +147,7 @@
         for listed in list {
             let id = listed.id.clone();
             let reach = Rc::clone(self.reachability.entry(listed.zone.clone()).or_default());
-            let speed = Rc::clone(self.speeds.entry(listed.service.clone()).or_default());
+            let speed = self.speeds.entry(listed.service.clone()).or_default().clone();
             let upstream = match previous.remove(&id) {
                 Some(known) if known.listed.start != listed.start => {
                     let mut restarted = Upstream::new(listed, (reach, speed), list_time);
@@ -235,6 +241,7 @@
             prediction,
             load: candidate.map_or(0.0, |candidate| candidate.load),
             prefill,
+            pace: chosen.pace(now),
             fetch_from: fetch.map(|fetch| usable[fetch.source].listed.address),
         })
     }
@@ -322,6 +329,9 @@
             if let Some((running, waiting, age_ms)) = observation.load {
                 upstream.update_load(running, waiting, received_at - Duration::from_millis(u64::from(age_ms)));
             }
+            if let Some(pace) = observation.pace {
+                upstream.merge_pace(pace, received_at);
+            }
             upstream.others_busy_until = received_at + Duration::from_millis(u64::from(observation.backlog_ms));
             upstream.overdue_until = received_at + Duration::from_millis(u64::from(observation.overdue_ms));
             if observation.replaced && !upstream.gate.is_replaced(received_at) {
@@ -356,14 +366,14 @@
     pub fn all_rates(&self) -> impl Iterator<Item = (&ServiceName, EngineRates)> {
         self.speeds
             .iter()
-            .map(|(service, speed)| (service, speed.borrow().rates()))
+            .map(|(service, speed)| (service, speed.rates().rates()))
     }
 
     /// Returns the learnt rates of a service; default rates if nothing was learnt.
     #[must_use]
     pub fn rates(&self, service: &ServiceName) -> EngineRates {
         let speed = self.speeds.get(service);
-        speed.map_or_else(EngineRates::default, |speed| speed.borrow().rates())
+        speed.map_or_else(EngineRates::default, |speed| speed.rates().rates())
     }
 
     /// Starts to count a request to an upstream; `None` if no rollout of the service is running.
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -1,6 +1,5 @@
 //! One upstream with the state known of it.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,13 +7,15 @@
 use policy::Tick;
 use policy::backlog::{Backlog, SentRequest};
 use policy::load::{LoadEstimate, LoadReport};
-use policy::pace::{RelativeSpeed, SpeedEstimate};
+use policy::pace::RelativeSpeed;
+use policy::pace::moment::MomentPace;
 use policy::place::{CachedParts, Candidate, PromptPart};
 use policy::reach::Reachability;
 use policy::send_gate::{Heard, SendGate};
 use wire::registry::UpstreamObservation;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::service_speed::ServiceSpeed;
 use super::{ChosenUpstream, UpstreamNeed};
 use crate::dialect::ReportedLoad;
 use crate::reclaim_notice::ReclaimNotice;
@@ -64,8 +65,10 @@
     /// Until when requests of other entry hosts count as overdue there.
     pub(super) overdue_until: Tick,
     /// Learnt speed of the service's upstreams, and this upstream's speed relative to it.
-    service_speed: Rc<RefCell<SpeedEstimate>>,
+    pub(super) service_speed: ServiceSpeed,
     relative_speed: RelativeSpeed,
+    /// Momentary pace.
+    pub(super) moment: MomentPace,
     /// Reachability of the data centre.
     pub(super) reachability: Rc<Reachability>,
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
@@ -80,13 +83,14 @@
 impl Upstream {
     pub(super) fn new(
         listed: ListedUpstream,
-        (reachability, service_speed): (Rc<Reachability>, Rc<RefCell<SpeedEstimate>>),
+        (reachability, service_speed): (Rc<Reachability>, ServiceSpeed),
         listed_since: Tick,
     ) -> Self {
         Self {
             reachability,
             service_speed,
             relative_speed: RelativeSpeed::default(),
+            moment: MomentPace::default(),
             listed_since,
             id_hash: xxh3_64(listed.id.as_bytes()),
             listed,
@@ -109,6 +113,7 @@
         let estimated = f64::from(self.own_requests) * f64::from(need.entry_hosts.clamp(1, 4));
         let predicted = self.load.predict(now, MAX_LOAD_AGE, true);
         let sent = self.cached.tokens(need.prompt_parts, now);
+        let slowness = self.relative_speed.factor() * self.pace(now).factor;
         Candidate {
             index,
             load: predicted.reported.unwrap_or(estimated),
@@ -119,7 +124,7 @@
             local: self.listed.zone == *need.zone,
             backlog_ms: self.queued_ms(now),
             doubt_ms: 0.0,
-            rates: self.service_speed.borrow().rates().scaled(self.relative_speed.factor()),
+            rates: self.service_speed.rates().rates().scaled(slowness),
         }
     }
 
@@ -140,6 +145,7 @@
             prefill_ms: chosen.prediction.prefill_ms,
             predicted_ms: chosen.prediction.ms,
             unqueued: unqueued && !prompt_parts.is_empty() && chosen.fetch_from.is_none(),
+            pace: chosen.pace,
         };
         let backlog_id = self.backlog.sent(sent, now);
         self.own_requests += 1;
@@ -156,6 +162,8 @@
     }
 
     /// Records the first event of a request, or its whole response.
+    ///
+    /// The lasting speeds learn from the time without the momentary pace that was expected when the request was sent.
     pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) {
         self.gate.breaker.succeeded();
         self.record_alive(now);
@@ -166,18 +174,21 @@
         else {
             return;
         };
-        let mut service_speed = self.service_speed.borrow_mut();
-        let (prefill, rates) = (first_event.sent.prefill, service_speed.rates());
+        let mut service_rates = self.service_speed.rates_mut();
+        let (prefill, pace) = (first_event.sent.prefill, first_event.sent.pace.factor);
+        let rates = service_rates.rates();
         self.relative_speed
-            .learn(first_event.elapsed_ms, rates.base_ms + rates.prefill_ms(prefill));
-        service_speed.learn(prefill, first_event.elapsed_ms, self.relative_speed.factor());
+            .learn_paced(first_event.elapsed_ms, rates.base_ms + rates.prefill_ms(prefill), pace);
+        service_rates.learn(prefill, first_event.elapsed_ms / pace, self.relative_speed.factor());
     }
 
     /// Records that a request has ended.
-    pub fn record_end(&mut self, backlog_id: u64, sent_at: Tick, now: Tick) {
+    pub fn record_end(&mut self, backlog_id: u64, chosen: &ChosenUpstream, sent_at: Tick, now: Tick) {
+        let run = now.since(sent_at);
+        let pace = self.service_speed.trust().mean_over(chosen.pace.factor, run);
         self.service_speed
-            .borrow_mut()
-            .learn_run(now.since(sent_at).as_secs_f64() * 1_000.0);
+            .rates_mut()
+            .learn_run(run.as_secs_f64() * 1_000.0 / pace);
         self.backlog.ended(backlog_id);
         self.own_requests = self.own_requests.saturating_sub(1);
         self.load.ended(now);
@@ -216,6 +227,9 @@
         if load.slots > 0 {
             self.listed.slots = load.slots;
         }
+        if let Some(pace) = load.pace {
+            self.record_pace(pace, now);
+        }
         self.last_report = Some((load, now));
         self.update_load(load.running, load.waiting, now);
     }
@@ -282,7 +296,9 @@
             .is_some_and(|age| age < MAX_REPLACED_AGE);
         let told_leaving = self.gate.own_leaving_age(now).filter(|age| *age < MAX_LEAVING_AGE);
         let leaving = told_leaving.map(|_| self.listed.start);
-        let is_news = load.is_some() || backlog_ms > 0 || overdue_ms > 0 || replaced || leaving.is_some();
+        let pace = self.shared_pace(now);
+        let is_delayed = backlog_ms > 0 || overdue_ms > 0 || pace.is_some();
+        let is_news = load.is_some() || is_delayed || replaced || leaving.is_some();
         is_news.then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
@@ -290,6 +306,7 @@
             overdue_ms,
             replaced,
             leaving,
+            pace,
         })
     }
 }
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -232,6 +232,7 @@
             running: self.engines[index].running.len() as u32,
             waiting: self.engines[index].waiting.len() as u32,
             slots: SLOTS as u32,
+            pace: None,
         };
         for event in self.step_events[index].take().unwrap_or_default() {
             match event {
@@ -249,7 +250,7 @@
                     let request = &self.requests[id];
                     self.report.kinds[request.kind].paused += u32::from(paused && !request.late);
                     if let Some(upstream) = self.hosts[request.host].get_mut(&request.chosen.id) {
-                        upstream.record_end(request.backlog_id, to_tick(request.arrived_ms), now);
+                        upstream.record_end(request.backlog_id, &request.chosen, to_tick(request.arrived_ms), now);
                     }
                 }
             }
--- a/crates/state/src/shared_observations.rs
+++ b/crates/state/src/shared_observations.rs
@@ -6,6 +6,7 @@
 use contract::NodeId;
 use metrics::counter;
 use policy::Tick;
+use policy::pace::moment::Pace;
 use wire::registry::UpstreamObservation;
 
 /// Age up to which an observed load of an upstream is shared.
@@ -15,6 +16,13 @@
 /// Most observations in one answer: those of the busiest upstreams. Entry hosts have to avoid only a few upstreams; the
 /// observations of all, at 70 bytes each, would fill the slow links of a large deployment.
 const MAX_OBSERVATIONS: usize = 64;
+/// Most observations of them that are kept for upstreams that were slowed lately. At a deployment of a hundred upstreams
+/// a seventh is slowed at a time and another seventh was a moment ago.
+const MAX_SLOWED: usize = 32;
+/// Pace in hundredths from which an upstream counts as slowed. A smaller difference hardly changes a choice.
+const MIN_SLOWED_PACE: u32 = 125;
+/// Time for which an upstream counts as slowed after the last such pace, so that hosts learn of its usual pace as well.
+const SLOWED_TIME: Duration = Duration::from_secs(1);
 /// Most upstreams in one answer that were replaced or leave, beside the busiest ones.
 const MAX_GONE: usize = 128;
 /// Age up to which a report of a replaced upstream is shared: hosts that hear of it keep it for longer.
@@ -40,6 +48,10 @@
 struct UpstreamView {
     /// Running and waiting requests, and when they were observed.
     load: Option<(u32, u32, Tick)>,
+    /// The newest pace by time of measurement.
+    pace: Option<ObservedPace>,
+    /// When the upstream was measured as slowed last.
+    slowed_at: Option<Tick>,
     backlogs: BTreeMap<NodeId, Backlog>,
     /// When a host reported last that another incarnation has the address.
     replaced: Option<Tick>,
@@ -47,6 +59,17 @@
     leaving: Option<(u64, Tick)>,
 }
 
+/// A momentary pace of an upstream, as an entry host reported it.
+#[derive(Clone, Debug)]
+struct ObservedPace {
+    /// Hundredths of the usual time.
+    hundredths: u32,
+    /// When it was measured.
+    at: Tick,
+    /// The host that reported it, which is not told of it again.
+    from: NodeId,
+}
+
 /// What one entry host has reported about its own requests at an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct Backlog {
@@ -78,6 +101,9 @@
 struct UpstreamSummary {
     id: String,
     load: Option<(u32, u32, Tick)>,
+    pace: Option<ObservedPace>,
+    /// Whether it was slowed lately.
+    slowed: bool,
     /// Unprocessed prompts of all entry hosts.
     unread_ms: u64,
     /// The largest overrun of an entry host's requests, and the largest of the other hosts.
@@ -99,6 +125,9 @@
                     known.load = Some((running, waiting, at));
                 }
             }
+            if let Some(pace) = observed.pace {
+                known.record_pace(from, pace, now);
+            }
             if observed.replaced {
                 known.replaced = Some(now);
             }
@@ -128,7 +157,7 @@
         busiest
             .filter_map(|upstream| {
                 let own = self.upstreams.get(&upstream.id)?.backlogs.get(to);
-                upstream.without(own.map_or_else(BacklogMs::default, |own| own.summarized), now)
+                upstream.without(to, own.map_or_else(BacklogMs::default, |own| own.summarized), now)
             })
             .collect()
     }
@@ -138,21 +167,51 @@
         counter!("gentian_state_summaries_total").increment(1);
         self.upstreams.retain(|_, view| {
             view.expire(now);
-            view.load.is_some() || !view.backlogs.is_empty() || view.replaced.is_some() || view.leaving.is_some()
+            let is_delayed = view.pace.is_some() || !view.backlogs.is_empty();
+            view.load.is_some() || is_delayed || view.replaced.is_some() || view.leaving.is_some()
         });
         let summaries = self.upstreams.iter_mut().map(|(id, view)| view.summarize(id, now));
         let mut upstreams: Vec<UpstreamSummary> = summaries.collect();
-        upstreams.sort_by_key(|upstream| std::cmp::Reverse((upstream.is_gone(), upstream.weight())));
+        keep_slowest(&mut upstreams);
+        upstreams.sort_by_key(|upstream| std::cmp::Reverse((upstream.is_gone(), upstream.slowed, upstream.weight())));
         let gone = upstreams.iter().filter(|upstream| upstream.is_gone()).count();
         upstreams.truncate(MAX_OBSERVATIONS + gone.min(MAX_GONE));
         self.summary = Some(Summary { at: now, upstreams });
     }
 }
 
+/// Leaves only the slowest of the upstreams marked as slowed, as many as an answer names before the busiest.
+fn keep_slowest(upstreams: &mut [UpstreamSummary]) {
+    let mut slowed: Vec<&mut UpstreamSummary> = upstreams.iter_mut().filter(|upstream| upstream.slowed).collect();
+    slowed.sort_by_key(|upstream| std::cmp::Reverse(upstream.pace.as_ref().map(|pace| pace.hundredths)));
+    for upstream in slowed.into_iter().skip(MAX_SLOWED) {
+        upstream.slowed = false;
+    }
+}
+
 impl UpstreamView {
+    /// Records a pace that can be one, unless a newer one is known.
+    fn record_pace(&mut self, from: &NodeId, (hundredths, age_ms): (u32, u32), now: Tick) {
+        let at = now - Duration::from_millis(u64::from(age_ms));
+        let is_newer = self.pace.as_ref().is_none_or(|known| known.at < at);
+        if !is_newer || Pace::from_hundredths(f64::from(hundredths)).is_err() {
+            return;
+        }
+        if hundredths >= MIN_SLOWED_PACE {
+            self.slowed_at = Some(at);
+        }
+        self.pace = Some(ObservedPace {
+            hundredths,
+            at,
+            from: from.clone(),
+        });
+    }
+
     /// Drops an outdated load and the backlogs that have ended.
     fn expire(&mut self, now: Tick) {
         self.load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
+        self.pace.take_if(|pace| now.since(pace.at) >= LOAD_TTL);
+        self.slowed_at = self.slowed_at.filter(|at| now.since(*at) < SLOWED_TIME);
         self.backlogs.retain(|_, backlog| backlog.lasts_until() > now);
         self.replaced = self.replaced.filter(|at| now.since(*at) < REPLACED_TTL);
         self.leaving = self.leaving.filter(|(_, at)| now.since(*at) < LEAVING_TTL);
@@ -175,6 +234,8 @@
         UpstreamSummary {
             id: id.to_owned(),
             load: self.load,
+            pace: self.pace.clone(),
+            slowed: self.slowed_at.is_some(),
             unread_ms,
             overdue_ms,
             replaced: self.replaced.is_some(),
@@ -200,21 +261,25 @@
 }
 
 impl UpstreamSummary {
-    /// Returns the observation of all hosts but the one with the backlog `own`, if anything is left.
-    fn without(&self, own: BacklogMs, now: Tick) -> Option<UpstreamObservation> {
+    /// Returns the observation of all hosts but `to`, whose backlog is `own`, if anything is left.
+    fn without(&self, to: &NodeId, own: BacklogMs, now: Tick) -> Option<UpstreamObservation> {
         let is_own = own.overdue > 0 && own.overdue == self.overdue_ms.0;
         let overdue = if is_own { self.overdue_ms.1 } else { self.overdue_ms.0 };
         let reported = |ms: u64| if ms < MIN_BACKLOG_MS { 0 } else { ms as u32 };
         let backlog_ms = reported(self.unread_ms.saturating_sub(own.unread));
         let overdue_ms = reported(overdue);
         let load = self.load.filter(|(_, _, at)| now.since(*at) < LOAD_TTL);
-        (load.is_some() || backlog_ms > 0 || overdue_ms > 0 || self.is_gone()).then(|| UpstreamObservation {
+        let fresh_pace = self.pace.as_ref().filter(|pace| now.since(pace.at) < LOAD_TTL);
+        let pace = fresh_pace.filter(|pace| pace.from != *to);
+        let is_delayed = backlog_ms > 0 || overdue_ms > 0 || pace.is_some();
+        (load.is_some() || is_delayed || self.is_gone()).then(|| UpstreamObservation {
             id: self.id.clone(),
             load: load.map(|(running, waiting, at)| (running, waiting, now.since(at).as_millis() as u32)),
             backlog_ms,
             overdue_ms,
             replaced: self.replaced,
             leaving: self.leaving,
+            pace: pace.map(|pace| (pace.hundredths, now.since(pace.at).as_millis() as u32)),
         })
     }
 
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -155,6 +155,9 @@
     /// Start of the incarnation that has said that it leaves; `None` if none has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leaving: Option<u64>,
+    /// Momentary pace in hundredths of the usual time, and its age in milliseconds; `None` if none is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<(u32, u32)>,
 }
 
 /// A position in the change history of the list of upstreams.
