--- a/crates/gateway/src/prefill_samples.rs
+++ b/crates/gateway/src/prefill_samples.rs
@@ -39,7 +39,8 @@
 
 /// Returns whether a sample of another host can be true; counts those that can't.
 pub(crate) fn is_plausible(sample: &PrefillSample) -> bool {
-    let plausible = sample.ms.is_finite() && sample.ms > 0.0 && sample.ms <= MAX_SAMPLE_MS;
+    let is_time = sample.ms.is_finite() && sample.ms > 0.0 && sample.ms <= MAX_SAMPLE_MS;
+    let plausible = is_time && sample.pace.is_finite() && sample.pace > 0.0;
     if !plausible {
         counter!("gentian_gateway_prefill_samples_ignored_total").increment(1);
     }
--- a/crates/gateway/tests/learnt_prefills.rs
+++ b/crates/gateway/tests/learnt_prefills.rs
@@ -42,6 +42,7 @@
             cached: 0,
             fresh,
             ms: 50.0 + fresh as f64 / 140.0,
+            pace: 1.0,
         }
     };
     (0..count).map(sample).collect()
--- a/crates/state/tests/timed_prefills.rs
+++ b/crates/state/tests/timed_prefills.rs
@@ -14,6 +14,7 @@
         cached: 0,
         fresh: 1_000,
         ms: number as f64,
+        pace: 1.0,
     };
     PrefillSamples {
         next,
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -67,7 +67,7 @@
 }
 
 /// The time to first event of a request that found no other work at its upstream.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PrefillSample {
     /// Name of the upstream.
     pub id: String,
@@ -77,6 +77,14 @@
     pub fresh: u64,
     /// Milliseconds from sending the request to its first event.
     pub ms: f64,
+    /// Momentary pace that was expected of the upstream, as a factor on its usual time.
+    #[serde(default = "usual_pace")]
+    pub pace: f64,
+}
+
+/// Returns the pace of upstreams that report none.
+const fn usual_pace() -> f64 {
+    1.0
 }
 
 /// A rate limit that an upstream named to an entry host, or that has ended.
@@ -195,6 +203,9 @@
     /// Start of the incarnation that has said that it leaves; `None` if none has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leaving: Option<u64>,
+    /// Momentary pace in hundredths of the usual time, and its age in milliseconds; `None` if none is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<(u32, u32)>,
 }
 
 /// A position in the change history of the list of upstreams.
