Add the public types of the queue at the entry host

Cause: the gateway's queue is written at the same time against these types. Change: Ticket has target_start, priority and bytes; FairQueue has set_byte_bound, bytes, insert, pop_where and oldest; ReturnTimes and DrainRate are new. pop_where is still a scan, and the byte bound is not enforced yet.

--- a/crates/entry/src/admission/mod.rs
+++ b/crates/entry/src/admission/mod.rs
@@ -201,6 +201,9 @@
             weight: contract.share,
             tokens: request.tokens.max(1.0),
             latest_start: request.deadline,
+            target_start: request.deadline,
+            priority: 0,
+            bytes: 0,
             shed_order: request.shed_priority,
         }
     }
--- a/crates/policy/benches/admission.rs
+++ b/crates/policy/benches/admission.rs
@@ -21,6 +21,9 @@
         weight: (id % customers) as u32 + 1,
         tokens: 100.0 + (id % 7) as f64,
         latest_start: Tick::from_millis(1_000_000 + id % 1_000),
+        target_start: Tick::from_millis(1_000_000 + id % 1_000),
+        priority: 0,
+        bytes: 0,
         shed_order: (id % 4) as u8,
     }
 }
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -20,8 +20,14 @@
     pub tokens: f64,
     /// Latest start at which the request still meets its target.
     pub latest_start: Tick,
-    /// Order in which a full queue drops requests of the customer; higher values are dropped first.
+    /// Latest start at which the request still meets its target; a value after `latest_start` counts as that.
+    pub target_start: Tick,
+    /// Urgency; 0 is the most urgent.
+    pub priority: u8,
+    /// Order in which a full queue drops requests of the same customer and priority; higher values are dropped first.
     pub shed_order: u8,
+    /// Memory that the request occupies while it waits, in bytes.
+    pub bytes: usize,
 }
 
 /// Why a request was refused. A refused request was not run.
@@ -39,7 +45,10 @@
 #[derive(Debug)]
 pub struct FairQueue {
     bound: usize,
+    byte_bound: usize,
+    bytes: usize,
     length: usize,
+    now: Tick,
     virtual_time: f64,
     queues: BTreeMap<CustomerId, CustomerQueue>,
 }
@@ -63,7 +72,10 @@
     pub const fn new(bound: usize) -> Self {
         Self {
             bound,
+            byte_bound: usize::MAX,
+            bytes: 0,
             length: 0,
+            now: Tick(std::time::Duration::ZERO),
             virtual_time: 0.0,
             queues: BTreeMap::new(),
         }
@@ -86,6 +98,55 @@
         self.bound = bound;
     }
 
+    /// Changes the bound on the bytes that wait; requests already queued beyond a smaller bound stay.
+    pub const fn set_byte_bound(&mut self, bytes: usize) {
+        self.byte_bound = bytes;
+    }
+
+    /// Returns the bytes of the waiting requests.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns how long the longest-waiting request has waited.
+    #[must_use]
+    pub fn oldest(&self, now: Tick) -> Option<std::time::Duration> {
+        (self.length > 0).then(|| now.since(self.now))
+    }
+
+    /// Queues a request and returns all requests that were dropped for it; with a byte bound they may be several.
+    ///
+    /// # Errors
+    /// Refuses a request like [`Self::push`].
+    pub fn insert(&mut self, ticket: Ticket, now: Tick) -> Result<Vec<Ticket>, RefusalReason> {
+        Ok(self.push(ticket, now)?.into_iter().collect())
+    }
+
+    /// Removes and returns the first request in the order of the queue that `fits`.
+    pub fn pop_where(&mut self, now: Tick, mut fits: impl FnMut(&Ticket) -> bool) -> Option<Ticket> {
+        self.now = now;
+        let all = self.queues.values().flat_map(|queue| queue.tickets.values());
+        let mut order: Vec<(bool, u8, Tick, u64, CustomerId)> = all
+            .map(|one| {
+                (
+                    one.target_start < now,
+                    one.priority,
+                    one.target_start,
+                    one.id,
+                    one.customer.clone(),
+                )
+            })
+            .collect();
+        order.sort();
+        let found = order.into_iter().take(16).find(|(.., id, customer)| {
+            let queue = self.queues.get(customer);
+            queue.and_then(|queue| queue.tickets.get(id)).is_some_and(&mut fits)
+        });
+        let (.., id, customer) = found?;
+        self.remove(&customer, id)
+    }
+
     /// Queues a request. If the queue is full, another request is dropped for it and returned.
     ///
     /// The dropped request belongs to the customer with the most waiting work for its weight, so that a customer that
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache;
 pub mod catalog_lag;
 pub mod divide;
+pub mod drain;
 pub mod fair;
 pub mod fetch;
 pub mod first_reads;
@@ -35,7 +36,7 @@
 pub mod relays;
 pub mod rescue;
 pub mod retries;
-
+pub mod returns;
 pub mod rollout;
 pub mod room;
 pub mod route;
--- a/crates/policy/tests/admission_lane.rs
+++ b/crates/policy/tests/admission_lane.rs
@@ -15,6 +15,9 @@
         weight: 1,
         tokens: 100.0,
         latest_start: Tick::from_millis(latest_ms),
+        target_start: Tick::from_millis(latest_ms),
+        priority: 0,
+        bytes: 0,
         shed_order: 0,
     }
 }
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -14,6 +14,9 @@
         weight,
         tokens: 100.0,
         latest_start: Tick::from_millis(1_000),
+        target_start: Tick::from_millis(1_000),
+        priority: 0,
+        bytes: 0,
         shed_order: 0,
     }
 }
