Let requests wait at the entry host while upstreams are full

Cause: a request that finds all upstreams full is refused at once, and one that doesn't is queued at an engine, where hosts can no longer order or refuse it. Change: policy::place::has_room bounds what upstreams are given; gateway::waiting queues the rest in the order of policy::fair, and gateway::placing joins both with requests. Bounds are settings of the host; none waits with 0 requests.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,6 +187,7 @@
         if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
             upstream.record_end(self.backlog_id, self.sent_at, now);
         }
+        self.gateway.waiting.wake();
     }
 }
 
@@ -265,6 +266,8 @@
             went_on: false,
         });
         let backlog_id = self.record_sent(gateway, chosen);
+        // The request itself counts at the upstream from now on.
+        drop(self.place.take());
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
         let exchange = gateway.exchange((&self.service, &chosen.id), connection, &bytes, &self.info.id);
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
@@ -298,6 +301,7 @@
             && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
         {
             upstream.record_load(load, gateway.clock.now());
+            gateway.waiting.wake();
         }
         Ok((response, attempt))
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -203,6 +203,7 @@
         let name = account.as_ref().map(|account| account.name.as_str());
         let quota_units = admitted.map_err(|exceeded| self.refuse_over_quota(&exceeded, name, &info, keep_alive))?;
         let deadline = gateway.deadline(arrived, &info, &route);
+        let passed = gateway.record_timeout(&route, info.timeout);
         Ok(Request {
             head,
             info,
@@ -222,6 +223,9 @@
             last_relay: Cell::new(None),
             origin: RefCell::new(origin),
             fingerprint: OnceCell::new(),
+            place: RefCell::default(),
+            passed,
+            start: Cell::default(),
         })
     }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -29,12 +29,14 @@
 use crate::dialect::{HeaderCodec, RequestInfo};
 use crate::lender::QuotaBorrower;
 use crate::origins::OriginClient;
+use crate::placing::UpstreamQueue;
 use crate::pool::ConnectionPool;
 use crate::quarantine::{CrashReporter, KnownQuarantine};
 use crate::routing_table::RoutingTable;
 use crate::slots::SlotClient;
 use crate::upstreams::Upstreams;
 use crate::usage::UsageCounter;
+use crate::waiting::{RecentTimeouts, WaitingBounds};
 
 /// Fraction of every quota that an entry host uses until the leader assigns its share; there may be as many hosts as in
 /// a large deployment.
@@ -133,6 +135,8 @@
     pub source: Option<IpAddr>,
     /// Address at which requests of other hosts are passed on; `None` to pass on none.
     pub relay: Option<SocketAddr>,
+    /// Bounds of the requests that wait for upstreams.
+    pub waiting: WaitingBounds,
 }
 
 /// State that all requests share.
@@ -177,6 +181,10 @@
     pub(crate) origins: OriginClient,
     /// Reports upstreams that crash under requests.
     pub(crate) crashes: CrashReporter,
+    /// Requests that wait for upstreams.
+    pub(crate) waiting: UpstreamQueue,
+    /// Timeouts that callers have lately set.
+    pub(crate) timeouts: RefCell<RecentTimeouts>,
 }
 
 /// Exponentially decaying average of units per second.
@@ -238,6 +246,7 @@
         borrower: QuotaBorrower,
         (clock, logger): (Clock, Logger),
     ) -> Self {
+        let waiting = UpstreamQueue::new(settings.waiting);
         Self {
             codec,
             shared,
@@ -262,6 +271,8 @@
             slots: Rc::default(),
             origins: OriginClient::default(),
             crashes: CrashReporter::default(),
+            waiting,
+            timeouts: RefCell::default(),
         }
     }
 
@@ -297,6 +308,8 @@
         if let Some(hosts) = self.shared.relays.lock().take() {
             self.adopt_relays(hosts);
         }
+        // Lists, load reports and pauses may have changed what upstreams take.
+        self.waiting.wake();
         self.renew_crash_reports();
         self.pool.borrow_mut().close_expired();
         let mut heartbeat = self.shared.heartbeat.lock();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -4,6 +4,9 @@
 
 use derive_more::Display;
 
+/// Longest retry delay as a share of the time left; with a longer one callers give up instead of trying again.
+pub(crate) const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
+
 /// A response with which the entry host refuses a request.
 #[derive(Clone, Debug, Display, PartialEq)]
 #[display("{status} {reason}")]
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,18 +24,17 @@
 use crate::exchange::{AttemptError, UpstreamResponse};
 use crate::gate::Gateway;
 use crate::head::{Head, RequestLine};
-use crate::refusal::Refusal;
+use crate::placing::{StartPrediction, Unplaced};
+use crate::refusal::{MAX_RETRY_AFTER_SHARE, Refusal};
 use crate::response_head::response_head;
 use crate::stream;
-use crate::upstreams::{ChosenUpstream, NoUpstream, UpstreamNeed};
+use crate::upstreams::{ChosenUpstream, NoUpstream, PromisedPlace, UpstreamNeed};
 
 /// Connection attempts that may fail before the request is given up; nothing was sent on them.
 const MAX_FAILED_CONNECTS: usize = 3;
 /// Shortest and longest retry delay for a refused caller, in seconds. The delay is random, so that callers refused
 /// together don't return together.
 const RETRY_AFTER_S: (f64, f64) = (0.25, 0.9);
-/// Longest retry delay as a share of the time left; with a longer one callers give up instead of trying again.
-const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
 
 /// A request that is being served.
 #[derive(Debug)]
@@ -76,6 +75,12 @@
     pub origin: RefCell<Option<StreamOrigin>>,
     /// Fingerprint of the request, once it was computed.
     pub fingerprint: OnceCell<Fingerprint>,
+    /// The place at the chosen upstream that is kept for the request until it is sent; `None` if it did not wait.
+    pub place: RefCell<Option<PromisedPlace>>,
+    /// Time that has passed since the caller's first try, as far as its timeout shows.
+    pub passed: Duration,
+    /// What was predicted of the start; `None` before an upstream was chosen.
+    pub start: Cell<Option<StartPrediction>>,
 }
 
 /// When an attempt reached the steps that tell whether it can have crashed its upstream.
@@ -188,13 +193,16 @@
             if self.progress.get().sends >= self.route.attempts.max(1) || failed_connects > MAX_FAILED_CONNECTS {
                 break;
             }
-            let chosen = match self.choose_upstream(gateway, &tried) {
+            let chosen = match self.place_upstream(gateway, &tried).await {
                 Ok(chosen) => chosen,
-                Err(reason) if last_error.is_none() => return Outcome::Refused(self.refuse_unplaced(reason)),
+                Err(reason) if last_error.is_none() => return Outcome::Refused(self.refuse_unplaced(&reason)),
                 Err(_) => break,
             };
             tried.push(chosen.id.clone());
-            let error = match self.send_attempt(gateway, &chosen, self.info.last_event, None).await {
+            let sent = self.send_attempt(gateway, &chosen, self.info.last_event, None).await;
+            // If nothing was sent, the place is free for others.
+            drop(self.place.take());
+            let error = match sent {
                 Ok((response, attempt)) => match self.forward(gateway, out, response, attempt, &mut tried).await {
                     Ok(outcome) => return outcome,
                     Err(error) => error,
@@ -249,12 +257,22 @@
         tried: &[String],
         version: Option<&str>,
     ) -> Result<ChosenUpstream, NoUpstream> {
-        let mut excluded = gateway.resting(&self.service);
-        excluded.extend_from_slice(tried);
-        let need = UpstreamNeed {
+        let excluded = gateway.excluded(&self.service, tried);
+        let need = self.need(gateway, &excluded, version);
+        gateway.upstreams.borrow().choose(&need, gateway.clock.now())
+    }
+
+    /// Returns what the request needs from its upstream, which is none of `excluded`.
+    pub(crate) fn need<'a>(
+        &'a self,
+        gateway: &'a Gateway,
+        excluded: &'a [String],
+        version: Option<&'a str>,
+    ) -> UpstreamNeed<'a> {
+        UpstreamNeed {
             service: &self.service,
             prompt_parts: &self.info.prompt_parts,
-            tried: &excluded,
+            tried: excluded,
             zone: &gateway.settings.zone,
             entry_hosts: gateway.entry_count(),
             runs_once: !self.is_idempotent(),
@@ -262,8 +280,7 @@
             copy_ms: gateway.copy_ms(&self.service),
             draw: self.draw(),
             version,
-        };
-        gateway.upstreams.borrow().choose(&need, gateway.clock.now())
+        }
     }
 
     /// Returns a number that is uniform in 0 to 1 and depends only on the request's id.
@@ -271,8 +288,12 @@
         xxh3_64(self.info.id.as_bytes()) as f64 / u64::MAX as f64
     }
 
-    fn refuse_unplaced(&self, reason: NoUpstream) -> Refusal {
-        let delay = self.delay_until_placed(Some(reason));
+    fn refuse_unplaced(&self, reason: &Unplaced) -> Refusal {
+        let delay = match reason {
+            Unplaced::NoUpstream(reason) => self.delay_until_placed(Some(*reason)),
+            Unplaced::TooSlow => self.delay_until_placed(None),
+            Unplaced::Waited(end) => end.retry_after.unwrap_or_else(|| self.retry_delay()),
+        };
         Refusal::new(503, format!("not run: {reason}")).with_retry_after(delay)
     }
 
@@ -425,6 +446,7 @@
         };
         counter!("gentian_gateway_requests_total", "outcome" => label).increment(1);
         histogram!("gentian_gateway_request_seconds").record(elapsed.as_secs_f64());
+        self.record_prediction();
         let Progress {
             first_ms, max_pause_ms, ..
         } = self.progress.get();
@@ -440,6 +462,7 @@
             Outcome::Broken { reason } => reason.clone(),
         };
         let version = gateway.shared.table.load().as_ref().map(|table| table.version());
+        let start = self.start.get().unwrap_or_default();
         let upstream = self.last_upstream.borrow();
         let upstream = upstream.as_ref();
         let content = (label != "passed").then(|| self.fingerprint().to_string());
@@ -458,6 +481,8 @@
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
             "reading_ms" => upstream.map(|upstream| upstream.prediction.prefill_ms as u64),
             "before_ms" => upstream.map(|upstream| upstream.prediction.backlog_ms as u64),
+            "waited_ms" => start.waited.map(|waited| waited.as_millis() as u64),
+            "wait_predicted_ms" => start.wait.map(|wait| wait.as_millis() as u64),
             "target_ms" => self.route.target_ms, "pause_ms" => max_pause_ms, "longest_ms" => self.route.pause_ms,
             "cached" => upstream.map(|upstream| upstream.prefill.cached),
             "fetch" => upstream.and_then(|upstream| upstream.fetch_from).map(|source| source.to_string()),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -101,6 +101,7 @@
         spawn_local(Rc::clone(&self.gateway).release_slots());
         spawn_local(Rc::clone(&self.gateway).report_crashes());
         spawn_local(Rc::clone(&self.gateway).tell_origins());
+        spawn_local(Rc::clone(&self.gateway).start_waiting());
         let mut was_ready = false;
         let rate_reporter = RateReporter::default();
         loop {
@@ -108,6 +109,7 @@
             self.gateway.exchange_state();
             self.gateway.fill_buckets();
             self.gateway.check_links();
+            self.gateway.report_waiting();
             rate_reporter.report(
                 &self.gateway.upstreams.borrow(),
                 &self.gateway.logger,
@@ -116,6 +118,7 @@
             if self.stop.load(Ordering::Relaxed) && self.stopping_since.get().is_none() {
                 self.stopping_since.set(Some(Instant::now()));
                 self.gateway.stopping.set(true);
+                self.gateway.waiting.close();
                 info!(self.gateway.logger, "stopping"; "active" => self.active.get());
             }
             let ready = self.is_ready();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -19,13 +19,13 @@
 use policy::homes::{PartUsage, assume_former_homes_cached, assume_home_cached};
 use policy::origins::VersionMix;
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
-use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
+use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose, has_room};
 use policy::reach::Reachability;
 use wire::registry::UpstreamObservation;
 
 use former::FormerUpstream;
 pub use no_upstream::NoUpstream;
-pub use upstream::Upstream;
+pub use upstream::{PromisedPlace, Upstream};
 
 use crate::rollouts::{Rollouts, TrialSubject};
 
@@ -37,8 +37,8 @@
 /// without a recent response is expected to cost the share of it that its service has replaced upstreams. With a larger
 /// value, the few that have responded get all requests.
 const WASTED_ATTEMPT_MS: f64 = 1_000.0;
-/// Requests per slot up to which an upstream is chosen: one that runs and one in its queue. It refuses any more.
-const MAX_LOAD_PER_SLOT: f64 = 2.0;
+/// Pace of upstreams that don't report one.
+const USUAL_PACE: f64 = 1.0;
 
 /// All listed upstreams.
 #[derive(Debug, Default)]
@@ -132,6 +132,24 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
+/// Up to which load an upstream counts as having room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RoomBound {
+    /// Its slots, and what ends before the next report arrives.
+    Slots,
+    /// Twice its slots.
+    Queue,
+}
+
+/// How a request is expected to start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartForecast {
+    /// Prompt tokens that no upstream is known to have cached.
+    pub fresh: u64,
+    /// Time from the start to the first event, or to the whole response of a call without a prompt, in milliseconds.
+    pub first_ms: f64,
+}
+
 impl Upstreams {
     /// Applies a list, keeping the state of upstreams that stay. Returns the upstreams that started to leave or are
     /// gone.
@@ -181,18 +199,48 @@
         ended
     }
 
-    /// Chooses an upstream for a request.
+    /// Chooses an upstream for a request, also one that will queue it.
     ///
     /// # Errors
     /// Returns why there is none.
     pub fn choose(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<ChosenUpstream, NoUpstream> {
+        self.choose_within(need, RoomBound::Queue, now)
+    }
+
+    /// Chooses an upstream that runs the request at once, or as soon as one of those that have just ended is reported.
+    /// Requests without a prompt end faster than reports arrive, so that the upstream may queue them.
+    ///
+    /// # Errors
+    /// Returns why there is none.
+    pub fn choose_with_room(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<ChosenUpstream, NoUpstream> {
+        let bound = if need.prompt_parts.is_empty() {
+            RoomBound::Queue
+        } else {
+            RoomBound::Slots
+        };
+        self.choose_within(need, bound, now)
+    }
+
+    fn choose_within(
+        &self,
+        need: &UpstreamNeed<'_>,
+        bound: RoomBound,
+        now: Tick,
+    ) -> Result<ChosenUpstream, NoUpstream> {
         self.check_reachability(now);
         let usable = self.usable(need, now)?;
         let shared_key = shared_key(need.prompt_parts);
         let indexed = usable.iter().enumerate();
         let candidates = indexed.map(|(at, upstream)| upstream.candidate(at, shared_key, need, now));
         let mut candidates: Vec<Candidate> = candidates
-            .filter(|candidate| candidate.load < candidate.slots * MAX_LOAD_PER_SLOT)
+            .filter(|candidate| {
+                let report_age = match bound {
+                    RoomBound::Queue => None,
+                    RoomBound::Slots => usable[candidate.index].report_age(now),
+                };
+                let Candidate { load, slots, rates, .. } = candidate;
+                has_room(*load, *slots, report_age, rates.run_ms, USUAL_PACE)
+            })
             .collect();
         let doubt_ms = self.replaced_share(need.service, now) * WASTED_ATTEMPT_MS;
         for candidate in &mut candidates {
@@ -239,6 +287,40 @@
         })
     }
 
+    /// Forecasts how a request starts at an upstream that has room.
+    #[must_use]
+    pub fn forecast(&self, need: &UpstreamNeed<'_>, now: Tick) -> StartForecast {
+        let rates = self.rates(need.service);
+        if need.prompt_parts.is_empty() {
+            return StartForecast {
+                fresh: 0,
+                first_ms: rates.run_ms,
+            };
+        }
+        let serving = self
+            .all
+            .values()
+            .filter(|upstream| upstream.listed.service == *need.service);
+        let cached = serving
+            .map(|upstream| upstream.cached_tokens(need.prompt_parts, now))
+            .max();
+        let prefill = PrefillWork {
+            cached: cached.unwrap_or(0),
+            fresh: need.tokens().saturating_sub(cached.unwrap_or(0)),
+        };
+        StartForecast {
+            fresh: prefill.fresh,
+            first_ms: rates.base_ms + rates.prefill_ms(prefill),
+        }
+    }
+
+    /// Promises a place at an upstream to a request that is about to be sent; the place counts as taken until the promise
+    /// is dropped. `None` if the upstream is not listed.
+    #[must_use]
+    pub fn promise(&self, id: &str) -> Option<PromisedPlace> {
+        self.all.get(id).map(Upstream::promise)
+    }
+
     /// Returns the share of a service's upstreams that were found to be replaced lately; others may be, too.
     fn replaced_share(&self, service: &ServiceName, now: Tick) -> f64 {
         let serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -1,6 +1,6 @@
 //! One upstream with the state known of it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,6 +75,18 @@
     own_link_at: Option<Tick>,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
+    /// Number of places promised to requests that are about to be sent.
+    promised: Rc<Cell<u32>>,
+}
+
+/// A place at an upstream that is promised to one request; dropping it gives the place back.
+#[derive(Debug)]
+pub struct PromisedPlace(Rc<Cell<u32>>);
+
+impl Drop for PromisedPlace {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 impl Upstream {
@@ -101,9 +113,27 @@
             alive_at: None,
             own_link_at: None,
             notice: Rc::default(),
+            promised: Rc::default(),
         }
     }
 
+    /// Promises a place to a request.
+    pub(super) fn promise(&self) -> PromisedPlace {
+        self.promised.set(self.promised.get() + 1);
+        PromisedPlace(Rc::clone(&self.promised))
+    }
+
+    /// Returns the age of the last load report of any host; `None` if it is too old to count.
+    pub(super) fn report_age(&self, now: Tick) -> Option<Duration> {
+        let report = self.load.newest()?;
+        Some(now.since(report.measured_at)).filter(|age| *age < MAX_LOAD_AGE)
+    }
+
+    /// Returns the prompt tokens that this host has sent to the upstream and that it is assumed to have cached.
+    pub(super) fn cached_tokens(&self, prompt_parts: &[PromptPart], now: Tick) -> u64 {
+        self.cached.tokens(prompt_parts, now)
+    }
+
     pub(super) fn candidate(&self, index: usize, shared_key: u64, need: &UpstreamNeed<'_>, now: Tick) -> Candidate {
         // Without a recent report, each entry host is assumed to have sent as much as this one.
         let estimated = f64::from(self.own_requests) * f64::from(need.entry_hosts.clamp(1, 4));
@@ -111,7 +141,7 @@
         let sent = self.cached.tokens(need.prompt_parts, now);
         Candidate {
             index,
-            load: predicted.reported.unwrap_or(estimated),
+            load: predicted.reported.unwrap_or(estimated) + f64::from(self.promised.get()),
             slots: f64::from(self.listed.slots.max(1)),
             cached: sent,
             sent,
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -15,6 +15,7 @@
 use gateway::lender::QuotaBorrower;
 use gateway::routing_table::RoutingTable;
 use gateway::server::{self, ServerSettings};
+use gateway::waiting::WaitingBounds;
 use load::trial::process::free_address;
 use policy::Tick;
 use policy::parts::Slack;
@@ -129,6 +130,7 @@
                 node: NodeId::from("e"),
                 source: None,
                 relay: Some(relay),
+                waiting: WaitingBounds::default(),
             };
             let borrower = QuotaBorrower::new(NodeId::from("e"), Arc::clone(&shared));
             let log = (Clock::start(), Logger::root(Discard, o!()));
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -22,6 +22,9 @@
 const DISTANCE_MS: f64 = 2.0;
 /// Time after its last use for which a prompt part is assumed to be cached.
 const CACHE_TIME: Duration = Duration::from_mins(1);
+/// Requests per slot up to which an upstream takes requests while nothing recent is known of its load: one that runs and
+/// one in its queue. It refuses any more.
+const MAX_LOAD_PER_SLOT: f64 = 2.0;
 /// Most prompt parts recorded for one upstream; more than its cache holds at common sizes.
 const MAX_RECORDED_PARTS: usize = 4_096;
 
@@ -126,6 +129,24 @@
     pub has_slot: bool,
 }
 
+/// Returns whether an upstream with `load` running and waiting requests takes another one now.
+///
+/// It addresses bursts that many hosts see at once: requests that go to an upstream with a full queue wait there in the
+/// order of their arrival, where hosts can no longer order, move or refuse them. The bound is the slots and as many
+/// requests as end while the report travels (`slots * report_age / run_ms`, at least one and at most the slots), so that
+/// slots don't stand empty until the next report. `pace` is a factor on `run_ms`. Without a recent report
+/// (`report_age` is `None`) the bound is twice the slots.
+#[must_use]
+pub fn has_room(load: f64, slots: f64, report_age: Option<Duration>, run_ms: f64, pace: f64) -> bool {
+    let slots = slots.max(1.0);
+    let Some(age) = report_age else {
+        return load < slots * MAX_LOAD_PER_SLOT;
+    };
+    let ended = slots * age.as_secs_f64() * 1_000.0 / (run_ms * pace);
+    // A quotient that is negative or not a number counts as one.
+    load < slots + ended.max(1.0).min(slots)
+}
+
 /// What a request needs from an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PromptNeed {
