--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -266,8 +266,6 @@
             went_on: false,
         });
         let backlog_id = self.record_sent(gateway, chosen);
-        // The request itself counts at the upstream from now on.
-        drop(self.place.take());
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
         let exchange = gateway.exchange((&self.service, &chosen.id), connection, &bytes, &self.info.id);
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
@@ -384,6 +382,8 @@
         gateway.record_prefill(&self.service, chosen.prediction.prefill_ms);
         let mut upstreams = gateway.upstreams.borrow_mut();
         upstreams.record_use(&self.info.prompt_parts, now);
+        // The request itself counts at the upstream from now on, no longer the place that was kept for it.
+        drop(self.place.take());
         let upstream = upstreams.get_mut(&chosen.id);
         upstream.map_or(0, |upstream| upstream.record_sent(&self.info.prompt_parts, chosen, now))
     }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -95,6 +95,7 @@
                 Ok(chosen) => {
                     self.check_in_time(gateway, &chosen)?;
                     self.record_start(gateway, &chosen, None);
+                    self.record_direct(gateway, &chosen);
                     return Ok(chosen);
                 }
                 Err(NoUpstream::AllFull) => {}
@@ -104,6 +105,17 @@
         Ok(gateway.wait_for_upstream(self, tried).await?)
     }
 
+    /// Records work that an upstream takes at once, from which waits are predicted too.
+    fn record_direct(&self, gateway: &Gateway, chosen: &ChosenUpstream) {
+        let now = gateway.clock.now();
+        let forecast = StartForecast {
+            fresh: chosen.prefill.fresh,
+            first_ms: 0.0,
+        };
+        let work = self.arrival(forecast, now).work();
+        gateway.waiting.record_started(&self.service, work, now);
+    }
+
     fn choose_with_room(&self, gateway: &Gateway, tried: &[String]) -> Result<ChosenUpstream, NoUpstream> {
         let origin = self.origin.borrow();
         let version = origin.as_ref().map(|origin| origin.version.as_str());
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -193,6 +193,13 @@
         })
     }
 
+    /// Records work that was started without waiting. It counts for predictions once requests of its service have waited.
+    pub fn record_started(&self, service: &ServiceName, tokens: f64, now: Tick) {
+        if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
+            queue.record_started(tokens, now);
+        }
+    }
+
     /// Lets waiting requests be looked at soon, as an upstream may have room. Costs next to nothing while none waits.
     pub fn wake(&self) {
         if self.length.get() > 0 {
--- a/crates/gateway/src/waiting/queue.rs
+++ b/crates/gateway/src/waiting/queue.rs
@@ -125,6 +125,10 @@
         Ok(forecast)
     }
 
+    pub(super) fn record_started(&mut self, tokens: f64, now: Tick) {
+        self.drain.record_started(tokens, now);
+    }
+
     /// Removes a request whose caller has left. Does nothing if it no longer waits.
     pub(super) fn leave(&mut self, customer: &CustomerId, id: u64) {
         if self.take(id).is_some() {
--- a/crates/gateway/src/waiting/ticket.rs
+++ b/crates/gateway/src/waiting/ticket.rs
@@ -93,7 +93,8 @@
     }
 
     /// Returns the work of the request, in tokens of prefill.
-    fn work(&self) -> f64 {
+    #[must_use]
+    pub fn work(&self) -> f64 {
         let output = self.max_output.map(|tokens| tokens as f64 * OUTPUT_WEIGHT);
         output.map_or(1.0, |output| (self.fresh as f64 + output).clamp(1.0, MAX_TOKENS))
     }
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -110,8 +110,13 @@
         shared
     }
 
-    /// Starts a host with a shared state.
+    /// Starts a host with a shared state on which no request waits.
     pub fn run(shared: Arc<Shared>) -> Self {
+        Self::run_with(shared, WaitingBounds::default())
+    }
+
+    /// Starts a host with a shared state and bounds of waiting requests.
+    pub fn run_with(shared: Arc<Shared>, waiting: WaitingBounds) -> Self {
         // Not a port assigned by the system, which could assign it to another test or process before the host listens
         // on it.
         let (callers, ready, relay) = (free_address(), free_address(), free_address());
@@ -130,7 +135,7 @@
                 node: NodeId::from("e"),
                 source: None,
                 relay: Some(relay),
-                waiting: WaitingBounds::default(),
+                waiting,
             };
             let borrower = QuotaBorrower::new(NodeId::from("e"), Arc::clone(&shared));
             let log = (Clock::start(), Logger::root(Discard, o!()));
