Order the queue by target, priority and customer, and bound its bytes

Change: requests are kept by class (target in reach or not, priority), customer and target, with sums of work; starts out of order go to the longest-waiting request when several classes wait. The lane takes its return times from ReturnTimes, which fills free times instead of moving one time forward.

--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -86,7 +86,7 @@
     fn tokens_per_s(&self, now: Tick) -> Option<f64> {
         let sums = WINDOWS.map(|window| self.sum(window, now));
         let enough = sums.iter().zip(WINDOWS).find(|(sum, _)| sum.starts >= ENOUGH_STARTS);
-        let (sum, window) = enough.or_else(|| sums.iter().zip(WINDOWS).last())?;
+        let (sum, window) = enough.or_else(|| sums.iter().zip(WINDOWS).next_back())?;
         if sum.starts < MIN_STARTS || sum.tokens <= 0.0 {
             return None;
         }
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -1,96 +1,86 @@
-//! Weighted fair queueing between customers; within a customer the request with the earliest start deadline goes first.
+//! Weighted fair queueing between customers, with priorities and targets.
+//!
+//! Addresses demand beyond the capacity: one customer at several times its usual load, and bursts of urgent or less
+//! urgent kinds. What can still meet its target is served first, then the more urgent, then the customer that has had
+//! least for its weight. A customer without waiting requests saves up nothing.
+
+mod customer;
+mod sorted;
+mod ticket;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use contract::CustomerId;
-use derive_more::{Display, Error};
 
 use crate::Tick;
+use customer::{Amount, Customers};
+use ticket::Waiting;
+pub use ticket::{RefusalReason, Ticket};
 
-/// A request that waits for admission.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ticket {
-    /// Unique among all tickets.
-    pub id: u64,
-    /// The customer that the request is charged to.
-    pub customer: CustomerId,
-    /// The customer's weight in the queue; zero counts as one.
-    pub weight: u32,
-    /// Expected work, in tokens.
-    pub tokens: f64,
-    /// Latest start at which the request still meets its target.
-    pub latest_start: Tick,
-    /// Latest start at which the request still meets its target; a value after `latest_start` counts as that.
-    pub target_start: Tick,
-    /// Urgency; 0 is the most urgent.
-    pub priority: u8,
-    /// Order in which a full queue drops requests of the same customer and priority; higher values are dropped first.
-    pub shed_order: u8,
-    /// Memory that the request occupies while it waits, in bytes.
-    pub bytes: usize,
-}
-
-/// Why a request was refused. A refused request was not run.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// The queue is full, and no other request may be dropped for this one.
-    #[display("the queue is full")]
-    QueueFull,
-    /// The request cannot meet its target any more.
-    #[display("it can no longer be on time")]
-    TooLate,
-}
+/// One in this many starts goes to the longest-waiting request, so that less urgent and late ones still make progress.
+const AGED_INTERVAL: u32 = 10;
+/// Most requests that are tried in one call of [`FairQueue::pop_where`]; a try may search all upstreams for capacity.
+const MAX_TRIES: usize = 16;
+/// How many of these tries go to the longest-waiting requests when it is their turn.
+const AGED_TRIES: usize = 4;
 
-/// A bounded queue that divides capacity between customers by weight.
+/// A bounded queue that orders requests by urgency and divides capacity between customers by weight.
+///
+/// The time of the queue is the latest that any call has named.
 #[derive(Debug)]
 pub struct FairQueue {
     bound: usize,
     byte_bound: usize,
     bytes: usize,
-    length: usize,
     now: Tick,
     virtual_time: f64,
-    queues: BTreeMap<CustomerId, CustomerQueue>,
-}
-
-/// The waiting requests of one customer.
-#[derive(Debug, Default)]
-struct CustomerQueue {
-    /// Virtual start time of the next request.
-    start: f64,
-    weight: f64,
-    /// Waiting work, in tokens.
-    work: f64,
+    /// Starts since the last that went to the longest-waiting request.
+    since_aged: u32,
+    customers: Customers,
+    requests: BTreeMap<u64, Waiting>,
+    /// Requests that can still meet their target, by latest start for it.
+    by_target: BTreeSet<(Tick, u64)>,
     by_deadline: BTreeSet<(Tick, u64)>,
-    drop_order: BTreeSet<(u8, Tick, u64)>,
-    tickets: BTreeMap<u64, Ticket>,
+    by_arrival: BTreeSet<(Tick, u64)>,
 }
 
 impl FairQueue {
-    /// Creates a queue of at most `bound` requests.
+    /// Creates a queue of at most `bound` requests and any number of bytes.
     #[must_use]
     pub const fn new(bound: usize) -> Self {
         Self {
             bound,
             byte_bound: usize::MAX,
             bytes: 0,
-            length: 0,
-            now: Tick(std::time::Duration::ZERO),
+            now: Tick(Duration::ZERO),
             virtual_time: 0.0,
-            queues: BTreeMap::new(),
+            since_aged: 0,
+            customers: Customers::new(),
+            requests: BTreeMap::new(),
+            by_target: BTreeSet::new(),
+            by_deadline: BTreeSet::new(),
+            by_arrival: BTreeSet::new(),
         }
     }
 
     /// Returns the number of waiting requests.
     #[must_use]
-    pub const fn len(&self) -> usize {
-        self.length
+    pub fn len(&self) -> usize {
+        self.requests.len()
     }
 
     /// Returns whether no request waits.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.length == 0
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns the bytes of the waiting requests.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// Changes the bound; requests already queued beyond a smaller bound stay.
@@ -103,190 +93,269 @@
         self.byte_bound = bytes;
     }
 
-    /// Returns the bytes of the waiting requests.
+    /// Returns how long the longest-waiting request has waited; `None` if no request waits.
     #[must_use]
-    pub const fn bytes(&self) -> usize {
-        self.bytes
+    pub fn oldest(&self, now: Tick) -> Option<Duration> {
+        self.by_arrival.first().map(|(arrived, _)| now.since(*arrived))
     }
 
-    /// Returns how long the longest-waiting request has waited.
-    #[must_use]
-    pub fn oldest(&self, now: Tick) -> Option<std::time::Duration> {
-        (self.length > 0).then(|| now.since(self.now))
-    }
-
-    /// Queues a request and returns all requests that were dropped for it; with a byte bound they may be several.
+    /// Queues a request like [`Self::insert`], but drops at most one other for it.
+    ///
+    /// This is enough where no bytes are counted. Where they are, [`Self::insert`] takes a large request into a queue
+    /// full of small ones.
     ///
     /// # Errors
-    /// Refuses a request like [`Self::push`].
-    pub fn insert(&mut self, ticket: Ticket, now: Tick) -> Result<Vec<Ticket>, RefusalReason> {
-        Ok(self.push(ticket, now)?.into_iter().collect())
-    }
-
-    /// Removes and returns the first request in the order of the queue that `fits`.
-    pub fn pop_where(&mut self, now: Tick, mut fits: impl FnMut(&Ticket) -> bool) -> Option<Ticket> {
-        self.now = now;
-        let all = self.queues.values().flat_map(|queue| queue.tickets.values());
-        let mut order: Vec<(bool, u8, Tick, u64, CustomerId)> = all
-            .map(|one| {
-                (
-                    one.target_start < now,
-                    one.priority,
-                    one.target_start,
-                    one.id,
-                    one.customer.clone(),
-                )
-            })
-            .collect();
-        order.sort();
-        let found = order.into_iter().take(16).find(|(.., id, customer)| {
-            let queue = self.queues.get(customer);
-            queue.and_then(|queue| queue.tickets.get(id)).is_some_and(&mut fits)
-        });
-        let (.., id, customer) = found?;
-        self.remove(&customer, id)
+    /// Refuses a request like [`Self::insert`], and one for which more than one other would have to be dropped.
+    pub fn push(&mut self, ticket: Ticket, now: Tick) -> Result<Option<Ticket>, RefusalReason> {
+        Ok(self.insert_dropping(ticket, 1, now)?.pop())
     }
 
-    /// Queues a request. If the queue is full, another request is dropped for it and returned.
+    /// Queues a request. If the queue is full, other requests are dropped for it and returned.
     ///
-    /// The dropped request belongs to the customer with the most waiting work for its weight, so that a customer that
-    /// floods the queue only harms itself. Among that customer's requests it is the one with the highest
-    /// [`Ticket::shed_order`].
+    /// A dropped request belongs to the customer with the most waiting work for its weight, so that a customer that
+    /// floods the queue only harms itself. Among that customer's requests it is one of the least urgent, among these one
+    /// with the highest [`Ticket::shed_order`], and among these one that can no longer meet its target, or else the one
+    /// with the latest start.
     ///
     /// # Errors
-    /// Refuses a request whose start deadline has passed, or that would itself be the one to drop.
-    pub fn push(&mut self, ticket: Ticket, now: Tick) -> Result<Option<Ticket>, RefusalReason> {
-        if ticket.latest_start < now {
-            return Err(RefusalReason::TooLate);
-        }
-        let dropped = if self.length >= self.bound {
-            Some(self.drop_for(&ticket).ok_or(RefusalReason::QueueFull)?)
-        } else {
-            None
-        };
-        let virtual_time = self.virtual_time;
-        let queue = self.queues.entry(ticket.customer.clone()).or_default();
-        if queue.tickets.is_empty() {
-            // A customer that was idle starts at the current virtual time; otherwise it could save up a burst that
-            // starves others.
-            queue.start = queue.start.max(virtual_time);
-        }
-        queue.add(ticket);
-        self.length += 1;
-        Ok(dropped)
+    /// Refuses a request whose latest start has passed, that would itself be the one to drop, that exceeds the bound on
+    /// bytes by itself, or whose id waits already. Nothing is dropped then.
+    pub fn insert(&mut self, ticket: Ticket, now: Tick) -> Result<Vec<Ticket>, RefusalReason> {
+        self.insert_dropping(ticket, usize::MAX, now)
     }
 
-    /// Removes and returns the next request: by virtual start time, and within the customer by start deadline.
+    /// Removes and returns the next request, as [`Self::pop_where`] does with everything fitting.
     pub fn pop(&mut self) -> Option<Ticket> {
-        let waiting = self.queues.values_mut().filter(|queue| !queue.tickets.is_empty());
-        let queue = waiting.min_by(|a, b| a.start.total_cmp(&b.start))?;
-        let (_, id) = *queue.by_deadline.first()?;
-        let ticket = queue.take(id)?;
-        self.virtual_time = self.virtual_time.max(queue.start);
-        queue.start += ticket.tokens / queue.weight;
-        self.length -= 1;
-        self.forget_idle();
-        Some(ticket)
+        self.pop_where(self.now, |_| true)
     }
 
-    /// Returns the work, in tokens, that would be served before the request if it was queued now.
-    #[must_use]
-    pub fn work_ahead(&self, ticket: &Ticket) -> f64 {
-        let own = self.queues.get(&ticket.customer);
-        let own_work = own.map_or(0.0, |queue| queue.work_before(ticket));
-        let start = own.map_or(self.virtual_time, |queue| queue.start.max(self.virtual_time));
-        let virtual_start = start + own_work / f64::from(ticket.weight.max(1));
-        let others = self.queues.iter().filter(|(customer, _)| **customer != ticket.customer);
-        let served = others.map(|(_, queue)| ((virtual_start - queue.start).max(0.0) * queue.weight).min(queue.work));
-        own_work + served.sum::<f64>()
+    /// Removes and returns the next request that `fits`.
+    ///
+    /// Requests that can still meet their target come first, then those of the more urgent priority, then those of the
+    /// customer with the earliest virtual start time, then those with the earliest target. One in ten starts goes to the
+    /// longest-waiting request other than the first in that order, if requests of several priorities wait or some are
+    /// too late for their target. Among equals, the virtual start times let everyone make progress.
+    ///
+    /// At most 16 requests are tried, of different priorities and customers first. A request that does not fit blocks no
+    /// other.
+    pub fn pop_where(&mut self, now: Tick, mut fits: impl FnMut(&Ticket) -> bool) -> Option<Ticket> {
+        self.advance(now);
+        let first = self.first()?;
+        let mut tried = Vec::new();
+        let aged_turn = self.since_aged + 1 >= AGED_INTERVAL && self.customers.classes.len() > 1;
+        if aged_turn && let Some(id) = self.aged(first, &mut tried, &mut fits) {
+            self.since_aged = 0;
+            return self.start(id, false);
+        }
+        let id = self.first_fitting(first, &tried, &mut fits)?;
+        self.since_aged = (self.since_aged + 1).min(AGED_INTERVAL);
+        self.start(id, true)
     }
 
-    /// Removes and returns the requests whose start deadline has passed.
+    /// Removes and returns the requests whose latest start has passed.
     pub fn expire(&mut self, now: Tick) -> Vec<Ticket> {
         let mut late = Vec::new();
-        for queue in self.queues.values_mut() {
-            while let Some(&(deadline, id)) = queue.by_deadline.first()
-                && deadline < now
-            {
-                late.extend(queue.take(id));
-            }
+        while let Some(&(deadline, id)) = self.by_deadline.first()
+            && deadline < now
+        {
+            late.extend(self.take(id).map(|waiting| waiting.ticket));
         }
-        self.length -= late.len();
+        self.advance(now);
         late
     }
 
     /// Removes a waiting request, for example because its caller disconnected.
     pub fn remove(&mut self, customer: &CustomerId, id: u64) -> Option<Ticket> {
-        let ticket = self.queues.get_mut(customer)?.take(id)?;
-        self.length -= 1;
-        Some(ticket)
+        let waiting = self.requests.get(&id)?;
+        if waiting.ticket.customer != *customer {
+            return None;
+        }
+        self.take(id).map(|waiting| waiting.ticket)
     }
 
-    /// Removes the request to drop from a full queue; `None` if that is the new request itself.
-    fn drop_for(&mut self, ticket: &Ticket) -> Option<Ticket> {
-        let own_weight = f64::from(ticket.weight.max(1));
-        let relative_work = |(customer, queue): &(&CustomerId, &mut CustomerQueue)| {
-            let added = if **customer == ticket.customer {
-                ticket.tokens
-            } else {
-                0.0
+    fn insert_dropping(&mut self, ticket: Ticket, most: usize, now: Tick) -> Result<Vec<Ticket>, RefusalReason> {
+        self.advance(now);
+        if ticket.latest_start < now {
+            return Err(RefusalReason::TooLate);
+        }
+        if ticket.bytes > self.byte_bound || self.requests.contains_key(&ticket.id) {
+            return Err(RefusalReason::QueueFull);
+        }
+        // Requests beyond a bound that has become smaller stay, so only as much is freed as the new one takes.
+        let requests = self.bound.max(self.len());
+        let bytes = self.byte_bound.max(self.bytes);
+        let mut dropped = Vec::new();
+        while self.len() >= requests || self.bytes.saturating_add(ticket.bytes) > bytes {
+            let may_drop = dropped.len() < most;
+            let Some(victim) = may_drop.then(|| self.drop_for(&ticket)).flatten() else {
+                for waiting in dropped {
+                    self.add(waiting);
+                }
+                return Err(RefusalReason::QueueFull);
             };
-            (queue.work + added) / queue.weight
-        };
-        let waiting = self.queues.iter_mut().filter(|(_, queue)| !queue.tickets.is_empty());
-        let (customer, queue) = waiting.max_by(|a, b| relative_work(a).total_cmp(&relative_work(b)))?;
-        if *customer == ticket.customer {
-            let first_dropped = *queue.drop_order.last()?;
-            if (ticket.shed_order, ticket.latest_start, ticket.id) > first_dropped {
-                return None;
-            }
-        } else if ticket.tokens / own_weight > queue.work / queue.weight {
-            // This request alone exceeds the waiting work of every other customer.
-            return None;
+            dropped.push(victim);
         }
-        let (_, _, id) = *queue.drop_order.last()?;
-        let victim = queue.take(id)?;
-        self.length -= 1;
-        Some(victim)
+        self.enter(ticket);
+        Ok(dropped.into_iter().map(|waiting| waiting.ticket).collect())
     }
 
-    /// Forgets customers without waiting requests that have used no more than their share.
-    fn forget_idle(&mut self) {
+    fn enter(&mut self, ticket: Ticket) {
         let virtual_time = self.virtual_time;
-        self.queues
-            .retain(|_, queue| !queue.tickets.is_empty() || queue.start > virtual_time);
+        let number = self.customers.enter(&ticket, virtual_time);
+        let weight = ticket.weight();
+        self.customers.update(number, |customer| {
+            customer.weight = weight;
+            if customer.lanes.is_empty() {
+                // A customer that was idle starts at the current virtual time; otherwise it could save up a burst that
+                // starves others.
+                customer.start = customer.start.max(virtual_time);
+            }
+        });
+        self.add(Waiting {
+            customer: number,
+            arrived: self.now,
+            late: ticket.class(self.now).late,
+            ticket,
+        });
     }
-}
 
-impl CustomerQueue {
-    fn add(&mut self, ticket: Ticket) {
-        self.weight = f64::from(ticket.weight.max(1));
-        self.work += ticket.tokens;
+    fn add(&mut self, waiting: Waiting) {
+        self.customers
+            .update(waiting.customer, |customer| customer.add(&waiting));
+        let ticket = &waiting.ticket;
+        if !waiting.late {
+            self.by_target.insert((ticket.target(), ticket.id));
+        }
         self.by_deadline.insert((ticket.latest_start, ticket.id));
-        self.drop_order
-            .insert((ticket.shed_order, ticket.latest_start, ticket.id));
-        self.tickets.insert(ticket.id, ticket);
+        self.by_arrival.insert((waiting.arrived, ticket.id));
+        self.bytes = self.bytes.saturating_add(ticket.bytes);
+        self.requests.insert(ticket.id, waiting);
     }
 
-    fn take(&mut self, id: u64) -> Option<Ticket> {
-        let ticket = self.tickets.remove(&id)?;
+    fn take(&mut self, id: u64) -> Option<Waiting> {
+        let waiting = self.requests.remove(&id)?;
+        let ticket = &waiting.ticket;
+        self.by_target.remove(&(ticket.target(), id));
         self.by_deadline.remove(&(ticket.latest_start, id));
-        self.drop_order.remove(&(ticket.shed_order, ticket.latest_start, id));
-        // The sum is reset whenever it can be: rounding errors would add up otherwise.
-        self.work = if self.tickets.is_empty() {
-            0.0
-        } else {
-            self.work - ticket.tokens
-        };
+        self.by_arrival.remove(&(waiting.arrived, id));
+        self.bytes = self.bytes.saturating_sub(ticket.bytes);
+        self.customers
+            .update(waiting.customer, |customer| customer.remove(&waiting));
+        Some(waiting)
+    }
+
+    /// Removes a request that starts and charges its customer. Starts out of order do not move the virtual time: the
+    /// customers that were passed over would be behind those that arrive next.
+    fn start(&mut self, id: u64, in_order: bool) -> Option<Ticket> {
+        let Waiting { ticket, customer, .. } = self.take(id)?;
+        let mut virtual_time = self.virtual_time;
+        self.customers.update(customer, |customer| {
+            if in_order {
+                virtual_time = virtual_time.max(customer.start);
+            }
+            customer.start += ticket.work() / customer.weight;
+        });
+        self.virtual_time = virtual_time;
+        self.customers.forget_idle(virtual_time);
         Some(ticket)
     }
 
-    /// Returns the customer's own work, in tokens, that would be served before the request.
-    fn work_before(&self, ticket: &Ticket) -> f64 {
-        let earlier = self.by_deadline.range(..(ticket.latest_start, ticket.id));
-        earlier
-            .filter_map(|(_, id)| self.tickets.get(id))
-            .map(|other| other.tokens)
-            .sum()
+    /// Moves on to a later time: requests whose target has become out of reach are served after the others.
+    fn advance(&mut self, now: Tick) {
+        self.now = self.now.max(now);
+        while let Some(&(target, id)) = self.by_target.first()
+            && target < self.now
+        {
+            self.by_target.pop_first();
+            if let Some(waiting) = self.requests.get_mut(&id) {
+                self.customers.update(waiting.customer, |customer| {
+                    customer.remove(waiting);
+                    waiting.late = true;
+                    customer.add(waiting);
+                });
+            }
+        }
+    }
+
+    /// Returns the first request in order.
+    fn first(&self) -> Option<u64> {
+        let (class, order) = self.customers.classes.first_key_value()?;
+        let (_, number) = order.first()?;
+        self.customers.get(*number)?.lanes.get(class)?.ids().next()
+    }
+
+    /// Returns the longest-waiting request that fits, other than the first in order.
+    fn aged(&self, first: u64, tried: &mut Vec<u64>, fits: &mut impl FnMut(&Ticket) -> bool) -> Option<u64> {
+        let others = self.by_arrival.iter().map(|(_, id)| *id).filter(|id| *id != first);
+        for id in others.take(AGED_TRIES) {
+            if self.requests.get(&id).is_some_and(|waiting| fits(&waiting.ticket)) {
+                return Some(id);
+            }
+            tried.push(id);
+        }
+        None
+    }
+
+    /// Returns the first request in order that fits, among those that are tried.
+    fn first_fitting(&self, first: u64, tried: &[u64], fits: &mut impl FnMut(&Ticket) -> bool) -> Option<u64> {
+        let mut fits = |id: &u64| self.requests.get(id).is_some_and(|waiting| fits(&waiting.ticket));
+        if !tried.contains(&first) && fits(&first) {
+            return Some(first);
+        }
+        let mut others = self.candidates(MAX_TRIES);
+        others.retain(|id| *id != first && !tried.contains(id));
+        others.truncate(MAX_TRIES.saturating_sub(tried.len() + 1));
+        others.into_iter().find(|id| fits(id))
+    }
+
+    /// Returns up to `most` requests in order: the first of each class and customer, then the second ones, and so on.
+    fn candidates(&self, most: usize) -> Vec<u64> {
+        let lanes = self.first_lanes(most);
+        let mut found = Vec::new();
+        let mut depth = 0;
+        let mut lanes: Vec<_> = lanes.into_iter().map(|(place, lane)| (place, lane.ids())).collect();
+        while found.len() < most && !lanes.is_empty() {
+            lanes.retain_mut(|(place, ids)| ids.next().map(|id| found.push((*place, depth, id))).is_some());
+            depth += 1;
+        }
+        found.truncate(most);
+        found.sort_unstable();
+        found.into_iter().map(|(.., id)| id).collect()
+    }
+
+    /// Returns up to `most` lanes with their places in order: of each class that of its first customer, then those of
+    /// the second ones, and so on.
+    fn first_lanes(&self, most: usize) -> Vec<((usize, usize), &sorted::SortedWork)> {
+        let mut lanes = Vec::new();
+        let classes = self.customers.classes.iter().enumerate();
+        let mut orders: Vec<_> = classes
+            .map(|(place, (class, order))| (place, class, order.iter()))
+            .collect();
+        let mut rank = 0;
+        while lanes.len() < most && !orders.is_empty() {
+            orders.retain_mut(|(place, class, order)| {
+                let customer = order.next().and_then(|(_, number)| self.customers.get(*number));
+                let lane = customer.and_then(|customer| customer.lanes.get(class));
+                lane.map(|lane| lanes.push(((*place, rank), lane))).is_some()
+            });
+            rank += 1;
+        }
+        lanes.truncate(most);
+        lanes
+    }
+
+    /// Removes the request to drop from a full queue; `None` if that is the new request itself.
+    fn drop_for(&mut self, ticket: &Ticket) -> Option<Waiting> {
+        let (heaviest, most) = self.customers.heaviest()?;
+        let own = self.customers.number(&ticket.customer);
+        let own_work = own.and_then(|own| self.customers.get(own)).map_or(0.0, |own| own.work);
+        let own_is_heaviest = Amount((own_work + ticket.work()) / ticket.weight()) > Amount(most);
+        let order = if own == Some(heaviest) || own_is_heaviest {
+            let first = self.customers.get(own?)?.first_drop()?;
+            (ticket.drop_order(ticket.class(self.now).late) <= first).then_some(first)?
+        } else {
+            self.customers.get(heaviest)?.first_drop()?
+        };
+        self.take(order.4)
     }
 }
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -6,6 +6,7 @@
 
 use crate::Tick;
 use crate::fair::{FairQueue, RefusalReason, Ticket};
+use crate::returns::ReturnTimes;
 
 /// Weight of the newest finished request in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
@@ -33,8 +34,8 @@
     capacity: usize,
     running: usize,
     averages: HoldAverages,
-    /// Time until which the slots are promised to callers that were told to retry.
-    promised: Tick,
+    /// Times that are promised to callers that were told to retry.
+    returns: ReturnTimes,
     /// Expected time from the start of a request to its first token.
     first_token: Duration,
     /// Whether the whole answer is due by the start deadline, as for plain services, and not just its beginning.
@@ -82,7 +83,7 @@
             capacity,
             running: 0,
             averages: HoldAverages::default(),
-            promised: Tick::default(),
+            returns: ReturnTimes::default(),
             first_token: Duration::ZERO,
             whole,
         }
@@ -117,7 +118,7 @@
 
     /// Returns the number of waiting requests.
     #[must_use]
-    pub const fn waiting(&self) -> usize {
+    pub fn waiting(&self) -> usize {
         self.queue.len()
     }
 
@@ -203,19 +204,14 @@
     }
 
     /// Builds the rejection of a request that would be on time if it arrived later by `late`.
-    ///
-    /// Callers told the same time would all return at once, and most of them would be refused again. So each rejection
-    /// names a time after the previous one, by the time that the previous caller's work will occupy the slots.
     pub fn reject(&mut self, why: RefusalReason, tokens: f64, late: Duration, now: Tick) -> Rejection {
+        let (shortest, longest) = RETRY_AFTER;
         let work = tokens * self.averages.per_token().unwrap_or_default() / self.capacity.max(1) as f64;
-        let retry_at = self
-            .promised
-            .max(now + late.max(self.next_slot()))
-            .min(now + RETRY_AFTER.1);
-        self.promised = retry_at + Duration::from_secs_f64(work.min(RETRY_AFTER.1.as_secs_f64()));
+        let work = Duration::from_secs_f64(work.max(0.0).min(longest.as_secs_f64()));
+        let after = late.max(self.next_slot()).max(shortest);
         Rejection {
             why,
-            retry_after: retry_at.since(now).clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+            retry_after: self.returns.next(after, work, longest, now),
         }
     }
 
--- a/crates/policy/src/returns.rs
+++ b/crates/policy/src/returns.rs
@@ -99,6 +99,6 @@
     fn excess_time(&mut self, most: Duration) -> Duration {
         self.excess = self.excess.wrapping_add(1);
         let span = (most / EXCESS_SPAN.1).min(EXCESS_SPAN.0);
-        most - span.mul_f64((f64::from(self.excess) * GOLDEN_RATIO).fract())
+        most.saturating_sub(span.mul_f64((f64::from(self.excess) * GOLDEN_RATIO).fract()))
     }
 }
