Lead from a late or refused request to its queue, and refuse at once what no wait helps

Cause: a request that failed at all upstreams would have joined a queue in which none may take it; a caller with another timeout counted as a retry. Change: only full upstreams lead to the queue; timeouts are capped by the route and differ by at most half.

--- a/crates/ctl/src/losses.rs
+++ b/crates/ctl/src/losses.rs
@@ -14,6 +14,13 @@
 /// Smallest part of the time to the first event that a prediction has to reach to count as right.
 const MIN_PREDICTED_PART: f64 = 0.5;
 
+/// What entry hosts say of requests that they refuse since these would not be in time.
+const TOO_LATE_REASONS: [&str; 3] = [
+    "it would start too late",
+    "no upstream had room in time",
+    "its first event would come too late",
+];
+
 /// Count the requests of logs by what became of them, and why.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "losses", example = "gentianctl losses entry-1.log entry-2.log")]
@@ -56,6 +63,15 @@
     /// Its account had used up its quota.
     #[display("over quota")]
     QuotaExceeded,
+    /// Its answer would have been in time without its wait at the entry host.
+    #[display("waited at the entry host")]
+    Waited,
+    /// The queue of its entry host was full.
+    #[display("queue full")]
+    QueueFull,
+    /// It would have started, or had its first event, when its caller had left.
+    #[display("too late to start")]
+    TooLate,
     /// It was refused for another reason.
     #[display("refused")]
     Refused,
@@ -134,6 +150,10 @@
         Cause::QuotaExceeded
     } else if reason.contains("may have run") {
         Cause::UpstreamFailed
+    } else if reason.contains("queue for upstreams") {
+        Cause::QueueFull
+    } else if TOO_LATE_REASONS.iter().any(|text| reason.contains(text)) {
+        Cause::TooLate
     } else {
         Cause::Refused
     }
@@ -142,10 +162,14 @@
 /// Returns why an answer was late.
 fn late_cause(line: &Value) -> Cause {
     let ms = |name: &str| line[name].as_f64().unwrap_or_default();
+    let is_late = ms("first_ms") > ms("target_ms");
+    if is_late && ms("first_ms") - ms("waited_ms") <= ms("target_ms") {
+        return Cause::Waited;
+    }
     if line["prompt"].is_null() {
         return Cause::SlowCall;
     }
-    if ms("first_ms") <= ms("target_ms") {
+    if !is_late {
         return Cause::Paused;
     }
     if ms("reading_ms") > ms("target_ms") {
--- a/crates/ctl/tests/log_losses.rs
+++ b/crates/ctl/tests/log_losses.rs
@@ -33,6 +33,17 @@
     assert_eq!(cause(json!({"predicted_ms": 1_400})), Cause::PredictedLate);
     assert_eq!(cause(json!({"first_ms": 300, "pause_ms": 900})), Cause::Paused);
     assert_eq!(cause(json!({"prompt": null})), Cause::SlowCall);
+    assert_eq!(cause(json!({"waited_ms": 900})), Cause::Waited);
+    assert_eq!(cause(json!({"waited_ms": 900, "prompt": null})), Cause::Waited);
+    assert_eq!(
+        cause(json!({"waited_ms": 300})),
+        Cause::Unpredicted,
+        "it would have been late without its wait"
+    );
+    assert_eq!(
+        cause(json!({"waited_ms": 300, "first_ms": 800, "pause_ms": 900})),
+        Cause::Paused
+    );
 }
 
 /// Failed, interrupted and refused requests are counted under the wrong cause.
@@ -64,6 +75,19 @@
     );
 }
 
+/// Requests that an entry host refuses while upstreams are full are counted under the wrong cause, and the operator can't
+/// tell a bound that is too small from a lack of upstreams.
+#[test]
+fn queue_by_cause() {
+    let refused = |why: &str| cause(json!({"outcome": "refused", "why": format!("503 not run: {why}")}));
+    assert_eq!(refused("the queue for upstreams is full"), Cause::QueueFull);
+    assert_eq!(refused("dropped from the full queue for upstreams"), Cause::QueueFull);
+    assert_eq!(refused("it would start too late"), Cause::TooLate);
+    assert_eq!(refused("no upstream had room in time"), Cause::TooLate);
+    assert_eq!(refused("its first event would come too late"), Cause::TooLate);
+    assert_eq!(refused("the host stops"), Cause::Refused);
+}
+
 /// A short burst of losses in a long log can't be located. The rows of time must show when it happened.
 #[test]
 fn time_rows() {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -35,7 +35,11 @@
     Waited(WaitEnd),
     /// The work that upstreams have before it takes longer than its caller stays.
     #[display("its first event would come too late")]
-    TooSlow,
+    #[from(ignore)]
+    TooSlow {
+        /// Time after which the caller should try again; `None` while too little is known to tell.
+        retry_after: Option<Duration>,
+    },
 }
 
 /// What was predicted when an upstream was chosen for a request.
@@ -90,30 +94,34 @@
             self.record_start(gateway, &chosen, None);
             return Ok(chosen);
         }
-        if !gateway.waiting.has_waiting(&self.service) {
-            match self.choose_with_room(gateway, tried) {
-                Ok(chosen) => {
-                    self.check_in_time(gateway, &chosen)?;
-                    self.record_start(gateway, &chosen, None);
-                    self.record_direct(gateway, &chosen);
-                    return Ok(chosen);
-                }
-                Err(NoUpstream::AllFull) => {}
-                Err(reason) => return Err(reason.into()),
+        match self.choose_with_room(gateway, tried) {
+            Ok(chosen) if !gateway.waiting.has_waiting(&self.service) => {
+                self.check_in_time(gateway, &chosen)?;
+                self.record_start(gateway, &chosen, None);
+                self.record_direct(gateway, &chosen);
+                Ok(chosen)
             }
+            Ok(_) | Err(NoUpstream::AllFull) => Ok(gateway.wait_for_upstream(self, tried).await?),
+            // No wait helps a request for which there is no upstream, full or not.
+            Err(reason) => Err(reason.into()),
         }
-        Ok(gateway.wait_for_upstream(self, tried).await?)
     }
 
     /// Records work that an upstream takes at once, from which waits are predicted too.
     fn record_direct(&self, gateway: &Gateway, chosen: &ChosenUpstream) {
         let now = gateway.clock.now();
-        let forecast = StartForecast {
-            fresh: chosen.prefill.fresh,
-            first_ms: 0.0,
-        };
-        let work = self.arrival(forecast, now).work();
-        gateway.waiting.record_started(&self.service, work, now);
+        gateway.waiting.record_started(&self.service, self.work(chosen), now);
+    }
+
+    /// Returns the work of the request at its upstream, in tokens of prefill.
+    fn work(&self, chosen: &ChosenUpstream) -> f64 {
+        Arrival::work_of(chosen.prefill.fresh, self.max_output())
+    }
+
+    /// Returns the most tokens of the output; `None` for a call without a prompt.
+    fn max_output(&self) -> Option<u64> {
+        let tokens = self.info.tokens.filter(|_| !self.info.prompt_parts.is_empty());
+        tokens.map(|tokens| tokens.max_output)
     }
 
     fn choose_with_room(&self, gateway: &Gateway, tried: &[String]) -> Result<ChosenUpstream, NoUpstream> {
@@ -142,16 +150,20 @@
             return Ok(());
         }
         self.count_refusal("too_slow");
-        Err(Unplaced::TooSlow)
+        let after = Duration::from_secs_f64(prediction.ms / 1_000.0).saturating_sub(left);
+        let work = self.work(chosen);
+        let deadline = now + self.deadline.saturating_duration_since(Instant::now());
+        Err(Unplaced::TooSlow {
+            retry_after: gateway.waiting.return_time(&self.service, (after, work), deadline, now),
+        })
     }
 
     fn arrival(&self, forecast: StartForecast, now: Tick) -> Arrival<'_> {
-        let prompt = self.info.tokens.filter(|_| !self.info.prompt_parts.is_empty());
         Arrival {
             account: self.account.as_ref(),
             route: &self.route,
             fresh: forecast.fresh,
-            max_output: prompt.map(|tokens| tokens.max_output),
+            max_output: self.max_output(),
             first_ms: forecast.first_ms,
             arrived: now - self.arrived.elapsed(),
             passed: self.passed,
@@ -324,6 +336,7 @@
         }
         let mut timeouts = self.timeouts.borrow_mut();
         timeout.map_or(Duration::ZERO, |timeout| {
+            let timeout = timeout.min(Duration::from_millis(route.timeout_ms));
             timeouts.record(&route.name, timeout, self.clock.now())
         })
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -200,8 +200,10 @@
             };
             tried.push(chosen.id.clone());
             let sent = self.send_attempt(gateway, &chosen, self.info.last_event, None).await;
-            // If nothing was sent, the place is free for others.
-            drop(self.place.take());
+            if self.place.take().is_some() {
+                // Nothing was sent, so the place is free for others.
+                gateway.waiting.wake();
+            }
             let error = match sent {
                 Ok((response, attempt)) => match self.forward(gateway, out, response, attempt, &mut tried).await {
                     Ok(outcome) => return outcome,
@@ -291,7 +293,7 @@
     fn refuse_unplaced(&self, reason: &Unplaced) -> Refusal {
         let delay = match reason {
             Unplaced::NoUpstream(reason) => self.delay_until_placed(Some(*reason)),
-            Unplaced::TooSlow => self.delay_until_placed(None),
+            Unplaced::TooSlow { retry_after } => retry_after.unwrap_or_else(|| self.retry_delay()),
             Unplaced::Waited(end) => end.retry_after.unwrap_or_else(|| self.retry_delay()),
         };
         Refusal::new(503, format!("not run: {reason}")).with_retry_after(delay)
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -200,6 +200,20 @@
         }
     }
 
+    /// Returns the time after which a caller should return whose request is refused before it enters, given how long after
+    /// now it would be in time and its work in tokens. `None` while too little is known to tell.
+    #[must_use]
+    pub fn return_time(
+        &self,
+        service: &ServiceName,
+        (after, tokens): (Duration, f64),
+        deadline: Tick,
+        now: Tick,
+    ) -> Option<Duration> {
+        let mut queues = self.queues.borrow_mut();
+        queues.get_mut(service)?.return_time((after, tokens), deadline, now)
+    }
+
     /// Lets waiting requests be looked at soon, as an upstream may have room. Costs next to nothing while none waits.
     pub fn wake(&self) {
         if self.length.get() > 0 {
--- a/crates/gateway/src/waiting/queue.rs
+++ b/crates/gateway/src/waiting/queue.rs
@@ -202,11 +202,19 @@
     /// Returns the refusal of a request that would have to wait for `wait`. The caller is told to return when the work
     /// before it is done.
     fn refuse(&mut self, cause: WaitCause, waiter: &Waiter<N, P>, wait: Option<Duration>, now: Tick) -> WaitEnd {
-        let work = self.drain.wait(waiter.ticket.tokens, now);
-        let most = waiter.deadline.since(now).mul_f64(MAX_RETRY_AFTER_SHARE);
-        let retry_after = wait
-            .zip(work)
-            .map(|(wait, work)| self.returns.next(wait, work, most, now));
+        let retry_after = wait.and_then(|wait| self.return_time((wait, waiter.ticket.tokens), waiter.deadline, now));
         WaitEnd { cause, retry_after }
     }
+
+    /// Returns the time after which a caller should return, at least `after` from now.
+    pub(super) fn return_time(
+        &mut self,
+        (after, tokens): (Duration, f64),
+        deadline: Tick,
+        now: Tick,
+    ) -> Option<Duration> {
+        let work = self.drain.wait(tokens, now)?;
+        let most = deadline.since(now).mul_f64(MAX_RETRY_AFTER_SHARE);
+        Some(self.returns.next(after, work, most, now))
+    }
 }
--- a/crates/gateway/src/waiting/ticket.rs
+++ b/crates/gateway/src/waiting/ticket.rs
@@ -83,7 +83,7 @@
             id: 0,
             customer: CustomerId::from(account.map_or(PUBLIC, |account| account.name.as_str())),
             weight: quota.map_or(1, |quota| quota.per_s.max(1.0) as u32),
-            tokens: self.work(),
+            tokens: Self::work_of(self.fresh, self.max_output),
             latest_start,
             shed_order: 0,
             priority: Self::capped_priority(account, self.route),
@@ -92,10 +92,10 @@
         }
     }
 
-    /// Returns the work of the request, in tokens of prefill.
+    /// Returns the work of a request, in tokens of prefill.
     #[must_use]
-    pub fn work(&self) -> f64 {
-        let output = self.max_output.map(|tokens| tokens as f64 * OUTPUT_WEIGHT);
-        output.map_or(1.0, |output| (self.fresh as f64 + output).clamp(1.0, MAX_TOKENS))
+    pub fn work_of(fresh: u64, max_output: Option<u64>) -> f64 {
+        let output = max_output.map(|tokens| tokens as f64 * OUTPUT_WEIGHT);
+        output.map_or(1.0, |output| (fresh as f64 + output).clamp(1.0, MAX_TOKENS))
     }
 }
--- a/crates/gateway/src/waiting/timeouts.rs
+++ b/crates/gateway/src/waiting/timeouts.rs
@@ -27,7 +27,8 @@
 
 impl RecentTimeouts {
     /// Records a caller's timeout. Returns the time that has passed since its first try, as far as a shorter timeout than
-    /// the longest of the route shows.
+    /// the longest of the route shows. Refused callers return within a third of their time, so a timeout shorter than half
+    /// of the longest belongs to callers of another kind, who would otherwise count as late with each request.
     pub(crate) fn record(&mut self, route: &str, timeout: Duration, now: Tick) -> Duration {
         let Some(longest) = self.routes.get_mut(route) else {
             self.insert(route, timeout, now);
@@ -40,8 +41,13 @@
             longest.since = now;
         }
         longest.now = longest.now.max(timeout);
-        let passed = longest.now.max(longest.before).saturating_sub(timeout);
-        if passed <= MAX_JITTER { Duration::ZERO } else { passed }
+        let longest = longest.now.max(longest.before);
+        let passed = longest.saturating_sub(timeout);
+        if (MAX_JITTER..=longest / 2).contains(&passed) {
+            passed
+        } else {
+            Duration::ZERO
+        }
     }
 
     fn insert(&mut self, route: &str, timeout: Duration, now: Tick) {
@@ -78,5 +84,6 @@
         assert_eq!(record(9_000, 500), 3_000);
         assert_eq!(record(9_000, 10_500), 3_000, "the window before counts");
         assert_eq!(record(9_000, 20_600), 0, "the long timeout is forgotten");
+        assert_eq!(record(2_000, 20_700), 0, "another kind of caller");
     }
 }
--- a/crates/gateway/tests/waiting_room.rs
+++ b/crates/gateway/tests/waiting_room.rs
@@ -250,7 +250,7 @@
         started += start(&room, 1, now);
         let mut waiting = 0;
         room.report(now, |_, state| {
-            waiting = state.by_priority.values().map(|(count, _)| count).sum()
+            waiting = state.by_priority.values().map(|(count, _)| count).sum();
         });
         assert!(waiting <= 64, "{waiting} wait");
     }
