--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -28,6 +28,12 @@
     line.get(name).and_then(Value::as_str).unwrap_or_default()
 }
 
+/// Returns whether a late answer would have begun in time without the request's wait at its entry host.
+pub(crate) fn is_late_by_wait(line: &Value) -> bool {
+    let ms = |name: &str| line.get(name).and_then(Value::as_f64).unwrap_or_default();
+    ms("first_ms") > ms("target_ms") && ms("first_ms") - ms("waited_ms") <= ms("target_ms")
+}
+
 /// Returns the time of a line in seconds since midnight; logs of one incident span hours, so the date is left out.
 pub(crate) fn time_s(line: &Value) -> f64 {
     let timestamp = text_field(line, "ts");
--- a/crates/ctl/src/losses.rs
+++ b/crates/ctl/src/losses.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::exit::Output;
-use crate::logs::{read_lines, text_field, time_s};
+use crate::logs::{is_late_by_wait, read_lines, text_field, time_s};
 
 /// Smallest part of the time to the first event that a prediction has to reach to count as right.
 const MIN_PREDICTED_PART: f64 = 0.5;
@@ -162,14 +162,13 @@
 /// Returns why an answer was late.
 fn late_cause(line: &Value) -> Cause {
     let ms = |name: &str| line[name].as_f64().unwrap_or_default();
-    let is_late = ms("first_ms") > ms("target_ms");
-    if is_late && ms("first_ms") - ms("waited_ms") <= ms("target_ms") {
+    if is_late_by_wait(line) {
         return Cause::Waited;
     }
     if line["prompt"].is_null() {
         return Cause::SlowCall;
     }
-    if !is_late {
+    if ms("first_ms") <= ms("target_ms") {
         return Cause::Paused;
     }
     if ms("reading_ms") > ms("target_ms") {
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::exit::{NotFound, Output};
-use crate::logs::{read_lines, text_field, time_s};
+use crate::logs::{is_late_by_wait, read_lines, text_field, time_s};
 
 /// Time before a request's end in which events of its entry host may explain it.
 const HOST_WINDOW_S: f64 = 10.0;
@@ -135,6 +135,10 @@
         return format!("the answer began after {first} ms and was not whole in its time, {took} ms");
     }
     if last.get("late") == Some(&Value::Bool(true)) {
+        if is_late_by_wait(last) {
+            let (waited, predicted) = (&last["waited_ms"], &last["wait_predicted_ms"]);
+            return format!("waited {waited} ms at the entry host for an upstream, {predicted} ms were predicted");
+        }
         let (load, predicted) = (&last["load"], &last["predicted_ms"]);
         return format!("late at the upstream: {load} requests there, {predicted} ms were predicted");
     }
--- a/crates/ctl/tests/log_trace.rs
+++ b/crates/ctl/tests/log_trace.rs
@@ -130,3 +130,20 @@
 fn unknown_id() {
     assert_eq!(trace("nobody", &[line(1, "e1", "serving", json!({}))]), None);
 }
+
+/// A request waits at its entry host while upstreams are full, and is late for that alone. The operator looks for the cause
+/// at the upstream unless the trace names the queue.
+#[test]
+fn late_by_wait() {
+    let ended = |waited_ms: u32| {
+        json!({"request": "q", "outcome": "passed", "why": "answered 200", "late": true, "first_ms": 1_480,
+            "target_ms": 500, "waited_ms": waited_ms, "wait_predicted_ms": 820, "load": 4.0, "predicted_ms": 40})
+    };
+    let waits = line(10, "e1", "request waits", json!({"request": "q", "place": 41}));
+    let lines = [waits.clone(), line(12, "e1", "request ended", ended(1_130))];
+    let found = trace("q", &lines).unwrap();
+    assert_eq!(found.lines.len(), 2, "the wait is shown");
+    assert!(found.cause.contains("waited 1130 ms at the entry host"), "{}", found.cause);
+    let lines = [waits, line(12, "e1", "request ended", ended(300))];
+    assert!(cause("q", &lines).contains("at the upstream"), "its wait alone was no reason");
+}
