--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -33,6 +33,7 @@
 use crate::dialect::{HeaderCodec, RequestInfo};
 use crate::lender::QuotaBorrower;
 use crate::origins::OriginClient;
+use crate::placing::UpstreamQueue;
 use crate::pool::ConnectionPool;
 use crate::prefill_samples::OwnPrefills;
 use crate::quarantine::{CrashReporter, KnownQuarantine};
@@ -40,6 +41,7 @@
 use crate::slots::SlotClient;
 use crate::upstreams::Upstreams;
 use crate::usage::UsageCounter;
+use crate::waiting::{RecentTimeouts, WaitingBounds};
 
 /// Fraction of every quota that an entry host uses until the leader assigns its share; there may be as many hosts as in
 /// a large deployment.
@@ -159,6 +161,8 @@
     pub source: Option<IpAddr>,
     /// Address at which requests of other hosts are passed on; `None` to pass on none.
     pub relay: Option<SocketAddr>,
+    /// Bounds of the requests that wait for upstreams.
+    pub waiting: WaitingBounds,
 }
 
 /// State that all requests share.
@@ -209,6 +213,10 @@
     pub(crate) crashes: CrashReporter,
     /// Prefills that this host has timed.
     pub(crate) prefills: RefCell<OwnPrefills>,
+    /// Requests that wait for upstreams.
+    pub(crate) waiting: UpstreamQueue,
+    /// Timeouts that callers have lately set.
+    pub(crate) timeouts: RefCell<RecentTimeouts>,
 }
 
 /// Exponentially decaying average of units per second.
@@ -270,6 +278,7 @@
         borrower: QuotaBorrower,
         (clock, logger): (Clock, Logger),
     ) -> Self {
+        let waiting = UpstreamQueue::new(settings.waiting);
         Self {
             codec,
             shared,
@@ -297,6 +306,8 @@
             origins: OriginClient::default(),
             crashes: CrashReporter::default(),
             prefills: RefCell::default(),
+            waiting,
+            timeouts: RefCell::default(),
         }
     }
 
@@ -334,6 +345,8 @@
         if let Some(hosts) = self.shared.relays.lock().take() {
             self.adopt_relays(hosts);
         }
+        // Lists, load reports and pauses may have changed what upstreams take.
+        self.waiting.wake();
         self.renew_crash_reports();
         let now = self.clock.now();
         self.urgencies.borrow_mut().retain(|_, gate| !gate.is_idle(now));
