Keep what former leaders told of the quarantine until hosts have reported it

A node also answered calls of a term that had ended with an empty quarantine, with a number that its hosts had passed, and calls that it held from its former term went on for up to 10 s after it led again. Change: KnownQuarantine has a module of its own and keeps what a former leader told for 3 s beside the news of the new one, as strictly as either says, bounded in number, and never beyond the time that was told. It goes on while the leader does not answer. While anything is kept, the host's own trials apply beside the leader's. A state node has no news of a term that is not current, and ends held calls when a term begins. Nothing changes on the wire; old hosts replace what they know as before.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,11 +2,11 @@
 //! from being sent that have crashed too many, or that have a part under which too many have crashed.
 
 mod check;
+mod known;
 mod report;
 mod sound;
 pub(crate) mod watch;
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use slog::{info, warn};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use wire::quarantine::{QuarantineMark, QuarantineNews, ToldPart, TryReply};
+use wire::quarantine::TryReply;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::exchange::AttemptError;
@@ -27,6 +27,7 @@
 use crate::request::{AttemptTimes, Request};
 use crate::upstreams::ChosenUpstream;
 
+pub use known::KnownQuarantine;
 pub(crate) use report::CrashReporter;
 use report::{OwnSuspect, Unreported};
 
@@ -35,43 +36,6 @@
 /// Delay after which a caller should come back whose own request has just crashed an upstream.
 const SUSPECT_RETURN: Duration = Duration::from_millis(500);
 
-/// The quarantine as the leader told it last.
-#[derive(Debug, Default)]
-pub struct KnownQuarantine {
-    /// Position in the leader's changes.
-    pub mark: QuarantineMark,
-    /// Until when requests are not sent.
-    until: HashMap<Fingerprint, Tick>,
-    /// Prompt parts that are watched or restricted.
-    rules: Vec<PartRule>,
-}
-
-impl KnownQuarantine {
-    /// Replaces the quarantine by the leader's.
-    pub fn apply(&mut self, news: QuarantineNews, received_at: Tick) {
-        self.mark = news.mark;
-        let requests = news.requests.into_iter();
-        self.until = requests
-            .map(|(request, left_ms)| (request, received_at + Duration::from_millis(u64::from(left_ms))))
-            .collect();
-        self.rules = news.parts.into_iter().map(|told| rule(told, received_at)).collect();
-    }
-
-    fn is_empty(&self) -> bool {
-        self.until.is_empty() && self.rules.is_empty()
-    }
-}
-
-fn rule(told: ToldPart, received_at: Tick) -> PartRule {
-    PartRule {
-        part: told.part,
-        companions: told.companions,
-        account: told.account,
-        crashes: told.crashes as usize,
-        closed_until: received_at + Duration::from_millis(u64::from(told.closed_ms)),
-    }
-}
-
 /// An attempt whose connection ended before the response was complete.
 #[derive(Debug)]
 struct BrokenAttempt {
@@ -107,11 +71,10 @@
             return None;
         }
         let (fingerprint, now) = (request.fingerprint(), self.clock.now());
-        let told = known.until.get(&fingerprint).map(|until| until.since(now));
-        if let Some(left) = told.filter(|left| !left.is_zero()) {
+        if let Some(left) = known.left(&fingerprint, now) {
             return Some(left);
         }
-        if let Admission::Closed(left) = admit(&known.rules, &request.info.shared_parts, fingerprint.account, now) {
+        if let Admission::Closed(left) = known.admit(&request.info.shared_parts, fingerprint.account, now) {
             return Some(left);
         }
         let counted = reporter.counted.borrow().get(&fingerprint).copied();
@@ -138,15 +101,21 @@
             Admission::Trial if request.has_just_crashed() => return Err(SUSPECT_RETURN),
             Admission::Trial => {}
         }
-        let reply = self.try_parts(parts, account).await;
-        let outcome = match reply {
+        let own_trial = || self.crashes.trials.borrow_mut().start(&rules, parts, account, now);
+        // A new leader lets everything through until hosts have reported.
+        let is_kept = self.shared.quarantine.lock().keeps_for(now).is_some();
+        let first = if is_kept { own_trial() } else { Ok(()) };
+        let reply = match first {
+            Ok(()) => self.try_parts(parts, account).await,
+            Err(_) => None,
+        };
+        let outcome = first.and_then(|()| match reply {
             Some(TryReply::Granted) => Ok(()),
             Some(TryReply::Later { wait_ms }) => Err(Duration::from_millis(u64::from(wait_ms))),
+            Some(TryReply::Unavailable(_)) | None if is_kept => Ok(()),
             // Without a leader each host has its own trials.
-            Some(TryReply::Unavailable(_)) | None => {
-                self.crashes.trials.borrow_mut().start(&rules, parts, account, now)
-            }
-        };
+            Some(TryReply::Unavailable(_)) | None => own_trial(),
+        });
         let wait_ms = outcome.err().map(|wait| wait.as_millis() as u64);
         info!(self.logger, "request with a restricted prompt part"; "request" => &request.info.id,
             "part_ids" => request.part_ids(), "leader" => reply.is_some(), "wait_ms" => wait_ms);
@@ -155,10 +124,11 @@
 
     /// Returns the rules that the leader told last, and those that follow from crashes which no leader knows.
     fn part_rules(&self) -> Vec<PartRule> {
-        let mut rules = self.shared.quarantine.lock().rules.clone();
+        let now = self.clock.now();
+        let mut rules: Vec<PartRule> = self.shared.quarantine.lock().rules(now).cloned().collect();
         let own = self.crashes.own.borrow();
         if !own.is_empty() {
-            rules.extend(own.rules(self.clock.now()));
+            rules.extend(own.rules(now));
         }
         rules
     }
@@ -254,13 +224,13 @@
         self.record_sound(request, times.began_at.unwrap_or(times.sent_at));
         let is_suspect = {
             let known = self.shared.quarantine.lock();
-            !known.until.is_empty() || !self.crashes.history.borrow().is_empty()
+            known.has_requests() || !self.crashes.history.borrow().is_empty()
         };
         if !is_suspect {
             return;
         }
         let fingerprint = request.fingerprint();
-        let was_told = self.shared.quarantine.lock().until.contains_key(&fingerprint);
+        let was_told = self.shared.quarantine.lock().has_request(&fingerprint);
         if self.crashes.history.borrow_mut().clear(&fingerprint) || was_told {
             self.crashes.cleared.borrow_mut().push(fingerprint);
             self.crashes.has_news.notify_one();
--- a/crates/gateway/src/quarantine/report.rs
+++ b/crates/gateway/src/quarantine/report.rs
@@ -10,7 +10,7 @@
 use metrics::counter;
 use policy::Tick;
 use policy::quarantine::parts::{PartHistory, Suspect};
-use policy::quarantine::rules::Trials;
+use policy::quarantine::rules::{PartRule, Trials};
 use policy::quarantine::{Crash, CrashHistory};
 use slog::warn;
 use tokio::sync::{Notify, oneshot};
@@ -226,12 +226,13 @@
 
     /// Has the whole history reported again if the leader may not know it, and watched parts that are sound.
     pub(crate) fn renew_crash_reports(&self) {
+        let reporter = &self.crashes;
+        let now = self.clock.now();
         let (term, rules) = {
             let known = self.shared.quarantine.lock();
-            (known.mark.term, known.rules.clone())
+            let rules: Vec<PartRule> = known.rules(now).cloned().collect();
+            (known.mark().term, rules)
         };
-        let reporter = &self.crashes;
-        let now = self.clock.now();
         reporter
             .counted
             .borrow_mut()
--- a/crates/state/src/registry.rs
+++ b/crates/state/src/registry.rs
@@ -165,6 +165,8 @@
             inner.quarantine = Quarantine::default();
             inner.term = term;
             inner.stored_count = shared.entry_hosts;
+            // Calls that hosts began in a former term end, so that hosts learn of the new one and report to it.
+            self.quarantine_changed.send_replace(());
         }
         for (window, counts) in beat.began {
             let runs = inner.counts.entry(window).or_default();
@@ -291,15 +293,11 @@
         self.quarantine_known.subscribe()
     }
 
-    /// Returns the requests that are not sent any more; none if the term is not current.
+    /// Returns the quarantine; `None` if the term is not current, so that nothing is known of it.
     #[must_use]
-    pub fn quarantine(&self, term: u64, now: Tick) -> QuarantineNews {
+    pub fn quarantine(&self, term: u64, now: Tick) -> Option<QuarantineNews> {
         let inner = self.inner.lock();
-        if inner.term == term {
-            inner.quarantine.news(term, now)
-        } else {
-            Quarantine::default().news(term, now)
-        }
+        (inner.term == term).then(|| inner.quarantine.news(term, now))
     }
 
     /// Returns a receiver that is told of each change of the quarantine.
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -347,7 +347,10 @@
             .record_follower(&request.from, request.body.mark, self.clock.now());
         let mut changes = self.registry.quarantine_changes();
         loop {
-            let news = self.registry.quarantine(leadership.term, self.clock.now());
+            // Hosts replace what they know by the news: a node that leads no more, or has not heard of hosts yet, has none.
+            let Some(news) = self.registry.quarantine(leadership.term, self.clock.now()) else {
+                return Ok(self.envelope(QuarantineReply::Unavailable(new_leader())));
+            };
             let is_new = news.mark != request.body.mark;
             // The sender lives as long as the registry, so that only a change or the end of the wait ends this.
             if is_new || timeout_at(until, changes.changed()).await.is_err() {
