Have the tests' state nodes listen at addresses of their own process, and print their output on failure

Cause: ports were probed and released before the nodes bound them, so that another process could take them; the node then ends with "Address already in use", and the test waits for a leader for 60 s. This is what operator_roles was seen to do once; the node's output was sent to /dev/null and removed with the folder. Change: nodes listen at a loopback address made of the id of the test's process, at ports below the ephemeral range, each given out once. When a test fails, the last lines of each node and how its process ended are printed.

--- a/crates/state/examples/measure/force.rs
+++ b/crates/state/examples/measure/force.rs
@@ -8,14 +8,14 @@
 use contract::{Change, CustomerId, Revision};
 use wire::state::{Propose, Proposed};
 
-use crate::nodes::{Nodes, free_ports, wait};
+use crate::nodes::{Nodes, own_addresses, wait};
 
 const ENTRY_HOSTS: usize = 8;
 const CHANGES: usize = 200;
 
 pub(crate) fn run(state: &Path, entry: &Path) {
     let nodes = Nodes::start(state, 3);
-    let ops = free_ports(ENTRY_HOSTS);
+    let ops = own_addresses(ENTRY_HOSTS);
     let peers: Vec<String> = nodes.inner.iter().map(ToString::to_string).collect();
     let start = |(number, ops): (usize, &SocketAddr)| {
         Command::new(entry)
--- a/crates/state/tests/nodes/mod.rs
+++ b/crates/state/tests/nodes/mod.rs
@@ -1,9 +1,11 @@
 //! A group of `gentian-state` processes on loopback.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use contract::NodeId;
@@ -18,6 +20,11 @@
 /// Duration from which a wait is printed.
 const SLOW_WAIT: Duration = Duration::from_secs(5);
 
+/// Ports of [`own_addresses`]; below those that the operating system uses for outgoing connections.
+pub const PORTS: Range<u16> = 20_000..32_000;
+/// Lines of each node's output that are printed when a test fails.
+const PRINTED_LINES: usize = 200;
+
 /// The processes of the group, which are killed on drop.
 #[derive(Debug)]
 pub struct Nodes {
@@ -32,8 +39,8 @@
 impl Nodes {
     /// Starts a group and waits until it has a leader.
     pub fn start(program: &Path, count: usize) -> Self {
-        let inner = free_ports(count);
-        let admin = free_ports(count);
+        let inner = own_addresses(count);
+        let admin = own_addresses(count);
         let calls = RpcRuntime::start(2, Duration::from_secs(2)).unwrap();
         let client = StateClient::new(&calls, &NodeId::from("tester"), &inner).unwrap();
         let children = (0..count).map(|_| None).collect();
@@ -54,10 +61,7 @@
     /// Starts one process.
     pub fn run(&mut self, n: usize) {
         let peers: Vec<String> = self.inner.iter().map(ToString::to_string).collect();
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.folder.path().join(format!("log-{n}")));
+        let log = File::options().create(true).append(true).open(self.log(n)).unwrap();
         let child = Command::new(&self.program)
             .args(["--node", &format!("state-{n}"), "--peers", &peers.join(",")])
             .args([
@@ -69,8 +73,8 @@
             .arg("--data")
             .arg(self.data(n))
             .env("GENTIAN_OPERATOR_KEY", KEY)
-            .stdout(Stdio::null())
-            .stderr(Stdio::from(log.unwrap()))
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
             .spawn()
             .unwrap();
         self.children[n] = Some(child);
@@ -94,6 +98,25 @@
         self.folder.path().join(format!("data-{n}"))
     }
 
+    /// Returns the file with the output of a node, of all its processes one after the other.
+    fn log(&self, n: usize) -> PathBuf {
+        self.folder.path().join(format!("log-{n}"))
+    }
+
+    /// Prints the last lines of each node's output, and whether its process had ended.
+    fn print_output(&mut self) {
+        for n in 0..self.children.len() {
+            let ended = self.children[n].as_mut().map(Child::try_wait);
+            println!("state-{n} at {}, admin {}: {ended:?}", self.inner[n], self.admin[n]);
+            let output = fs::read(self.log(n)).unwrap_or_default();
+            let output = String::from_utf8_lossy(&output);
+            let lines: Vec<&str> = output.lines().collect();
+            for line in &lines[lines.len().saturating_sub(PRINTED_LINES)..] {
+                println!("state-{n}: {line}");
+            }
+        }
+    }
+
     /// Returns the process id of a node; `None` if it does not run.
     pub fn pid(&self, n: usize) -> Option<u32> {
         self.children[n].as_ref().map(Child::id)
@@ -124,6 +147,10 @@
 
 impl Drop for Nodes {
     fn drop(&mut self) {
+        // The folder with the output is removed with the group.
+        if std::thread::panicking() {
+            self.print_output();
+        }
         (0..self.children.len()).for_each(|n| self.kill(n));
     }
 }
@@ -143,11 +170,22 @@
     }
 }
 
-/// Returns addresses on loopback with free ports.
-pub fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().unwrap())
-        .collect()
+/// Returns loopback addresses that no other process listens on or connects from.
+///
+/// The ports are below the ephemeral range, and the host part is the id of this process: a port that is probed and
+/// released again can be taken before the node that it is meant for has started.
+///
+/// # Panics
+/// Panics when the process has used all ports.
+pub fn own_addresses(count: usize) -> Vec<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [high, b, c, d] = std::process::id().to_be_bytes();
+    // Process ids have at most 22 bits.
+    assert!(high == 0 && b < 64, "the process id has more than 22 bits");
+    let next = || {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(offset < PORTS.end - PORTS.start, "all ports of the process are used");
+        SocketAddr::from(([127, 128 + b, c, d], PORTS.start + offset))
+    };
+    (0..count).map(|_| next()).collect()
 }
--- a/crates/state/tests/real_processes.rs
+++ b/crates/state/tests/real_processes.rs
@@ -3,14 +3,15 @@
 #[expect(dead_code, reason = "the measuring example uses more of it")]
 mod nodes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use contract::{Change, ChangeId, CustomerId, Revision};
-use nodes::{KEY, Nodes, wait};
+use nodes::{KEY, Nodes, PORTS, own_addresses, wait};
 use serde_json::{Value, json};
 use state::applied::KEPT_AUDITS;
 use wire::client::{RpcRuntime, StateClient};
@@ -253,3 +254,14 @@
     assert_eq!(call("DELETE", "/v1/operators/amina", KEY, &Value::Null).0, 200);
     assert_eq!(call("GET", "/v1/contracts", key, &Value::Null).0, 401);
 }
+
+/// Another process takes ports that the system gives out between the choice of a node's addresses and its start; the node
+/// ends with "Address already in use", and the test waits for a leader in vain.
+#[test]
+fn own_ports() {
+    let addresses: BTreeSet<_> = (0..100).flat_map(|_| own_addresses(3)).collect();
+    assert_eq!(addresses.len(), 300, "an address is given out twice");
+    assert!(addresses.iter().all(|address| PORTS.contains(&address.port())));
+    // Outgoing connections and ports of the system's choice are at the first address of the loopback network.
+    assert!(addresses.iter().all(|address| address.ip() != Ipv4Addr::LOCALHOST));
+}
