--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -1,4 +1,4 @@
-//! Queue places shared by several admission queues, so that a full queue leaves places for the others.
+//! Queue places, or bytes, shared by several queues, so that a full queue leaves places for the others.
 
 /// Queue places, half of them reserved evenly for the queues and half taken first come, first served.
 #[derive(Clone, Copy, Debug)]
@@ -27,4 +27,13 @@
         let shared = self.total.saturating_sub(self.reserved * self.queues);
         used < self.reserved || all.map(|used| used.saturating_sub(self.reserved)).sum::<usize>() < shared
     }
+
+    /// Returns how many places a queue may use while the others use `others`; with a queue of [`crate::fair::FairQueue`]
+    /// this is its bound.
+    #[must_use]
+    pub fn most(&self, others: impl Iterator<Item = usize>) -> usize {
+        let shared = self.total.saturating_sub(self.reserved * self.queues);
+        let taken = others.map(|used| used.saturating_sub(self.reserved)).sum();
+        (self.reserved + shared.saturating_sub(taken)).min(self.total)
+    }
 }
--- a/crates/policy/tests/return_times.rs
+++ b/crates/policy/tests/return_times.rs
@@ -55,7 +55,7 @@
             now = now + MS(u64::from(step));
             let (after, most) = (MS(u64::from(after)), MS(u64::from(most)));
             let told = returns.next(after, MS(u64::from(work)), most, now);
-            told <= most && told >= after.min(most - most / 8)
+            told <= most && told >= after.min(most.saturating_sub(most / 8))
         })
     }
     QuickCheck::new()
--- a/crates/policy/tests/waiting_order.rs
+++ b/crates/policy/tests/waiting_order.rs
@@ -6,6 +6,7 @@
 
 use policy::Tick;
 use policy::fair::{FairQueue, RefusalReason, Ticket};
+use policy::room::SharedPlaces;
 use quickcheck::{Gen, QuickCheck};
 
 fn ticket(id: u64, customer: &str, priority: u8, target_ms: u64) -> Ticket {
@@ -163,3 +164,23 @@
     let served: f64 = served.map(|ticket| ticket.tokens).sum();
     assert!((served - ahead).abs() <= 500.0, "{ahead} predicted, {served} served");
 }
+
+/// Several queues share a host's places. The bound of each must be the number up to which it may take one more place;
+/// otherwise the two doors would leave each other different room.
+#[test]
+fn bounds_agree() {
+    fn holds(total: u8, used: Vec<u8>) -> bool {
+        let total = usize::from(total).max(used.len());
+        let places = SharedPlaces::new(total, used.len());
+        let used: Vec<usize> = used.iter().map(|used| usize::from(used % 40)).collect();
+        (0..used.len()).all(|own| {
+            let others = used.iter().enumerate().filter(|(other, _)| *other != own);
+            let most = places.most(others.map(|(_, used)| *used));
+            most <= total && (most == total || (used[own] < most) == places.has_place(used[own], used.iter().copied()))
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 303))
+        .tests(300)
+        .quickcheck(holds as fn(u8, Vec<u8>) -> bool);
+}
