--- a/crates/policy/src/fair/customer.rs
+++ b/crates/policy/src/fair/customer.rs
@@ -32,14 +32,22 @@
     next: u32,
     numbers: BTreeMap<CustomerId, u32>,
     table: BTreeMap<u32, Customer>,
-    /// The customers with requests in each class, by virtual start time; no class is empty.
-    pub(super) classes: BTreeMap<Class, BTreeSet<(Amount, u32)>>,
+    /// The classes with requests; none is empty.
+    pub(super) classes: BTreeMap<Class, ClassOrder>,
     /// The customers that wait, by work for their weight.
     by_work: BTreeSet<(Amount, u32)>,
     /// The customers without waiting requests, by virtual start time.
     idle: BTreeSet<(Amount, u32)>,
 }
 
+/// The customers with requests in one class.
+#[derive(Debug, Default)]
+pub(super) struct ClassOrder {
+    pub(super) by_start: BTreeSet<(Amount, u32)>,
+    /// Waiting work of all of them, in tokens.
+    pub(super) work: f64,
+}
+
 impl PartialEq for Amount {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other).is_eq()
@@ -72,7 +80,7 @@
         }
     }
 
-    pub(super) fn add(&mut self, waiting: &Waiting) {
+    fn add(&mut self, waiting: &Waiting) {
         let ticket = &waiting.ticket;
         let lane = self.lanes.entry(waiting.class()).or_default();
         lane.insert((ticket.target(), ticket.id), ticket.work());
@@ -80,7 +88,7 @@
         self.work += ticket.work();
     }
 
-    pub(super) fn remove(&mut self, waiting: &Waiting) {
+    fn remove(&mut self, waiting: &Waiting) {
         let (ticket, class) = (&waiting.ticket, waiting.class());
         if let Some(lane) = self.lanes.get_mut(&class) {
             lane.remove((ticket.target(), ticket.id));
@@ -97,11 +105,29 @@
         };
     }
 
+    /// Returns the waiting work for the customer's weight.
+    fn relative_work(&self) -> Amount {
+        Amount(self.work / self.weight)
+    }
+
     /// Returns the request to drop first.
     pub(super) fn first_drop(&self) -> Option<DropOrder> {
         self.drop_order.last().copied()
     }
 
+    /// Returns the work of a class that is served before a request of the same customer.
+    pub(super) fn work_in_class(&self, class: Class, ticket: &Ticket) -> f64 {
+        let lane = self.lanes.get(&class);
+        lane.map_or(0.0, |lane| lane.before((ticket.target(), ticket.id)))
+    }
+
+    /// Returns the work of a class that is served before another customer's request with a virtual start time.
+    pub(super) fn work_until(&self, class: Class, virtual_start: f64) -> f64 {
+        let lane = self.lanes.get(&class).map_or(0.0, SortedWork::total);
+        let start = self.start + self.work_before(class) / self.weight;
+        ((virtual_start - start).max(0.0) * self.weight).min(lane)
+    }
+
     /// Returns the work in classes before `class`.
     pub(super) fn work_before(&self, class: Class) -> f64 {
         self.lanes.range(..class).map(|(_, lane)| lane.total()).sum()
@@ -128,10 +154,21 @@
         self.numbers.get(name).copied()
     }
 
-    /// Returns the customers with waiting requests.
-    pub(super) fn waiting(&self) -> impl Iterator<Item = (u32, &Customer)> {
-        let all = self.table.iter().map(|(number, customer)| (*number, customer));
-        all.filter(|(_, customer)| !customer.lanes.is_empty())
+    /// Returns the work that waits in classes before `class`.
+    pub(super) fn work_before(&self, class: Class) -> f64 {
+        self.classes.range(..class).map(|(_, order)| order.work).sum()
+    }
+
+    /// Returns all work that waits.
+    pub(super) fn work(&self) -> f64 {
+        self.classes.values().map(|order| order.work).sum()
+    }
+
+    /// Returns the customers with requests in a class whose virtual start time is before `start`.
+    pub(super) fn before(&self, class: Class, start: f64) -> impl Iterator<Item = (u32, &Customer)> {
+        let order = self.classes.get(&class).into_iter();
+        let all = order.flat_map(move |order| order.by_start.range(..(Amount(start), 0)));
+        all.filter_map(|(_, number)| Some((*number, self.get(*number)?)))
     }
 
     /// Returns the customer with the most waiting work for its weight.
@@ -145,38 +182,71 @@
             return number;
         }
         let number = self.next;
-        // After 2^32 customers no one of the first is left.
+        // Long before 2^32 customers have come, the first ones are forgotten.
         self.next = self.next.wrapping_add(1);
         self.numbers.insert(ticket.customer.clone(), number);
         self.table.insert(number, Customer::new(ticket.customer.clone(), start));
+        self.idle.insert((Amount(start), number));
         number
     }
 
-    /// Changes a customer and puts it where it then belongs in each order.
-    pub(super) fn update(&mut self, number: u32, change: impl FnOnce(&mut Customer)) {
+    /// Adds a request to its customer.
+    pub(super) fn add(&mut self, waiting: &Waiting) {
+        self.update_lane(waiting, |customer| customer.add(waiting));
+    }
+
+    /// Removes a request from its customer.
+    pub(super) fn remove(&mut self, waiting: &Waiting) {
+        self.update_lane(waiting, |customer| customer.remove(waiting));
+    }
+
+    /// Changes the virtual start time and the weight of a customer.
+    pub(super) fn set_start(&mut self, number: u32, start: f64, weight: f64) {
         let Some(customer) = self.table.get_mut(&number) else {
             return;
         };
-        let start = (Amount(customer.start), number);
+        let (old, new) = ((Amount(customer.start), number), (Amount(start), number));
+        let old_work = customer.relative_work();
+        (customer.start, customer.weight) = (start, weight);
         for class in customer.lanes.keys() {
             if let Some(order) = self.classes.get_mut(class) {
-                order.remove(&start);
-                if order.is_empty() {
-                    self.classes.remove(class);
-                }
+                order.by_start.remove(&old);
+                order.by_start.insert(new);
             }
         }
-        self.by_work.remove(&(Amount(customer.work / customer.weight), number));
-        self.idle.remove(&start);
-        change(customer);
+        if self.idle.remove(&old) {
+            self.idle.insert(new);
+        }
+        if self.by_work.remove(&(old_work, number)) {
+            self.by_work.insert((customer.relative_work(), number));
+        }
+    }
+
+    /// Changes the lane of one request and puts the customer where it then belongs in each order.
+    fn update_lane(&mut self, waiting: &Waiting, change: impl FnOnce(&mut Customer)) {
+        let (number, class) = (waiting.customer, waiting.class());
+        let Some(customer) = self.table.get_mut(&number) else {
+            return;
+        };
         let start = (Amount(customer.start), number);
-        for class in customer.lanes.keys() {
-            self.classes.entry(*class).or_default().insert(start);
+        self.by_work.remove(&(customer.relative_work(), number));
+        let work = customer.work;
+        change(customer);
+        let order = self.classes.entry(class).or_default();
+        order.work += customer.work - work;
+        if customer.lanes.contains_key(&class) {
+            order.by_start.insert(start);
+        } else {
+            order.by_start.remove(&start);
+        }
+        if order.by_start.is_empty() {
+            self.classes.remove(&class);
         }
         if customer.lanes.is_empty() {
             self.idle.insert(start);
         } else {
-            self.by_work.insert((Amount(customer.work / customer.weight), number));
+            self.idle.remove(&start);
+            self.by_work.insert((customer.relative_work(), number));
         }
     }
 
