Spread short calls over upstreams instead of sending all to the lowest time

Cause: without a prompt each host takes the lowest predicted time. Dozens of hosts read the same report, which is older than a call takes, and all send to the upstream that was idle in it, which turns calls away.

Change: policy::spread draws among the upstreams, weighted by free places over predicted time; the time counts the call itself, so that a pace in Candidate::rates takes effect. With fewer than 8 hosts the lowest time stays. Upstreams beyond four times the lowest time are left out. gentian_gateway_call_choices_total counts the choices.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use contract::{ListedUpstream, RolloutTrial, ServiceName, Zone};
+use metrics::counter;
 use policy::Tick;
 use policy::breaker::Breaker;
 use policy::fetch::plan_fetch;
@@ -21,7 +22,9 @@
 use policy::pace::{EngineRates, PrefillWork, SpeedEstimate};
 use policy::place::{Candidate, Prediction, PromptNeed, PromptPart, choose};
 use policy::reach::Reachability;
+use policy::spread::choose_spread;
 use wire::registry::UpstreamObservation;
+use xxhash_rust::xxh3::xxh3_64;
 
 use former::FormerUpstream;
 pub use no_upstream::NoUpstream;
@@ -95,6 +98,15 @@
         }
     }
 
+    /// Returns a number that is uniform in 0 to 1, for the choice of an upstream at `now`. It does not depend on the
+    /// version that `draw` chooses, and a retry has another one.
+    fn call_draw(&self, now: Tick) -> f64 {
+        let mut bytes = [0; 24];
+        bytes[..8].copy_from_slice(&self.draw.to_bits().to_le_bytes());
+        bytes[8..].copy_from_slice(&now.0.as_nanos().to_le_bytes());
+        xxh3_64(&bytes) as f64 / u64::MAX as f64
+    }
+
     /// Returns the number of prompt tokens.
     fn tokens(&self) -> u64 {
         self.prompt_parts.iter().map(|part| part.tokens).sum()
@@ -113,6 +125,14 @@
     parts.get(index).map_or(0, |part| part.key)
 }
 
+/// Returns the upstream for a call without a prompt, and counts the choice.
+fn choose_for_call(candidates: &[Candidate], need: &UpstreamNeed<'_>, now: Tick) -> Option<Prediction> {
+    let prediction = choose_spread(candidates, need.entry_hosts, need.call_draw(now))?;
+    let slot = if prediction.has_slot { "free" } else { "taken" };
+    counter!("gentian_gateway_call_choices_total", "service" => need.service.to_string(), "slot" => slot).increment(1);
+    Some(prediction)
+}
+
 /// The upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChosenUpstream {
@@ -210,13 +230,12 @@
             cached_within(listed_for(home))
         });
         assume_former_homes_cached(&mut candidates, need.shared_tokens(), listed_for, cached_within);
-        // Without a prompt there is no cache to share, so the least loaded upstream is taken.
-        let equal_within_ms = if need.prompt_parts.is_empty() {
-            0.0
+        let best = if need.prompt_parts.is_empty() {
+            choose_for_call(&candidates, need, now)
         } else {
-            EQUAL_WITHIN_MS
+            choose(&candidates, need.prompt_need(), EQUAL_WITHIN_MS)
         };
-        let mut prediction = choose(&candidates, need.prompt_need(), equal_within_ms).ok_or(NoUpstream::AllFull)?;
+        let mut prediction = best.ok_or(NoUpstream::AllFull)?;
         let chosen = usable[prediction.index];
         let candidate = candidates.iter().find(|candidate| candidate.index == prediction.index);
         let mut prefill = candidate.map_or_else(PrefillWork::default, |candidate| candidate.prefill(need.tokens()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod send_gate;
 pub mod slots;
 pub mod sources;
+pub mod spread;
 mod time;
 
 pub use time::Tick;
