--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use crate::body::{BodyDecoder, BodyError};
 use crate::dialect::{HeaderCodec, ResponseInfo};
 use crate::head::{self, Head, StatusLine};
-use crate::pool::Connection;
+use crate::pool::{Connection, split_mark};
 
 /// Longest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -154,7 +154,12 @@
     codec: &dyn HeaderCodec,
     on_head: &mut dyn FnMut(&ResponseInfo),
 ) -> Result<(Head<StatusLine>, ResponseInfo, BodyDecoder, bool), AttemptError> {
-    let Connection { stream, buffer, .. } = connection;
+    let Connection {
+        stream,
+        buffer,
+        end_mark,
+        ..
+    } = connection;
     let (mut reader, mut writer) = stream.split();
     let writing = writer.write_all(request);
     tokio::pin!(writing);
@@ -163,7 +168,11 @@
     let (mut skipped, mut interim) = (0, 0);
     let mut head_end = None;
     loop {
-        if let Some((head, info, decoder)) = next_response(buffer, codec, &mut interim)? {
+        // The mark of an orderly end may arrive before the end itself, and is no head.
+        let mark = split_mark(buffer, *end_mark);
+        let response = next_response(buffer, codec, &mut interim);
+        buffer.unsplit(mark);
+        if let Some((head, info, decoder)) = response? {
             on_head(&info);
             if info.id.as_deref().is_none_or(|answered_id| answered_id == id) {
                 return Ok((head, info, decoder, request_sent && !write_failed));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -42,7 +42,7 @@
     /// The host that relays; `None` on the own link.
     pub relay: Option<RelayLease>,
     /// Last bytes if the upstream closes in order, where another host relays.
-    end_mark: Option<EndMark>,
+    pub(crate) end_mark: Option<EndMark>,
 }
 
 impl Connection {
@@ -68,8 +68,7 @@
 
     /// Removes the last bytes from the buffer that may belong to the mark of an orderly end.
     pub(crate) fn split_mark(&mut self) -> BytesMut {
-        let overlap = self.end_mark.map_or(0, |mark| mark.overlap(&self.buffer));
-        self.buffer.split_off(self.buffer.len() - overlap)
+        split_mark(&mut self.buffer, self.end_mark)
     }
 
     /// Returns whether the upstream closed the connection, rather than a host that relays, given that it has ended.
@@ -84,6 +83,12 @@
     }
 }
 
+/// Removes the last bytes from a buffer that may belong to the mark of an orderly end.
+pub(crate) fn split_mark(buffer: &mut BytesMut, end_mark: Option<EndMark>) -> BytesMut {
+    let overlap = end_mark.map_or(0, |mark| mark.overlap(buffer));
+    buffer.split_off(buffer.len() - overlap)
+}
+
 /// Requirements of a request on an idle connection.
 #[derive(Clone, Copy, Debug)]
 pub struct IdleNeed {
--- a/crates/gateway/tests/relayed_requests.rs
+++ b/crates/gateway/tests/relayed_requests.rs
@@ -204,6 +204,38 @@
     assert_eq!(response.status, 502, "{response:?}");
 }
 
+/// Guards against the mark of an orderly end that is taken for a malformed response head where it arrives before the end of
+/// the connection, so that the crash of the upstream is not counted.
+#[test]
+fn early_end_mark() {
+    let upstream = answering();
+    let cut = cut_off(RetryMode::Once, 1, &[&upstream]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let marking = RelayHost {
+        address: listener.local_addr().unwrap(),
+        zone: Zone::from("z1"),
+        isolated: BTreeSet::default(),
+    };
+    *cut.relays.lock() = Some(vec![marking]);
+    let relay = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let asked: RelayRequest = read_message(&mut stream);
+        stream.write_all(&encode(&RelayReply::Connected).unwrap()).unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"deposit") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            request.push(byte[0]);
+        }
+        stream.write_all(&asked.end_mark.unwrap().0).unwrap();
+        thread::sleep(Duration::from_millis(100));
+    });
+    let response = Host::run(cut).request("", "deposit");
+    relay.join().unwrap();
+    assert_eq!(response.status, 502);
+    assert!(response.body.contains("closed without an answer"), "{response:?}");
+}
+
 /// Guards against a refusal that says "not run" of a request whose relay ended after it was passed on.
 #[test]
 fn relay_ends_midway() {
