--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -206,9 +206,17 @@
     }
 
     fn enter(&mut self, ticket: Ticket) {
-        let number = self.customers.enter(&ticket, self.virtual_time);
+        let virtual_time = self.virtual_time;
+        let number = self.customers.enter(&ticket, virtual_time);
         if let Some(customer) = self.customers.get(number) {
-            let (start, weight) = (self.start_of(Some(customer)), ticket.weight());
+            // A customer that was idle starts at the current virtual time; otherwise it could save up a burst that
+            // starves others.
+            let earliest = if customer.lanes.is_empty() {
+                virtual_time
+            } else {
+                customer.start
+            };
+            let (start, weight) = (customer.start.max(earliest), ticket.weight());
             if Amount(start) != Amount(customer.start) || Amount(weight) != Amount(customer.weight) {
                 self.customers.set_start(number, start, weight);
             }
@@ -297,7 +305,7 @@
     /// Returns the first request in order.
     fn first(&self) -> Option<u64> {
         let (class, order) = self.customers.classes.first_key_value()?;
-        let (_, number) = order.by_start.first()?;
+        let (_, number) = order.first()?;
         self.customers.get(*number)?.lanes.get(class)?.ids().next()
     }
 
@@ -346,7 +354,7 @@
         let mut lanes = Vec::new();
         let classes = self.customers.classes.iter().enumerate();
         let mut orders: Vec<_> = classes
-            .map(|(place, (class, order))| (place, class, order.by_start.iter()))
+            .map(|(place, (class, order))| (place, class, order.iter()))
             .collect();
         let mut rank = 0;
         while lanes.len() < most && !orders.is_empty() {
--- a/crates/policy/src/fair/customer.rs
+++ b/crates/policy/src/fair/customer.rs
@@ -32,22 +32,14 @@
     next: u32,
     numbers: BTreeMap<CustomerId, u32>,
     table: BTreeMap<u32, Customer>,
-    /// The classes with requests; none is empty.
-    pub(super) classes: BTreeMap<Class, ClassOrder>,
+    /// The customers with requests in each class, by virtual start time; no class is empty.
+    pub(super) classes: BTreeMap<Class, BTreeSet<(Amount, u32)>>,
     /// The customers that wait, by work for their weight.
     by_work: BTreeSet<(Amount, u32)>,
     /// The customers without waiting requests, by virtual start time.
     idle: BTreeSet<(Amount, u32)>,
 }
 
-/// The customers with requests in one class.
-#[derive(Debug, Default)]
-pub(super) struct ClassOrder {
-    pub(super) by_start: BTreeSet<(Amount, u32)>,
-    /// Waiting work of all of them, in tokens.
-    pub(super) work: f64,
-}
-
 impl PartialEq for Amount {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other).is_eq()
@@ -115,19 +107,6 @@
         self.drop_order.last().copied()
     }
 
-    /// Returns the work of a class that is served before a request of the same customer.
-    pub(super) fn work_in_class(&self, class: Class, ticket: &Ticket) -> f64 {
-        let lane = self.lanes.get(&class);
-        lane.map_or(0.0, |lane| lane.before((ticket.target(), ticket.id)))
-    }
-
-    /// Returns the work of a class that is served before another customer's request with a virtual start time.
-    pub(super) fn work_until(&self, class: Class, virtual_start: f64) -> f64 {
-        let lane = self.lanes.get(&class).map_or(0.0, SortedWork::total);
-        let start = self.start + self.work_before(class) / self.weight;
-        ((virtual_start - start).max(0.0) * self.weight).min(lane)
-    }
-
     /// Returns the work in classes before `class`.
     pub(super) fn work_before(&self, class: Class) -> f64 {
         self.lanes.range(..class).map(|(_, lane)| lane.total()).sum()
@@ -154,21 +133,10 @@
         self.numbers.get(name).copied()
     }
 
-    /// Returns the work that waits in classes before `class`.
-    pub(super) fn work_before(&self, class: Class) -> f64 {
-        self.classes.range(..class).map(|(_, order)| order.work).sum()
-    }
-
-    /// Returns all work that waits.
-    pub(super) fn work(&self) -> f64 {
-        self.classes.values().map(|order| order.work).sum()
-    }
-
-    /// Returns the customers with requests in a class whose virtual start time is before `start`.
-    pub(super) fn before(&self, class: Class, start: f64) -> impl Iterator<Item = (u32, &Customer)> {
-        let order = self.classes.get(&class).into_iter();
-        let all = order.flat_map(move |order| order.by_start.range(..(Amount(start), 0)));
-        all.filter_map(|(_, number)| Some((*number, self.get(*number)?)))
+    /// Returns the customers with waiting requests.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = (u32, &Customer)> {
+        let all = self.table.iter().map(|(number, customer)| (*number, customer));
+        all.filter(|(_, customer)| !customer.lanes.is_empty())
     }
 
     /// Returns the customer with the most waiting work for its weight.
@@ -210,8 +178,8 @@
         (customer.start, customer.weight) = (start, weight);
         for class in customer.lanes.keys() {
             if let Some(order) = self.classes.get_mut(class) {
-                order.by_start.remove(&old);
-                order.by_start.insert(new);
+                order.remove(&old);
+                order.insert(new);
             }
         }
         if self.idle.remove(&old) {
@@ -230,16 +198,14 @@
         };
         let start = (Amount(customer.start), number);
         self.by_work.remove(&(customer.relative_work(), number));
-        let work = customer.work;
         change(customer);
         let order = self.classes.entry(class).or_default();
-        order.work += customer.work - work;
         if customer.lanes.contains_key(&class) {
-            order.by_start.insert(start);
+            order.insert(start);
         } else {
-            order.by_start.remove(&start);
+            order.remove(&start);
         }
-        if order.by_start.is_empty() {
+        if order.is_empty() {
             self.classes.remove(&class);
         }
         if customer.lanes.is_empty() {
