--- a/crates/ctl/tests/log_trace.rs
+++ b/crates/ctl/tests/log_trace.rs
@@ -143,7 +143,14 @@
     let lines = [waits.clone(), line(12, "e1", "request ended", ended(1_130))];
     let found = trace("q", &lines).unwrap();
     assert_eq!(found.lines.len(), 2, "the wait is shown");
-    assert!(found.cause.contains("waited 1130 ms at the entry host"), "{}", found.cause);
+    assert!(
+        found.cause.contains("waited 1130 ms at the entry host"),
+        "{}",
+        found.cause
+    );
     let lines = [waits, line(12, "e1", "request ended", ended(300))];
-    assert!(cause("q", &lines).contains("at the upstream"), "its wait alone was no reason");
+    assert!(
+        cause("q", &lines).contains("at the upstream"),
+        "its wait alone was no reason"
+    );
 }
