--- a/crates/gateway/tests/fleet/engine.rs
+++ b/crates/gateway/tests/fleet/engine.rs
@@ -81,8 +81,9 @@
         !self.waiting.is_empty() || !self.running.is_empty()
     }
 
-    /// Runs one step that begins at `now_ms`; returns its length in milliseconds and what it brings about.
-    pub fn step(&mut self, now_ms: f64) -> (f64, Vec<StepEvent>) {
+    /// Runs one step that begins at `now_ms` and takes `factor` times as long as usual; returns its length in
+    /// milliseconds and what it brings about.
+    pub fn step(&mut self, now_ms: f64, factor: f64) -> (f64, Vec<StepEvent>) {
         while self.running.len() < SLOTS {
             let Some(mut job) = self.waiting.pop_front() else {
                 break;
@@ -104,6 +105,7 @@
                 prefilling.push(job.id);
             }
         }
+        step_ms *= factor;
         let end_ms = now_ms + step_ms;
         let mut events = Vec::new();
         for job in &mut self.running {
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! of the others through the leader; engines are simulated.
 
 pub mod engine;
+pub mod paces;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -18,6 +19,7 @@
 use wire::registry::Heartbeat;
 
 use engine::{Engine, SLOTS, StepEvent};
+use paces::EnginePaces;
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug)]
@@ -97,12 +99,18 @@
     events: BinaryHeap<Reverse<(u64, Event)>>,
     /// By engine, what the current step brings about at its end; `None` while it is idle.
     step_events: Vec<Option<Vec<StepEvent>>>,
+    paces: EnginePaces,
     registry: EntryRegistry,
     report: Report,
 }
 
 /// Replays a load; equal seeds give equal results.
 pub fn replay(load: &ReplayLoad, seed: u64) -> Report {
+    replay_paced(load, EnginePaces::default(), seed)
+}
+
+/// Replays a load on engines of which some are slowed for a while; equal seeds give equal results.
+pub fn replay_paced(load: &ReplayLoad, paces: EnginePaces, seed: u64) -> Report {
     let list: Vec<ListedUpstream> = (0..load.engines).map(listed).collect();
     let mut hosts: Vec<Upstreams> = (0..load.hosts).map(|_| Upstreams::default()).collect();
     for host in &mut hosts {
@@ -116,6 +124,7 @@
         requests: Vec::new(),
         events: BinaryHeap::new(),
         step_events: (0..load.engines).map(|_| None).collect(),
+        paces,
         registry: EntryRegistry::default(),
         report: Report {
             kinds: vec![Outcome::default(); load.kinds.len()],
@@ -221,7 +230,8 @@
     }
 
     fn start_step(&mut self, index: usize, now_ms: f64) {
-        let (step_ms, events) = self.engines[index].step(now_ms);
+        let factor = self.paces.factor(index, now_ms);
+        let (step_ms, events) = self.engines[index].step(now_ms, factor);
         self.step_events[index] = Some(events);
         self.push(now_ms + step_ms, Event::StepEnd(index));
     }
@@ -232,7 +242,7 @@
             running: self.engines[index].running.len() as u32,
             waiting: self.engines[index].waiting.len() as u32,
             slots: SLOTS as u32,
-            pace: None,
+            pace: self.paces.reported(index, now_ms),
         };
         for event in self.step_events[index].take().unwrap_or_default() {
             match event {
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -3,7 +3,8 @@
 mod fleet;
 
 use contract::{ServiceName, Zone};
-use fleet::{Outcome, ReplayLoad, RequestKind, replay};
+use fleet::paces::EnginePaces;
+use fleet::{Outcome, ReplayLoad, Report, RequestKind, replay, replay_paced};
 use gateway::upstreams::{UpstreamNeed, Upstreams};
 use policy::Tick;
 use policy::place::PromptPart;
@@ -68,6 +69,38 @@
     assert!(report.read_again < 0.55, "{} prefilled again", report.read_again);
 }
 
+/// Guards against reported paces that are not worth their bytes: a seventh of the engines takes two and a half times as
+/// long, and is drawn anew after some time. With paces fewer requests are late or paused than without; figures that are
+/// nearly as old as they last help little, and must not harm.
+#[test]
+fn slowed_engines() {
+    let load = ReplayLoad {
+        engines: 40,
+        heartbeat_s: 0.15,
+        ..reclaim_load()
+    };
+    let failures = |redrawn_ms, is_reported| {
+        let paces = EnginePaces {
+            share: 1.0 / 7.0,
+            slowed: 2.5,
+            redrawn_ms,
+            is_reported,
+        };
+        let replays = (1..=3).map(|seed| replay_paced(&load, paces, seed));
+        let kinds = replays.flat_map(|report: Report| report.kinds);
+        let count = |outcome: Outcome| outcome.late + outcome.refused + outcome.paused;
+        kinds.map(count).sum::<u32>()
+    };
+    for (redrawn_ms, most) in [(600.0, 1.0), (3_000.0, 0.8)] {
+        let (with, without) = (failures(redrawn_ms, true), failures(redrawn_ms, false));
+        println!("drawn anew after {redrawn_ms} ms: {with} late or paused with paces, {without} without");
+        assert!(
+            f64::from(with) < f64::from(without) * most,
+            "{with} with paces, {without} without, drawn anew after {redrawn_ms} ms"
+        );
+    }
+}
+
 /// Guards against the choice of an upstream where requests of another entry host are overdue by 0.9 s. It is prefilling
 /// a prompt that took longer than predicted, and this host by itself only knows that the upstream is idle.
 #[test]
