Compare the failures of versions route by route, and hold the share in doubt during the shift

In the sum over routes, lookups that fail at 14 in 100 by themselves hide failures of streams. Change: the comparison over all routes adds the evidence of each route at its own rate, and of the sum of those with few outcomes. During the shift the share is held at its first step while this comparison doesn't speak for the new version. Neither test nor thresholds are changed.

--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -2,6 +2,8 @@
 //!
 //! A fault that strikes both versions, such as a cut or a burst, changes both counts and convicts neither.
 
+use std::collections::BTreeMap;
+
 use contract::{Histogram, RolloutTrial, RouteTrial, TrialCounts, Zone};
 use derive_more::Display;
 
@@ -25,6 +27,9 @@
 const MIN_BAD: u64 = 3;
 /// Outcomes of the old version without which there is nothing to compare times with.
 const MIN_COMPARED: u64 = 50;
+/// Outcomes of the old version on a route from which on the route is compared by itself in the failures on all routes.
+/// Routes with fewer are compared by their sum: the margins of many small samples would add up and hide a fault.
+const MIN_STRATUM: u64 = 100;
 /// Share of the old version's times up to which a time is ordinary.
 const ORDINARY_SHARE: f64 = 0.9;
 /// Ranges of a histogram by which a slow time exceeds the ordinary ones: a factor of 1.5.
@@ -77,13 +82,6 @@
         }
     }
 
-    const fn minus(self, other: Self) -> Self {
-        Self {
-            bad: self.bad - other.bad,
-            count: self.count - other.count,
-        }
-    }
-
     /// Returns an upper estimate of the bad share: its mean plus one standard error.
     fn upper_share(self) -> f64 {
         let count = self.count as f64 + 2.0;
@@ -95,18 +93,39 @@
         self.bad as f64 / (self.count as f64).max(1.0)
     }
 
-    /// Returns how many times likelier the outcomes are with an increased bad share than with `share`, averaged over
-    /// [`INCREASES`].
-    ///
-    /// With a bad share of at most `share`, the probability that this ever exceeds `x`, however often it is asked, is
-    /// at most `1 / x` (Ville's inequality).
-    fn likelihood_ratio(self, share: f64) -> f64 {
+    /// Returns the logarithm of how many times likelier the outcomes are with a bad share that is increased by `increase`
+    /// than with `share`.
+    fn log_ratio(self, share: f64, increase: f64) -> f64 {
         let (bad, good) = (self.bad as f64, (self.count - self.bad) as f64);
-        let ratio = |increase: f64| {
-            let raised = (share + increase).min(MAX_SHARE);
-            (bad * (raised / share).ln() + good * ((1.0 - raised) / (1.0 - share)).ln()).exp()
-        };
-        INCREASES.iter().map(|increase| ratio(*increase)).sum::<f64>() / INCREASES.len() as f64
+        let raised = (share + increase).min(MAX_SHARE);
+        bad * (raised / share).ln() + good * ((1.0 - raised) / (1.0 - share)).ln()
+    }
+}
+
+/// Outcomes of both versions on one route, or on several that have few.
+#[derive(Debug)]
+struct Stratum {
+    old: Sample,
+    /// By data centre; one is named several times where several routes are summed.
+    new: Vec<(Zone, Sample)>,
+}
+
+impl Stratum {
+    fn plus(mut self, other: Self) -> Self {
+        self.old = self.old.plus(other.old);
+        self.new.extend(other.new);
+        self
+    }
+
+    /// Returns the outcomes of the new version, without those of a data centre.
+    fn new_sample(&self, without: Option<&Zone>) -> Sample {
+        let zones = self.new.iter().filter(|(zone, _)| Some(zone) != without);
+        zones.fold(Sample::default(), |sum, (_, sample)| sum.plus(*sample))
+    }
+
+    fn log_ratio(&self, tolerance: f64, increase: f64, without: Option<&Zone>) -> f64 {
+        let share = (self.old.upper_share() + tolerance).min(MAX_SHARE - INCREASES[0]);
+        self.new_sample(without).log_ratio(share, increase)
     }
 }
 
@@ -115,38 +134,54 @@
 struct Comparison {
     symptom: Symptom,
     route: Option<String>,
-    old: Sample,
-    new: Vec<(Zone, Sample)>,
+    /// Outcomes that are compared with each other. Routes fail at rates of their own: in a sum, ordinary failures of one
+    /// route would hide rare ones of another.
+    strata: Vec<Stratum>,
 }
 
 impl Comparison {
     /// Returns how many times likelier the outcomes are if the new version is worse, and the same without the data
     /// centre that speaks most against it.
     fn likelihood_ratios(&self) -> (f64, f64) {
+        let mut zones = BTreeMap::<&Zone, Sample>::new();
+        for (zone, sample) in self.strata.iter().flat_map(|stratum| &stratum.new) {
+            let sum = zones.entry(zone).or_default();
+            *sum = sum.plus(*sample);
+        }
+        zones.retain(|_, sample| sample.count > 0);
+        let worst = zones.iter().max_by_key(|(_, sample)| sample.bad);
+        let worst = worst.filter(|_| zones.len() > 1).map(|(zone, _)| *zone);
+        (self.likelihood_ratio(None), self.likelihood_ratio(worst))
+    }
+
+    /// Returns how many times likelier the outcomes are with increased bad shares than with those of the old version,
+    /// averaged over [`INCREASES`].
+    ///
+    /// With bad shares of at most the old version's, the probability that this ever exceeds `x`, however often it is asked,
+    /// is at most `1 / x` (Ville's inequality).
+    fn likelihood_ratio(&self, without: Option<&Zone>) -> f64 {
         let tolerance = match self.symptom {
             Symptom::Failures => FAILURE_TOLERANCE,
             Symptom::SlowStart | Symptom::SlowStream => SLOW_TOLERANCE,
         };
-        let share = (self.old.upper_share() + tolerance).min(MAX_SHARE - INCREASES[0]);
-        let all = self.new_sample();
-        let used = self.new.iter().map(|(_, zone)| *zone).filter(|zone| zone.count > 0);
-        let worst = used.clone().max_by_key(|zone| zone.bad);
-        let others = match worst {
-            Some(worst) if used.count() > 1 => all.minus(worst),
-            _ => all,
+        let log_ratio = |increase: f64| {
+            let strata = self.strata.iter();
+            strata
+                .map(|stratum| stratum.log_ratio(tolerance, increase, without))
+                .sum::<f64>()
         };
-        (all.likelihood_ratio(share), others.likelihood_ratio(share))
+        let ratios = INCREASES.iter().map(|increase| log_ratio(*increase).exp());
+        ratios.sum::<f64>() / INCREASES.len() as f64
     }
 
-    fn new_sample(&self) -> Sample {
-        let zones = self.new.iter().map(|(_, zone)| *zone);
-        zones.fold(Sample::default(), Sample::plus)
+    fn sum(&self, sample: impl Fn(&Stratum) -> Sample) -> Sample {
+        self.strata.iter().map(sample).fold(Sample::default(), Sample::plus)
     }
 
     /// Returns the finding if the new version is worse, also without the data centre that speaks most against it: one
     /// that is cut off or reclaimed makes no version bad.
     fn finding(&self, limit: f64) -> Option<Finding> {
-        let all = self.new_sample();
+        let all = self.sum(|stratum| stratum.new_sample(None));
         let (ratio, others) = self.likelihood_ratios();
         let convicted = all.bad >= MIN_BAD && ratio >= limit && others >= CORROBORATION;
         convicted.then(|| Finding {
@@ -154,7 +189,7 @@
             route: self.route.clone(),
             bad: all.bad,
             count: all.count,
-            old_share: self.old.share(),
+            old_share: self.sum(|stratum| stratum.old).share(),
         })
     }
 }
@@ -179,6 +214,12 @@
     })
 }
 
+/// Returns whether the new version may fail more often than the old one over all routes, though that is not certain.
+#[must_use]
+pub fn is_failing(trial: &RolloutTrial) -> bool {
+    all_failures(trial).likelihood_ratio(None) >= SUSPICION_OVERALL
+}
+
 fn comparisons(trial: &RolloutTrial) -> Vec<Comparison> {
     let by_route = trial.routes.iter().flat_map(|(name, route)| by_route(name, route));
     by_route.chain([all_failures(trial)]).collect()
@@ -188,8 +229,7 @@
     let failures = Comparison {
         symptom: Symptom::Failures,
         route: Some(name.to_owned()),
-        old: failures(&trial.old),
-        new: by_zone(trial, failures),
+        strata: vec![failures_of(trial)],
     };
     let start = times(name, trial, Symptom::SlowStart, |counts| &counts.first);
     let stream = times(name, trial, Symptom::SlowStream, |counts| &counts.interval);
@@ -198,20 +238,20 @@
 
 /// Compares the failures on all routes together, which shows a rare fault sooner than each route by itself.
 fn all_failures(trial: &RolloutTrial) -> Comparison {
-    let mut old = Sample::default();
-    let mut new = std::collections::BTreeMap::<Zone, Sample>::new();
-    for route in trial.routes.values() {
-        old = old.plus(failures(&route.old));
-        for (zone, counts) in &route.new {
-            let sum = new.entry(zone.clone()).or_default();
-            *sum = sum.plus(failures(counts));
-        }
-    }
+    let routes = trial.routes.values().map(failures_of);
+    let (known, rare): (Vec<_>, Vec<_>) = routes.partition(|route| route.old.count >= MIN_STRATUM);
+    let rare = rare.into_iter().reduce(Stratum::plus);
     Comparison {
         symptom: Symptom::Failures,
         route: None,
-        old,
-        new: new.into_iter().collect(),
+        strata: known.into_iter().chain(rare).collect(),
+    }
+}
+
+fn failures_of(trial: &RouteTrial) -> Stratum {
+    Stratum {
+        old: failures(&trial.old),
+        new: by_zone(trial, failures),
     }
 }
 
@@ -236,8 +276,10 @@
     Some(Comparison {
         symptom,
         route: Some(name.to_owned()),
-        old: slow(&trial.old),
-        new: by_zone(trial, slow),
+        strata: vec![Stratum {
+            old: slow(&trial.old),
+            new: by_zone(trial, slow),
+        }],
     })
 }
 
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -12,7 +12,7 @@
 use contract::{Rollout, RolloutOrder, RolloutState, RolloutTrial};
 
 pub use choice::{VersionChoice, choose_canaries, choose_version};
-pub use judge::{Finding, Symptom, is_suspect, judge};
+pub use judge::{Finding, Symptom, is_failing, is_suspect, judge};
 
 /// Share of the allowed exposure that is used before the new version gets all requests. The rest covers the requests
 /// that it still gets between the first bad answer at full load and the end of the rollout.
@@ -168,6 +168,8 @@
         return Step::End(state, reason);
     }
     match shift_time {
+        // A bad version that passed the canary by luck would get ten times the requests until it is convicted.
+        Some(_) if is_failing(situation.trial) => Step::Shift(SHIFT_STEPS[0].1),
         Some(time) => Step::Shift(shift_share(time)),
         None if trusted && elapsed >= duration.mul_f64(SHIFT_AT) => Step::Shift(shift_share(Duration::ZERO)),
         None => Step::Canary(canary_share(situation)),
