Merge homes by lasting speed

Cause: homes of prompt parts were shared out evenly, also among engines of which a third takes 2.4 times as long. Change: hosts tell the leader answer times without the momentary pace, the leader tells a speed step for each upstream, and the rendezvous hash is weighed by it. The test of uneven engines no longer bounds its count by the measured one: as many requests may pause as at equal engines, and a tenth.

--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -7,6 +7,7 @@
 use contract::ListedUpstream;
 use policy::Tick;
 use policy::backlog::{Backlog, FirstEvent, SentRequest};
+use policy::home_speed::{AnswerTimes, SpeedStep};
 use policy::load::{LoadEstimate, LoadReport};
 use policy::pace::moment::MomentPace;
 use policy::pace::{PrefillWork, RelativeSpeed};
@@ -70,6 +71,10 @@
     relative_speed: RelativeSpeed,
     /// Momentary pace.
     pub(super) moment: MomentPace,
+    /// Answer times that the leader has not been told.
+    answer_times: Cell<AnswerTimes>,
+    /// Lasting time relative to the service, as the leader has told all hosts.
+    pub(super) step: SpeedStep,
     /// Reachability of the data centre.
     pub(super) reachability: Rc<Reachability>,
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
@@ -104,6 +109,8 @@
             service_speed,
             relative_speed: RelativeSpeed::default(),
             moment: MomentPace::default(),
+            answer_times: Cell::default(),
+            step: SpeedStep::default(),
             listed_since,
             id_hash: xxh3_64(listed.id.as_bytes()),
             listed,
@@ -151,7 +158,7 @@
             slots: f64::from(self.listed.slots.max(1)),
             cached: sent,
             sent,
-            weight: xxh3_64(&(self.id_hash ^ shared_key).to_le_bytes()),
+            weight: self.step.weigh(xxh3_64(&(self.id_hash ^ shared_key).to_le_bytes())),
             local: self.listed.zone == *need.zone,
             backlog_ms: self.queued_ms(now),
             doubt_ms: 0.0,
@@ -199,6 +206,7 @@
         self.record_alive(now);
         let first_event = self.backlog.first_event(backlog_id, now);
         let FirstEvent { sent, elapsed_ms } = first_event.filter(|first_event| first_event.sent.unqueued)?;
+        self.record_answer_time(sent.prefill, elapsed_ms / sent.pace.factor);
         self.learn_prefill(sent.prefill, elapsed_ms, sent.pace.factor);
         Some(PrefillSample {
             id: self.listed.id.clone(),
@@ -209,6 +217,16 @@
         })
     }
 
+    /// Records the time of an answer without the momentary pace, for the speed step that the leader decides.
+    fn record_answer_time(&mut self, prefill: PrefillWork, ms: f64) {
+        let mut service_rates = self.service_speed.rates_mut();
+        let rates = service_rates.rates();
+        let expected_ms = rates.base_ms + rates.prefill_ms(prefill);
+        self.answer_times
+            .get_mut()
+            .record(&mut service_rates.usual, ms, expected_ms);
+    }
+
     /// Learns the lasting speeds of the upstream and of its service from a prefill that found no other work, without the
     /// momentary pace that was expected when the request was sent.
     pub(super) fn learn_prefill(&mut self, prefill: PrefillWork, ms: f64, pace: f64) {
@@ -318,7 +336,7 @@
         self.gate.replaced_age(now).is_some_and(|age| age < DOUBT_TIME)
     }
 
-    /// Returns what other entry hosts should know of the upstream, if anything.
+    /// Returns what other entry hosts should know of the upstream, if anything. Answer times are told once.
     pub(super) fn observation(&self, now: Tick) -> Option<UpstreamObservation> {
         let fresh = self
             .last_report
@@ -334,8 +352,10 @@
         let told_leaving = self.gate.own_leaving_age(now).filter(|age| *age < MAX_LEAVING_AGE);
         let leaving = told_leaving.map(|_| self.listed.start);
         let pace = self.shared_pace(now);
+        let mut untold = self.answer_times.take();
+        let times = untold.take();
         let is_delayed = backlog_ms > 0 || overdue_ms > 0 || pace.is_some();
-        let is_news = load.is_some() || is_delayed || replaced || leaving.is_some();
+        let is_news = load.is_some() || is_delayed || replaced || leaving.is_some() || times.is_some();
         is_news.then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
@@ -344,6 +364,8 @@
             replaced,
             leaving,
             pace,
+            times,
+            step: None,
         })
     }
 }
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -16,6 +16,7 @@
         hosts: 32,
         engines: 28,
         length_s: 20.0,
+        time_factors: vec![1.0],
         heartbeat_s: 0.4,
         kinds: vec![
             RequestKind {
@@ -101,6 +102,30 @@
     }
 }
 
+/// Guards against homes that are shared out evenly between engines of which a third takes 2.4 times as long: prompts
+/// queue at the slow ones, and outputs beside them pause more often than at as many equal engines.
+#[test]
+fn uneven_engines() {
+    let paused = |time_factors: &[f64]| {
+        let mut load = ReplayLoad {
+            length_s: 120.0,
+            time_factors: time_factors.to_vec(),
+            ..reclaim_load()
+        };
+        for kind in &mut load.kinds {
+            kind.per_s *= 0.6;
+        }
+        let report = replay(&load, 1);
+        report.kinds.iter().map(|outcome| outcome.paused).sum::<u32>()
+    };
+    let (uneven, equal) = (paused(&[0.7, 0.7, 1.7]), paused(&[]));
+    println!("{uneven} outputs paused at uneven engines, {equal} at equal ones");
+    assert!(
+        f64::from(uneven) <= f64::from(equal) * 1.1,
+        "{uneven} uneven, {equal} equal"
+    );
+}
+
 /// Guards against the choice of an upstream where requests of another entry host are overdue by 0.9 s. It is prefilling
 /// a prompt that took longer than predicted, and this host by itself only knows that the upstream is idle.
 #[test]
--- a/crates/wire/src/registry.rs
+++ b/crates/wire/src/registry.rs
@@ -206,6 +206,12 @@
     /// Momentary pace in hundredths of the usual time, and its age in milliseconds; `None` if none is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pace: Option<(u32, u32)>,
+    /// Answer times since the last heartbeat, as `policy::home_speed::AnswerTimes::take` gives them; sent by entry hosts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<(i32, u32)>,
+    /// Lasting time relative to the service, as a `policy::home_speed::SpeedStep`; sent by the leader.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub step: Option<i8>,
 }
 
 /// A position in the change history of the list of upstreams.
