--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -255,7 +255,7 @@
     ) -> NotForwarded {
         let wait = Duration::from_secs_f64(exceeded.wait_s.clamp(QUOTA_RETRY_S.0, QUOTA_RETRY_S.1));
         info!(self.gateway.logger, "over quota"; "request" => &info.id, "account" => account,
-            "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64,
+            "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64, "held_back" => exceeded.held_back,
             "tokens" => info.tokens.map(|tokens| tokens.prompt + tokens.max_output),
             "entries" => self.gateway.entry_count());
         let refusal = Refusal::new(429, "not run: over the account's quota").with_retry_after(wait);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -412,6 +412,7 @@
             wait_s: HELD_BACK_WAIT_S,
             balance: buckets.get(&account.name).map_or(0.0, Bucket::balance),
             rate,
+            held_back: true,
         }
     }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -32,6 +32,8 @@
     pub balance: f64,
     /// Units per second at which the bucket fills.
     pub rate: f64,
+    /// Whether the request leaves the quota to more urgent ones of its account.
+    pub held_back: bool,
 }
 
 impl Bucket {
@@ -72,6 +74,7 @@
                 wait_s,
                 balance: self.units,
                 rate: self.rate,
+                held_back: false,
             });
         }
         self.units -= units;
@@ -92,6 +95,7 @@
             wait_s: (units.min(self.burst) - self.units) / self.rate.max(f64::MIN_POSITIVE),
             balance: self.units,
             rate: self.rate,
+            held_back: false,
         })
     }
 
