--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,6 +191,7 @@
         if let Some(upstream) = self.gateway.upstreams.borrow_mut().get_mut(&self.chosen.id) {
             upstream.record_end(self.backlog_id, &self.chosen, self.sent_at, now);
         }
+        self.gateway.waiting.wake();
     }
 }
 
@@ -302,6 +303,7 @@
             && let Some(upstream) = gateway.upstreams.borrow_mut().get_mut(&chosen.id)
         {
             upstream.record_load(load, gateway.clock.now());
+            gateway.waiting.wake();
         }
         Ok((response, attempt))
     }
@@ -388,6 +390,8 @@
         }
         let mut upstreams = gateway.upstreams.borrow_mut();
         upstreams.record_use(&self.info.prompt_parts, now);
+        // The request itself counts at the upstream from now on, no longer the place that was kept for it.
+        drop(self.place.take());
         let upstream = upstreams.get_mut(&chosen.id);
         upstream.map_or(0, |upstream| upstream.record_sent(&self.info.prompt_parts, chosen, now))
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -203,6 +203,7 @@
         let name = account.as_ref().map(|account| account.name.as_str());
         let quota_units = admitted.map_err(|exceeded| self.refuse_over_quota(&exceeded, name, &info, keep_alive))?;
         let deadline = gateway.deadline(arrived, &info, &route);
+        let passed = gateway.record_timeout(&route, info.timeout);
         Ok(Request {
             head,
             info,
@@ -222,6 +223,9 @@
             last_relay: Cell::new(None),
             origin: RefCell::new(origin),
             fingerprint: OnceCell::new(),
+            place: RefCell::default(),
+            passed,
+            start: Cell::default(),
         })
     }
 
@@ -251,7 +255,7 @@
     ) -> NotForwarded {
         let wait = Duration::from_secs_f64(exceeded.wait_s.clamp(QUOTA_RETRY_S.0, QUOTA_RETRY_S.1));
         info!(self.gateway.logger, "over quota"; "request" => &info.id, "account" => account,
-            "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64,
+            "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64, "held_back" => exceeded.held_back,
             "tokens" => info.tokens.map(|tokens| tokens.prompt + tokens.max_output),
             "entries" => self.gateway.entry_count());
         let refusal = Refusal::new(429, "not run: over the account's quota").with_retry_after(wait);
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -1,11 +1,13 @@
 //! One upstream with the state known of it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use contract::ListedUpstream;
 use policy::Tick;
 use policy::backlog::{Backlog, FirstEvent, SentRequest};
+use policy::home_speed::{AnswerTimes, SpeedStep};
 use policy::load::{LoadEstimate, LoadReport};
 use policy::pace::moment::MomentPace;
 use policy::pace::{PrefillWork, RelativeSpeed};
@@ -69,6 +71,10 @@
     relative_speed: RelativeSpeed,
     /// Momentary pace.
     pub(super) moment: MomentPace,
+    /// Answer times that the leader has not been told.
+    answer_times: Cell<AnswerTimes>,
+    /// Lasting time relative to the service, as the leader has told all hosts.
+    pub(super) step: SpeedStep,
     /// Reachability of the data centre.
     pub(super) reachability: Rc<Reachability>,
     /// When the upstream responded last, or was first listed; `None` if it stood on the first list and has not
@@ -78,6 +84,18 @@
     own_link_at: Option<Tick>,
     /// Announced end of the upstream.
     pub(super) notice: Rc<ReclaimNotice>,
+    /// Number of places promised to requests that are about to be sent.
+    promised: Rc<Cell<u32>>,
+}
+
+/// A place at an upstream that is promised to one request; dropping it gives the place back.
+#[derive(Debug)]
+pub struct PromisedPlace(Rc<Cell<u32>>);
+
+impl Drop for PromisedPlace {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 impl Upstream {
@@ -91,6 +109,8 @@
             service_speed,
             relative_speed: RelativeSpeed::default(),
             moment: MomentPace::default(),
+            answer_times: Cell::default(),
+            step: SpeedStep::default(),
             listed_since,
             id_hash: xxh3_64(listed.id.as_bytes()),
             listed,
@@ -105,9 +125,27 @@
             alive_at: None,
             own_link_at: None,
             notice: Rc::default(),
+            promised: Rc::default(),
         }
     }
 
+    /// Promises a place to a request.
+    pub(super) fn promise(&self) -> PromisedPlace {
+        self.promised.set(self.promised.get() + 1);
+        PromisedPlace(Rc::clone(&self.promised))
+    }
+
+    /// Returns the age of the last load report of any host; `None` if it is too old to count.
+    pub(super) fn report_age(&self, now: Tick) -> Option<Duration> {
+        let report = self.load.newest()?;
+        Some(now.since(report.measured_at)).filter(|age| *age < MAX_LOAD_AGE)
+    }
+
+    /// Returns the prompt tokens that this host has sent to the upstream and that it is assumed to have cached.
+    pub(super) fn cached_tokens(&self, prompt_parts: &[PromptPart], now: Tick) -> u64 {
+        self.cached.tokens(prompt_parts, now)
+    }
+
     pub(super) fn candidate(&self, index: usize, shared_key: u64, need: &UpstreamNeed<'_>, now: Tick) -> Candidate {
         // Without a recent report, each entry host is assumed to have sent as much as this one.
         let estimated = f64::from(self.own_requests) * f64::from(need.entry_hosts.clamp(1, 4));
@@ -116,11 +154,11 @@
         let slowness = self.relative_speed.factor() * self.pace(now).factor;
         Candidate {
             index,
-            load: predicted.reported.unwrap_or(estimated),
+            load: predicted.reported.unwrap_or(estimated) + f64::from(self.promised.get()),
             slots: f64::from(self.listed.slots.max(1)),
             cached: sent,
             sent,
-            weight: xxh3_64(&(self.id_hash ^ shared_key).to_le_bytes()),
+            weight: self.step.weigh(xxh3_64(&(self.id_hash ^ shared_key).to_le_bytes())),
             local: self.listed.zone == *need.zone,
             backlog_ms: self.queued_ms(now),
             doubt_ms: 0.0,
@@ -168,6 +206,7 @@
         self.record_alive(now);
         let first_event = self.backlog.first_event(backlog_id, now);
         let FirstEvent { sent, elapsed_ms } = first_event.filter(|first_event| first_event.sent.unqueued)?;
+        self.record_answer_time(sent.prefill, elapsed_ms / sent.pace.factor);
         self.learn_prefill(sent.prefill, elapsed_ms, sent.pace.factor);
         Some(PrefillSample {
             id: self.listed.id.clone(),
@@ -178,6 +217,16 @@
         })
     }
 
+    /// Records the time of an answer without the momentary pace, for the speed step that the leader decides.
+    fn record_answer_time(&mut self, prefill: PrefillWork, ms: f64) {
+        let mut service_rates = self.service_speed.rates_mut();
+        let rates = service_rates.rates();
+        let expected_ms = rates.base_ms + rates.prefill_ms(prefill);
+        self.answer_times
+            .get_mut()
+            .record(&mut service_rates.usual, ms, expected_ms);
+    }
+
     /// Learns the lasting speeds of the upstream and of its service from a prefill that found no other work, without the
     /// momentary pace that was expected when the request was sent.
     pub(super) fn learn_prefill(&mut self, prefill: PrefillWork, ms: f64, pace: f64) {
@@ -287,7 +336,7 @@
         self.gate.replaced_age(now).is_some_and(|age| age < DOUBT_TIME)
     }
 
-    /// Returns what other entry hosts should know of the upstream, if anything.
+    /// Returns what other entry hosts should know of the upstream, if anything. Answer times are told once.
     pub(super) fn observation(&self, now: Tick) -> Option<UpstreamObservation> {
         let fresh = self
             .last_report
@@ -303,8 +352,10 @@
         let told_leaving = self.gate.own_leaving_age(now).filter(|age| *age < MAX_LEAVING_AGE);
         let leaving = told_leaving.map(|_| self.listed.start);
         let pace = self.shared_pace(now);
+        let mut untold = self.answer_times.take();
+        let times = untold.take();
         let is_delayed = backlog_ms > 0 || overdue_ms > 0 || pace.is_some();
-        let is_news = load.is_some() || is_delayed || replaced || leaving.is_some();
+        let is_news = load.is_some() || is_delayed || replaced || leaving.is_some() || times.is_some();
         is_news.then(|| UpstreamObservation {
             id: self.listed.id.clone(),
             load,
@@ -313,6 +364,8 @@
             replaced,
             leaving,
             pace,
+            times,
+            step: None,
         })
     }
 }
--- a/crates/gateway/tests/fleet/engine.rs
+++ b/crates/gateway/tests/fleet/engine.rs
@@ -60,9 +60,19 @@
     cache: VecDeque<(u64, u64)>,
     /// Shared prompt tokens that were prefilled, and those that were cached.
     pub shared_tokens: (u64, u64),
+    /// Factor on the time of each step.
+    time_factor: f64,
 }
 
 impl Engine {
+    /// Creates an engine whose steps take `time_factor` times as long as usual.
+    pub fn new(time_factor: f64) -> Self {
+        Self {
+            time_factor,
+            ..Self::default()
+        }
+    }
+
     /// Adds a request to the queue.
     pub fn enqueue(&mut self, id: usize, prompt_parts: Vec<PromptPart>, output_left: u64) {
         self.waiting.push_back(Job {
@@ -81,8 +91,9 @@
         !self.waiting.is_empty() || !self.running.is_empty()
     }
 
-    /// Runs one step that begins at `now_ms`; returns its length in milliseconds and what it brings about.
-    pub fn step(&mut self, now_ms: f64) -> (f64, Vec<StepEvent>) {
+    /// Runs one step that begins at `now_ms` and takes `factor` times as long as usual; returns its length in
+    /// milliseconds and what it brings about.
+    pub fn step(&mut self, now_ms: f64, factor: f64) -> (f64, Vec<StepEvent>) {
         while self.running.len() < SLOTS {
             let Some(mut job) = self.waiting.pop_front() else {
                 break;
@@ -104,6 +115,7 @@
                 prefilling.push(job.id);
             }
         }
+        step_ms *= factor * self.time_factor;
         let end_ms = now_ms + step_ms;
         let mut events = Vec::new();
         for job in &mut self.running {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod cache;
 pub mod catalog_lag;
 pub mod divide;
+pub mod drain;
 pub mod fair;
 pub mod fetch;
 pub mod first_reads;
 pub mod fleet;
+pub mod home_speed;
 pub mod homes;
 pub mod isolation;
 pub mod lane;
@@ -35,13 +37,14 @@
 pub mod relays;
 pub mod rescue;
 pub mod retries;
-
+pub mod returns;
 pub mod rollout;
 pub mod room;
 pub mod route;
 pub mod send_gate;
 pub mod slots;
 pub mod sources;
+pub mod spread;
 mod time;
 pub mod urgency;
 
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -4,6 +4,8 @@
 //! twice too high, prompts queue up behind each other until all are late, and only half of the engines needed are
 //! ordered.
 
+use crate::home_speed::UsualTime;
+
 pub mod moment;
 
 /// Slot time of a request before any has ended, in milliseconds. It is that of a plain call, and short for a stream, so
@@ -133,6 +135,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SpeedEstimate {
     rates: EngineRates,
+    /// The usual answer time, relative to which the lasting speeds of upstreams are reported.
+    pub usual: UsualTime,
     step: Step,
 }
 
