--- a/crates/gateway/src/rate_reporter.rs
+++ b/crates/gateway/src/rate_reporter.rs
@@ -26,6 +26,7 @@
 impl RateReporter {
     /// Updates the metrics, and logs the rates that have changed.
     pub(crate) fn report(&self, upstreams: &Upstreams, logger: &Logger, now: Tick) {
+        gauge!("gentian_gateway_stepped_upstreams_count").set(upstreams.stepped_count() as f64);
         for (service, rates) in upstreams.all_rates() {
             let name = service.to_string();
             gauge!("gentian_gateway_read_tokens_per_ms", "service" => name.clone()).set(1.0 / rates.token_ms);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -382,6 +382,13 @@
             .map(|(service, speed)| (service, speed.borrow().rates()))
     }
 
+    /// Returns the number of upstreams whose lasting speed the homes of prompt parts follow.
+    #[must_use]
+    pub fn stepped_count(&self) -> usize {
+        let is_stepped = |upstream: &&Upstream| upstream.step != SpeedStep::default();
+        self.all.values().filter(is_stepped).count()
+    }
+
     /// Returns the learnt rates of a service; default rates if nothing was learnt.
     #[must_use]
     pub fn rates(&self, service: &ServiceName) -> EngineRates {
