Let the prediction choose while any upstream has room

Cause: a direct request left the home of its prompt's parts as soon as the home's slots were taken, although others had room, and read the parts again elsewhere. Change: a direct request is placed by its prediction up to twice the slots, as before, while any upstream has room; with none it waits. Requests that waited still go by the slots. The time of the first step counts once in logged predictions.

--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -94,7 +94,7 @@
             self.record_start(gateway, &chosen, None);
             return Ok(chosen);
         }
-        match self.choose_with_room(gateway, tried) {
+        match self.choose_unless_full(gateway, tried) {
             Ok(chosen) if !gateway.waiting.has_waiting(&self.service) => {
                 self.check_in_time(gateway, &chosen)?;
                 self.record_start(gateway, &chosen, None);
@@ -124,12 +124,15 @@
         tokens.map(|tokens| tokens.max_output)
     }
 
-    fn choose_with_room(&self, gateway: &Gateway, tried: &[String]) -> Result<ChosenUpstream, NoUpstream> {
+    fn choose_unless_full(&self, gateway: &Gateway, tried: &[String]) -> Result<ChosenUpstream, NoUpstream> {
         let origin = self.origin.borrow();
         let version = origin.as_ref().map(|origin| origin.version.as_str());
         let excluded = gateway.excluded(&self.service, tried);
         let need = self.need(gateway, &excluded, version);
-        gateway.upstreams.borrow().choose_with_room(&need, gateway.clock.now())
+        gateway
+            .upstreams
+            .borrow()
+            .choose_unless_full(&need, gateway.clock.now())
     }
 
     /// Checks that work which upstreams have before the request does not take so long that its caller leaves first. A
@@ -178,11 +181,11 @@
         if self.start.get().is_some() {
             return;
         }
-        let rates = gateway.upstreams.borrow().rates(&self.service);
+        // The prediction of a call without a prompt leaves out the call itself.
         let own_ms = if self.info.prompt_parts.is_empty() {
-            rates.run_ms
+            gateway.upstreams.borrow().rates(&self.service).run_ms
         } else {
-            rates.base_ms
+            0.0
         };
         let wait = match waited {
             None => Some(Duration::ZERO),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -165,6 +165,8 @@
 enum RoomBound {
     /// Its slots, and what ends before the next report arrives.
     Slots,
+    /// Twice its slots, while any upstream has room by its slots.
+    AnySlot,
     /// Twice its slots.
     Queue,
 }
@@ -235,6 +237,20 @@
         self.choose_within(need, RoomBound::Queue, now)
     }
 
+    /// Chooses an upstream while any of them would run the request at once. It may be one that queues it: a home that has
+    /// the prompt's parts can be worth the wait.
+    ///
+    /// # Errors
+    /// Returns why there is none.
+    pub fn choose_unless_full(&self, need: &UpstreamNeed<'_>, now: Tick) -> Result<ChosenUpstream, NoUpstream> {
+        let bound = if need.prompt_parts.is_empty() {
+            RoomBound::Queue
+        } else {
+            RoomBound::AnySlot
+        };
+        self.choose_within(need, bound, now)
+    }
+
     /// Chooses an upstream that runs the request at once, or as soon as one of those that have just ended is reported.
     /// Requests without a prompt end faster than reports arrive, so that the upstream may queue them.
     ///
@@ -260,16 +276,19 @@
         let shared_key = shared_key(need.prompt_parts);
         let indexed = usable.iter().enumerate();
         let candidates = indexed.map(|(at, upstream)| upstream.candidate(at, shared_key, need, now));
-        let mut candidates: Vec<Candidate> = candidates
-            .filter(|candidate| {
-                let report_age = match bound {
-                    RoomBound::Queue => None,
-                    RoomBound::Slots => usable[candidate.index].report_age(now),
-                };
-                let Candidate { load, slots, rates, .. } = candidate;
-                has_room(*load, *slots, report_age, rates.run_ms, USUAL_PACE)
-            })
-            .collect();
+        let takes = |candidate: &Candidate, report_age| {
+            let Candidate { load, slots, rates, .. } = candidate;
+            has_room(*load, *slots, report_age, rates.run_ms, USUAL_PACE)
+        };
+        let runs_now = |candidate: &Candidate| takes(candidate, usable[candidate.index].report_age(now));
+        let fits = |candidate: &Candidate| match bound {
+            RoomBound::Queue | RoomBound::AnySlot => takes(candidate, None),
+            RoomBound::Slots => runs_now(candidate),
+        };
+        let mut candidates: Vec<Candidate> = candidates.filter(fits).collect();
+        if bound == RoomBound::AnySlot && !candidates.iter().any(runs_now) {
+            return Err(NoUpstream::AllFull);
+        }
         let doubt_ms = self.replaced_share(need.service, now) * WASTED_ATTEMPT_MS;
         for candidate in &mut candidates {
             let proven = usable[candidate.index].is_proven(now);
--- a/crates/gateway/tests/promised_places.rs
+++ b/crates/gateway/tests/promised_places.rs
@@ -30,7 +30,14 @@
     upstreams
 }
 
-fn choose(upstreams: &Upstreams, prompt_parts: &[PromptPart], now: Tick) -> Result<ChosenUpstream, NoUpstream> {
+type Choice = fn(&Upstreams, &UpstreamNeed<'_>, Tick) -> Result<ChosenUpstream, NoUpstream>;
+
+fn choose_by(
+    choice: Choice,
+    upstreams: &Upstreams,
+    prompt_parts: &[PromptPart],
+    now: Tick,
+) -> Result<ChosenUpstream, NoUpstream> {
     let need = UpstreamNeed {
         service: &ServiceName::from("m"),
         prompt_parts,
@@ -43,7 +50,11 @@
         draw: 0.0,
         version: None,
     };
-    upstreams.choose_with_room(&need, now)
+    choice(upstreams, &need, now)
+}
+
+fn choose(upstreams: &Upstreams, prompt_parts: &[PromptPart], now: Tick) -> Result<ChosenUpstream, NoUpstream> {
+    choose_by(Upstreams::choose_with_room, upstreams, prompt_parts, now)
 }
 
 #[test]
@@ -68,6 +79,34 @@
     assert!(upstreams.promise("gone").is_none());
 }
 
+/// Guards against prompts that leave the home of their parts as soon as its slots are taken, while other upstreams have
+/// room, and against requests that are sent although none has.
+#[test]
+fn home_while_room() {
+    let prompt = [PromptPart { key: 1, tokens: 40_000 }];
+    let mut upstreams = engines(2);
+    let now = Tick::from_millis(1_000);
+    let chosen = choose(&upstreams, &prompt, now).expect("both are idle");
+    let home = upstreams.get_mut(&chosen.id).expect("it is listed");
+    let sent = home.record_sent(&prompt, &chosen, now);
+    home.record_end(sent, &chosen, now, now);
+    let later = Tick::from_millis(30_000);
+    home.update_load(SLOTS + 1, 0, later);
+    let unless_full = |upstreams: &Upstreams| choose_by(Upstreams::choose_unless_full, upstreams, &prompt, later);
+    assert_eq!(unless_full(&upstreams).map(|next| next.id).as_ref(), Ok(&chosen.id));
+    assert_ne!(
+        choose(&upstreams, &prompt, later).map(|next| next.id).as_ref(),
+        Ok(&chosen.id)
+    );
+    for id in ["u0", "u1"] {
+        upstreams
+            .get_mut(id)
+            .unwrap()
+            .update_load(SLOTS + 1, 0, later + Duration::from_millis(1));
+    }
+    assert_eq!(unless_full(&upstreams), Err(NoUpstream::AllFull));
+}
+
 /// Returns how many requests get a place.
 fn places(upstreams: &Upstreams, prompt_parts: &[PromptPart], now: Tick) -> usize {
     let mut promised = Vec::new();
