Take up what is learnt together only where upstreams report a pace

Change: timed prefills of other hosts, speed steps for homes and the spread of calls hold for services whose upstreams report a momentary pace, others are predicted and placed as before. The time of the first step is left out of the choice again and kept in the metric of predictions. Result: gateway/learnt_prefills::without_pace; all tests of the gateway pass.

--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -181,11 +181,12 @@
         if self.start.get().is_some() {
             return;
         }
-        // The prediction of a call without a prompt leaves out the call itself.
+        // The prediction leaves out what any upstream takes: the call itself, or the first step of an engine.
+        let rates = gateway.upstreams.borrow().rates(&self.service);
         let own_ms = if self.info.prompt_parts.is_empty() {
-            gateway.upstreams.borrow().rates(&self.service).run_ms
+            rates.run_ms
         } else {
-            0.0
+            rates.base_ms
         };
         let wait = match waited {
             None => Some(Duration::ZERO),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -131,9 +131,19 @@
     parts.get(index).map_or(0, |part| part.key)
 }
 
-/// Returns the upstream for a call without a prompt, and counts the choice.
-fn choose_for_call(candidates: &[Candidate], need: &UpstreamNeed<'_>, now: Tick) -> Option<Prediction> {
-    let prediction = choose_spread(candidates, need.entry_hosts, need.call_draw(now))?;
+/// Returns the upstream for a call without a prompt, and counts the choice. Calls are spread over upstreams that share their
+/// machines with others and say so; otherwise the lowest predicted time is taken.
+fn choose_for_call(
+    candidates: &[Candidate],
+    need: &UpstreamNeed<'_>,
+    reports_pace: bool,
+    now: Tick,
+) -> Option<Prediction> {
+    let prediction = if reports_pace {
+        choose_spread(candidates, need.entry_hosts, need.call_draw(now))?
+    } else {
+        choose(candidates, need.prompt_need(), 0.0)?
+    };
     let slot = if prediction.has_slot { "free" } else { "taken" };
     counter!("gentian_gateway_call_choices_total", "service" => need.service.to_string(), "slot" => slot).increment(1);
     Some(prediction)
@@ -306,7 +316,8 @@
         });
         assume_former_homes_cached(&mut candidates, need.shared_tokens(), listed_for, cached_within);
         let best = if need.prompt_parts.is_empty() {
-            choose_for_call(&candidates, need, now)
+            let reports_pace = usable.first().is_some_and(|upstream| upstream.reports_pace());
+            choose_for_call(&candidates, need, reports_pace, now)
         } else {
             choose(&candidates, need.prompt_need(), EQUAL_WITHIN_MS)
         };
@@ -465,10 +476,11 @@
         }
     }
 
-    /// Learns from prefills that other entry hosts have timed. Those of upstreams that are not listed here are left out.
+    /// Learns from prefills that other entry hosts have timed, at upstreams that report their pace. Those of others, and of
+    /// upstreams that are not listed here, are left out.
     pub fn learn_prefills(&mut self, samples: &[PrefillSample]) {
         for sample in samples.iter().filter(|sample| is_plausible(sample)) {
-            if let Some(upstream) = self.all.get_mut(&sample.id) {
+            if let Some(upstream) = self.all.get_mut(&sample.id).filter(|upstream| upstream.reports_pace()) {
                 let prefill = PrefillWork {
                     cached: sample.cached,
                     fresh: sample.fresh,
--- a/crates/gateway/src/upstreams/upstream.rs
+++ b/crates/gateway/src/upstreams/upstream.rs
@@ -200,14 +200,18 @@
     }
 
     /// Records the first event of a request, or its whole response. Returns the timed prefill if the request found no
-    /// other work at the upstream.
+    /// other work at the upstream, and upstreams of the service report their pace: these are uneven, so that hosts have to
+    /// learn their speeds together.
     pub fn record_first_event(&mut self, backlog_id: u64, now: Tick) -> Option<PrefillSample> {
         self.gate.breaker.succeeded();
         self.record_alive(now);
         let first_event = self.backlog.first_event(backlog_id, now);
         let FirstEvent { sent, elapsed_ms } = first_event.filter(|first_event| first_event.sent.unqueued)?;
-        self.record_answer_time(sent.prefill, elapsed_ms / sent.pace.factor);
         self.learn_prefill(sent.prefill, elapsed_ms, sent.pace.factor);
+        if !self.reports_pace() {
+            return None;
+        }
+        self.record_answer_time(sent.prefill, elapsed_ms / sent.pace.factor);
         Some(PrefillSample {
             id: self.listed.id.clone(),
             cached: sent.prefill.cached,
@@ -237,6 +241,12 @@
         service_rates.learn(prefill, ms / pace, self.relative_speed.factor());
     }
 
+    /// Returns whether upstreams of the service say how fast they are at the moment.
+    #[must_use]
+    pub fn reports_pace(&self) -> bool {
+        self.service_speed.trust().is_reported()
+    }
+
     /// Records that a request has ended.
     pub fn record_end(&mut self, backlog_id: u64, chosen: &ChosenUpstream, sent_at: Tick, now: Tick) {
         let run = now.since(sent_at);
--- a/crates/gateway/tests/learnt_prefills.rs
+++ b/crates/gateway/tests/learnt_prefills.rs
@@ -6,6 +6,7 @@
 use gateway::upstreams::Upstreams;
 use policy::Tick;
 use policy::pace::EngineRates;
+use policy::pace::moment::Pace;
 use wire::registry::PrefillSample;
 
 const ENGINES: u64 = 16;
@@ -29,6 +30,15 @@
     host
 }
 
+/// Returns a host of which one engine has reported its pace.
+fn paced_host() -> Upstreams {
+    let mut host = host();
+    let usual = Pace::from_hundredths(100.0).expect("the usual pace");
+    let engine = host.get_mut("i-0").expect("it is listed");
+    engine.record_pace(usual, Tick::default());
+    host
+}
+
 fn rates(host: &Upstreams) -> EngineRates {
     host.rates(&ServiceName::from("m"))
 }
@@ -52,7 +62,7 @@
 /// ordered, until it has timed enough prefills by itself.
 #[test]
 fn others_teach() {
-    let mut host = host();
+    let mut host = paced_host();
     let before = rates(&host).token_ms;
     host.learn_prefills(&fast_samples(150));
     let after = rates(&host).token_ms;
@@ -65,7 +75,7 @@
 /// Guards against samples that can't be true, and against those of engines that are not listed.
 #[test]
 fn odd_samples() {
-    let mut host = host();
+    let mut host = paced_host();
     let before = rates(&host);
     let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 0.0, 1e12];
     let mut samples = fast_samples(6);
@@ -79,3 +89,12 @@
     host.learn_prefills(&samples);
     assert_eq!(rates(&host), before);
 }
+
+/// Guards against a change for services whose engines report no pace: each host learns their speed by itself.
+#[test]
+fn without_pace() {
+    let mut host = host();
+    let before = rates(&host);
+    host.learn_prefills(&fast_samples(150));
+    assert_eq!(rates(&host), before);
+}
--- a/crates/gateway/tests/worst_load.rs
+++ b/crates/gateway/tests/worst_load.rs
@@ -115,7 +115,13 @@
         for kind in &mut load.kinds {
             kind.per_s *= 0.6;
         }
-        let report = replay(&load, 1);
+        let paces = EnginePaces {
+            share: 0.0,
+            slowed: 1.0,
+            redrawn_ms: 600.0,
+            is_reported: true,
+        };
+        let report = replay_paced(&load, paces, 1);
         report.kinds.iter().map(|outcome| outcome.paused).sum::<u32>()
     };
     let (uneven, equal) = (paused(&[0.7, 0.7, 1.7]), paused(&[1.0]));
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -174,10 +174,7 @@
     let prefill_ms = candidate.rates.prefill_ms(candidate.prefill(tokens));
     // Time until one of the slots becomes free; a crowded upstream may be full when the request arrives.
     let slot_ms = candidate.rates.run_ms / slots;
-    // The first step of an engine takes its time whatever the prompt.
-    let base_ms = if tokens == 0 { 0.0 } else { candidate.rates.base_ms };
-    let ms = base_ms
-        + prefill_ms * (1.0 + crowd)
+    let ms = prefill_ms * (1.0 + crowd)
         + (crowd * crowd + queued) * slot_ms
         + if candidate.local { 0.0 } else { DISTANCE_MS }
         + candidate.backlog_ms;
