Report the members of the state group, and why a node can't join

Where a member was refused the log said nothing: 'tried again at the next check'. The leader now logs each change of the members, a node that can't join and why, and has gauges for the voters, the voters that answer, and the age of a change that is not finished.

The decisions move out of the thread that owns the state into state::membership, which takes a Node, the announcements and the time, so that tests can drive it. What it decides is unchanged; group tests get hosts that announce themselves, lose their disks and move to other addresses.

--- a/crates/state/src/core/discovery.rs
+++ b/crates/state/src/core/discovery.rs
@@ -10,6 +10,7 @@
 
 use super::{Core, encode_snapshot};
 use crate::applied::AppliedState;
+use crate::membership::Announced;
 use crate::peers::{PeerBatch, PeerMessage};
 use crate::raft::{Body, Index, Member, MemberId, Members, Position, Snapshot, Term};
 
@@ -111,11 +112,15 @@
     }
 
     /// Iterates over the nodes that announce themselves, because their disk is blank or no leader contacts them.
-    pub(super) fn announced(&self, now: Tick) -> impl Iterator<Item = (MemberId, &NodeId, SocketAddr)> {
-        self.heard
-            .iter()
+    pub(super) fn announced(&self, now: Tick) -> impl Iterator<Item = Announced> {
+        let heard = self.heard.iter();
+        heard
             .filter(move |(_, heard)| heard.announced && now.since(heard.at) < ANNOUNCEMENT_TTL)
-            .map(|(address, heard)| (heard.id, &heard.hello.node, *address))
+            .map(|(address, heard)| Announced {
+                id: heard.id,
+                node: heard.hello.node.clone(),
+                address: *address,
+            })
     }
 
     fn add_reported(&mut self, known: &[SocketAddr]) {
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -31,8 +31,9 @@
 use crate::applied::{AppliedState, Command, LogEntry};
 use crate::disk::{DiskError, Folder};
 use crate::feed::CatalogFeed;
+use crate::membership::{AutoMembership, MemberEvent};
 use crate::peers::{PeerMessage, PeerSenders};
-use crate::raft::{Message, Node, Payload, Ready, Record, Restored, Timing};
+use crate::raft::{Members, Message, Node, Payload, Ready, Record, Restored, Timing};
 
 /// Most requests that are handled together; their log entries share a sync.
 const MAX_BATCH: usize = 1_024;
@@ -64,8 +65,13 @@
     current_at: Option<Tick>,
     /// Since when the node has led without a break; `None` while it does not lead.
     led_since: Option<Tick>,
-    /// When the members are checked next.
-    membership_check: Tick,
+    membership: AutoMembership,
+    /// The newest log line about a node that can't join.
+    logged_wait: Option<MemberEvent>,
+    /// The members as they were logged last.
+    logged_members: Option<Members>,
+    /// Since when a change of the members has been unfinished, as this node knows while it leads.
+    change_since: Option<Tick>,
     /// Writes that found no disk space, and when they are tried again.
     stalled_write: Option<(Ready, Tick)>,
     /// When a snapshot may be started next.
@@ -108,7 +114,10 @@
             logger,
             current_at: None,
             led_since: None,
-            membership_check: now,
+            membership: AutoMembership::default(),
+            logged_wait: None,
+            logged_members: None,
+            change_since: None,
             stalled_write: None,
             snapshot_retry: now,
             commit_due: false,
@@ -167,6 +176,7 @@
             self.pending.fail_all();
         }
         self.report_role(now);
+        self.report_members(now);
         let age = self.data_age(now);
         self.watchers.answer(&self.applied, age, now);
         self.answer_followers(age, now);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod feed;
 mod list_changes;
 pub mod lists;
+pub mod membership;
 pub mod notices;
 pub mod origins;
 pub mod peers;
--- a/crates/state/src/raft/leader.rs
+++ b/crates/state/src/raft/leader.rs
@@ -275,6 +275,24 @@
         Some(progress.last_ack.unwrap_or(leading.since))
     }
 
+    /// Returns the number of voters that have answered within the election timeout, the leader included; zero unless
+    /// the node leads.
+    #[must_use]
+    pub fn answering(&self, now: Tick) -> usize {
+        let leads = matches!(self.role, Role::Leader(_));
+        let voters = self.members().voters();
+        voters.filter(|id| leads && self.answers(*id, now)).count()
+    }
+
+    /// Returns whether a member has answered the leader within the election timeout.
+    pub(super) fn answers(&self, id: MemberId, now: Tick) -> bool {
+        let Role::Leader(leading) = &self.role else {
+            return false;
+        };
+        let last_ack = leading.others.get(&id).and_then(|progress| progress.last_ack);
+        id == self.id || last_ack.is_some_and(|at| now.since(at) < self.timing.election)
+    }
+
     /// Updates the replication progress table after a change of the members.
     pub(super) fn track_members(&mut self) {
         let next = self.log.last().index.next();
--- a/crates/state/tests/agreement.rs
+++ b/crates/state/tests/agreement.rs
@@ -3,7 +3,7 @@
 
 mod group;
 
-use group::{Group, History};
+use group::{Group, Histories, History};
 use quickcheck::{Gen, QuickCheck};
 
 const SEED: u64 = 20_261_202;
@@ -29,16 +29,6 @@
         .quickcheck(Histories(holds));
 }
 
-/// A property over seeds that is not shrunk, since a smaller seed is no simpler history.
-struct Histories<F>(F);
-
-impl<F: Fn(u64) -> bool + 'static> quickcheck::Testable for Histories<F> {
-    fn result(&self, choice: &mut Gen) -> quickcheck::TestResult {
-        let seed = quickcheck::Arbitrary::arbitrary(choice);
-        quickcheck::TestResult::from_bool((self.0)(seed))
-    }
-}
-
 /// Guards against committed records that are lost, such as a deposit. Messages are dropped, duplicated, delayed and
 /// reordered, processes die before their writes are synced or are paused, links fail in one direction, and clocks run
 /// at different rates.
--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -1,12 +1,15 @@
 //! A simulated group of Raft nodes, with a network and disks that fail.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use policy::Tick;
+use quickcheck::Gen;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use state::membership::{Announced, AutoMembership};
 use state::raft::{
     HardState, Index, Member, MemberId, Members, Message, Node, Payload, Position, Ready, Record, Restored, Snapshot,
     Term, Timing,
@@ -15,6 +18,9 @@
 const STEP_MS: u64 = 20;
 /// Length of the alternating phases with and without writes.
 const PHASE_MS: u64 = 3_000;
+/// Interval between two announcements of a node that is no member, and their lifetime.
+const ANNOUNCE_MS: u64 = 100;
+const ANNOUNCED_MS: u64 = 2_000;
 
 /// What a disk holds when its process dies.
 #[derive(Clone, Debug, Default)]
@@ -30,6 +36,10 @@
 struct Host {
     disk: Disk,
     node: Option<Node>,
+    address: SocketAddr,
+    membership: AutoMembership,
+    /// Newest announcement from each address, with its time.
+    heard: BTreeMap<SocketAddr, (u64, Announced)>,
     /// Local milliseconds per simulated one.
     rate: f64,
     started: u64,
@@ -54,6 +64,10 @@
     now: u64,
     hosts: Vec<Host>,
     in_flight: Vec<(u64, Message)>,
+    /// Announcements on their way, with the position of the receiver.
+    hellos: Vec<(u64, usize, Announced)>,
+    /// Whether leaders change the members by themselves.
+    automatic: bool,
     cut_links: BTreeSet<(usize, usize)>,
     faultless: bool,
     next_id: u64,
@@ -93,6 +107,9 @@
                 ..Disk::default()
             },
             node: None,
+            address: ([127, 0, 0, 1], n as u16).into(),
+            membership: AutoMembership::default(),
+            heard: BTreeMap::new(),
             rate: random.random_range(0.92..1.08),
             started: 0,
             paused_until: 0,
@@ -105,6 +122,8 @@
             now: 0,
             hosts,
             in_flight: Vec::new(),
+            hellos: Vec::new(),
+            automatic: false,
             cut_links: BTreeSet::new(),
             faultless: true,
             next_id,
@@ -120,6 +139,13 @@
         group
     }
 
+    /// Creates a group whose leaders change the members by themselves.
+    pub fn automatic(seed: u64, hosts: usize) -> Self {
+        let mut group = Self::new(seed, hosts);
+        group.automatic = true;
+        group
+    }
+
     /// Runs a history of faults, then a phase without faults in which everything must work again.
     pub fn run_history(&mut self, history: History) {
         self.faultless = false;
@@ -178,6 +204,63 @@
         self.start(n);
     }
 
+    /// Kills a host; its disk is kept.
+    pub fn kill(&mut self, n: usize) {
+        self.hosts[n].node = None;
+    }
+
+    /// Takes a host down and its disk away; it may have another address when it starts again.
+    pub fn lose(&mut self, n: usize, elsewhere: bool) {
+        let id = MemberId(self.random.random());
+        self.wiped += 1;
+        let host = &mut self.hosts[n];
+        host.node = None;
+        host.disk = Disk { id, ..Disk::default() };
+        if elsewhere {
+            host.address = ([127, 0, 1, 1], self.wiped as u16).into();
+        }
+    }
+
+    /// Starts a host unless it runs.
+    pub fn start_again(&mut self, n: usize) {
+        if self.hosts[n].node.is_none() {
+            self.start(n);
+        }
+    }
+
+    /// Has messages dropped and delayed until [`Group::settle`], if `faults` is set.
+    pub fn set_faults(&mut self, faults: bool) {
+        self.faultless = !faults;
+    }
+
+    /// Ends all faults and runs until all hosts are voters again.
+    ///
+    /// # Panics
+    /// Panics when that takes longer than `limit_ms`.
+    pub fn settle(&mut self, limit_ms: u64) {
+        self.faultless = true;
+        self.cut_links.clear();
+        for n in 0..self.hosts.len() {
+            self.hosts[n].paused_until = 0;
+            self.start_again(n);
+        }
+        let end = self.now + limit_ms;
+        while !self.is_repaired() {
+            let members = self.leader().and_then(|n| self.hosts[n].node.as_ref()).map(Node::members);
+            assert!(self.now < end, "not all are voters after {limit_ms} ms: {members:?}, {:?}", self.ids());
+            self.run(1);
+        }
+    }
+
+    fn ids(&self) -> Vec<MemberId> {
+        self.hosts.iter().map(|host| host.disk.id).collect()
+    }
+
+    /// Returns a random number below a limit.
+    pub fn draw(&mut self, limit: usize) -> usize {
+        self.random.random_range(0..limit)
+    }
+
     /// Returns whether the committed members are all voters and are exactly the hosts' current disks.
     pub fn is_repaired(&self) -> bool {
         let ids: BTreeSet<MemberId> = self.hosts.iter().map(|host| host.disk.id).collect();
@@ -195,6 +278,9 @@
 
     /// Asks the leader to replace a lost member by a blank host, or to add a removed member again.
     pub fn repair(&mut self) {
+        if self.automatic {
+            return;
+        }
         let Some(leader) = self.leader() else {
             return;
         };
@@ -288,10 +374,17 @@
             let now = self.local_time(n);
             if let Some(node) = self.running(n) {
                 node.tick(now);
+                self.maintain_members(n);
                 self.carry_out(n);
             }
         }
         let now = self.now;
+        for (_, n, hello) in self.hellos.extract_if(.., |(at, ..)| *at <= now) {
+            let host = &mut self.hosts[n];
+            if host.node.is_some() && host.paused_until <= now {
+                host.heard.insert(hello.address, (now, hello));
+            }
+        }
         let mut due: Vec<Message> = self
             .in_flight
             .extract_if(.., |(at, _)| *at <= now)
@@ -304,6 +397,34 @@
         self.check_leaders();
     }
 
+    /// Has a host announce itself if it is no member, and change the members if it leads.
+    fn maintain_members(&mut self, n: usize) {
+        if !self.automatic {
+            return;
+        }
+        let (now, local) = (self.now, self.local_time(n));
+        let host = &mut self.hosts[n];
+        host.heard.retain(|_, (at, _)| now - *at < ANNOUNCED_MS);
+        let heard: Vec<Announced> = host.heard.values().map(|(_, hello)| hello.clone()).collect();
+        let node = host.node.as_mut().unwrap();
+        host.membership.maintain(node, &heard, local);
+        let id = host.disk.id;
+        let announced = Announced {
+            id,
+            node: format!("n{n}").into(),
+            address: host.address,
+        };
+        let leader = self.leader().and_then(|n| self.hosts[n].node.as_ref());
+        let joins = leader.is_some_and(|node| !node.members().0.contains_key(&id));
+        if joins && self.now.is_multiple_of(ANNOUNCE_MS) {
+            for to in (0..self.hosts.len()).filter(|to| *to != n) {
+                if let Some(delay) = self.delay(n, to) {
+                    self.hellos.push((now + delay, to, announced.clone()));
+                }
+            }
+        }
+    }
+
     fn deliver(&mut self, message: Message) {
         let Some(n) = self.position(message.to) else {
             return;
@@ -363,17 +484,26 @@
         let Some(to) = self.position(message.to) else {
             return;
         };
-        if self.cut_links.contains(&(from, to)) || (!self.faultless && self.random.random_range(0..20) == 0) {
+        let Some(first) = self.delay(from, to) else {
             return;
+        };
+        self.in_flight.push((self.now + first, message.clone()));
+        if self.random.random_range(0..20) == 0
+            && let Some(second) = self.delay(from, to)
+        {
+            self.in_flight.push((self.now + second, message.clone()));
         }
-        let copies = if self.random.random_range(0..20) == 0 { 2 } else { 1 };
-        for _ in 0..copies {
-            let delay = match self.random.random_range(0..50) {
-                0 if !self.faultless => self.random.random_range(0..3_000),
-                _ => self.random.random_range(0..30),
-            };
-            self.in_flight.push((self.now + delay, message.clone()));
+    }
+
+    /// Returns how long a message is on its way; `None` if it is lost.
+    fn delay(&mut self, from: usize, to: usize) -> Option<u64> {
+        if self.cut_links.contains(&(from, to)) || (!self.faultless && self.random.random_range(0..20) == 0) {
+            return None;
         }
+        Some(match self.random.random_range(0..50) {
+            0 if !self.faultless => self.random.random_range(0..3_000),
+            _ => self.random.random_range(0..30),
+        })
     }
 
     /// Checks that no term has two leaders, no two nodes lead now, and each commit goes through a record of its term.
@@ -415,6 +545,8 @@
         let disk = host.disk.clone();
         host.hash = disk.snapshot.data[..].try_into().map_or(0, u64::from_le_bytes);
         host.started = self.now;
+        host.membership = AutoMembership::default();
+        host.heard.clear();
         let restored = Restored {
             id: disk.id,
             hard_state: disk.hard,
@@ -481,3 +613,13 @@
     let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
     bytes.iter().fold(hash.rotate_left(7) ^ record.at.term.0, fold)
 }
+
+/// A property over seeds that is not shrunk, since a smaller seed is no simpler history.
+pub struct Histories<F>(pub F);
+
+impl<F: Fn(u64) -> bool + 'static> quickcheck::Testable for Histories<F> {
+    fn result(&self, choice: &mut Gen) -> quickcheck::TestResult {
+        let seed = quickcheck::Arbitrary::arbitrary(choice);
+        quickcheck::TestResult::from_bool((self.0)(seed))
+    }
+}
