Keep the listed versions of services in the replicated state

Callers saw streams that broke off when all entry hosts were killed go on with 200 at another version, once the old one had left the list: the text was joined from two versions.

Cause: a stream whose origin nobody knows goes on anywhere if its service has one version. That there were several was remembered by each host itself, for a minute; a host that has just started takes the version that is left for the only one there was.

The leader now commits which versions are listed, before hosts hear of a list with another set, and state nodes tell hosts those of the last minute with the configuration, without which a host serves nobody. A host joins them with its own list, also where one version is exchanged for another between two reads. An unknown stream of such a service is refused as not run.

--- a/crates/gateway/benches/rollout.rs
+++ b/crates/gateway/benches/rollout.rs
@@ -58,6 +58,7 @@
             members: Vec::new(),
             leader: None,
             entry_hosts: 0,
+            versions: Vec::new(),
         };
         bytes += copy.apply_update(update, Duration::ZERO).expect("the transfer fits");
     }
--- a/crates/gateway/src/catalog_follower.rs
+++ b/crates/gateway/src/catalog_follower.rs
@@ -134,6 +134,10 @@
         self.sync.shared.near_node.store(Arc::new(Some(peer)));
         let age = Duration::from_millis(update.age_ms);
         self.adopt_share(update.entry_hosts);
+        // Before the configuration that lets callers in, so that the first of them finds the versions known.
+        let told_at = self.sync.clock.now();
+        let versions = update.versions.clone();
+        self.sync.shared.versions.lock().push((versions, told_at));
         self.node_newest = update.newest;
         let has_parts = !update.parts.is_empty();
         let applied = self.catalog.apply_update(update, elapsed);
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -24,6 +24,7 @@
 use policy::urgency::UrgencyGate;
 use slog::Logger;
 use telemetry::Clock;
+use wire::catalog::SeenVersion;
 use wire::registry::{
     BrittleNews, Heartbeat, LimitPart, PrefillSample, PrefillSamples, QuotaShare, RelayList, ServiceLoad,
     UpstreamObservation,
@@ -83,6 +84,9 @@
     pub new_list: Mutex<Option<(Vec<ListedUpstream>, Tick)>>,
     /// When the latest upstream list was requested.
     pub list_time: ArcSwap<Option<Tick>>,
+    /// Versions of services that the state group has seen on the list and that the event loop has not applied yet, with
+    /// the time at which they arrived.
+    pub versions: Mutex<Vec<(Vec<SeenVersion>, Tick)>>,
     /// Observations of upstreams by other entry hosts that the event loop has not applied yet, with the time at which
     /// they arrived.
     pub observations: Mutex<Option<(Vec<UpstreamObservation>, Tick)>>,
@@ -311,8 +315,16 @@
         }
     }
 
+    /// Applies the versions of services that the state group has seen.
+    pub(crate) fn apply_versions(&self) {
+        for (seen, told_at) in std::mem::take(&mut *self.shared.versions.lock()) {
+            self.upstreams.borrow_mut().record_seen_versions(&seen, told_at);
+        }
+    }
+
     /// Applies what the background threads have received, and fills in the next heartbeat.
     pub fn exchange_state(&self) {
+        self.apply_versions();
         if let Some((list, list_time)) = self.shared.new_list.lock().take() {
             let (ended, has_mixed) = {
                 let mut upstreams = self.upstreams.borrow_mut();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -72,6 +72,7 @@
             return Ok(None);
         }
         let begun = self.clock.now();
+        self.apply_versions();
         let stream = info.began_as.as_deref().map(|id| stream_key(account, id));
         let (origin, known) = match stream {
             Some(stream) => self.look_up(&stream, service).await,
--- a/crates/gateway/tests/catalog_transfer.rs
+++ b/crates/gateway/tests/catalog_transfer.rs
@@ -75,6 +75,7 @@
         members: Vec::new(),
         leader: None,
         entry_hosts: 0,
+        versions: Vec::new(),
     }
 }
 
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -3,7 +3,7 @@
 //! What two versions of an upstream write doesn't fit together. A caller names the try that brought the stream's first
 //! event, so each entry host tells some state nodes of the streams that began there; which nodes follows from the id alone.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,33 +95,43 @@
     nodes
 }
 
-/// When a service last had upstreams of several versions.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct VersionMix {
+/// Versions of a service that were listed lately.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
     /// When the versions were first known.
     first_at: Option<Tick>,
-    /// Whether there are several.
-    several: bool,
-    /// When there were last several, if there are not now.
-    ended_at: Option<Tick>,
+    /// Each version, with the time at which it left the list.
+    versions: HashMap<String, Option<Tick>>,
 }
 
-impl VersionMix {
-    /// Records how many versions are listed. Returns whether there are several, and were not before.
-    pub fn record(&mut self, versions: usize, now: Tick) -> bool {
+impl VersionHistory {
+    /// Records the versions that are listed now. Returns whether there are several, and were not before.
+    pub fn record(&mut self, listed: &HashSet<&str>, now: Tick) -> bool {
         self.first_at.get_or_insert(now);
         let was_mixed = self.is_mixed(now);
-        if self.several && versions < 2 {
-            self.ended_at = Some(now);
+        self.versions
+            .retain(|_, left_at| left_at.is_none_or(|at| now.since(at) < MEMORY_TIME));
+        for (version, left_at) in &mut self.versions {
+            if left_at.is_none() && !listed.contains(version.as_str()) {
+                *left_at = Some(now);
+            }
         }
-        self.several = versions > 1;
-        self.several && !was_mixed
+        let listed = listed.iter().map(|version| ((*version).to_owned(), None));
+        self.versions.extend(listed);
+        self.is_mixed(now) && !was_mixed
+    }
+
+    /// Records that a version was listed until a time, as others have seen.
+    pub fn record_seen(&mut self, version: &str, until: Tick) {
+        let left_at = self.versions.entry(version.to_owned()).or_insert(Some(until));
+        *left_at = left_at.map(|at| at.max(until));
     }
 
     /// Returns whether streams of several versions may be running, as far as is known.
     #[must_use]
     pub fn is_mixed(&self, now: Tick) -> bool {
-        self.several || self.ended_at.is_some_and(|at| now.since(at) < MEMORY_TIME)
+        let lately = |left_at: &&Option<Tick>| left_at.is_none_or(|at| now.since(at) < MEMORY_TIME);
+        self.versions.values().filter(lately).count() > 1
     }
 
     /// Returns whether streams of several versions may be running, also from before the versions were known here.
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -1,12 +1,13 @@
 //! What hosts and state nodes remember of the versions at which streams began.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use contract::{Fingerprint, ServiceName, StreamOrigin};
 use policy::Tick;
-use policy::origins::{ASKED, HOMES, MEMORY_TIME, StreamOrigins, VersionMix, home_nodes};
+use policy::origins::{ASKED, HOMES, MEMORY_TIME, StreamOrigins, VersionHistory, home_nodes};
 use quickcheck::quickcheck;
 
 fn stream(content: u64) -> Fingerprint {
@@ -83,15 +84,46 @@
 #[test]
 fn mixed_for_a_while() {
     let at = |ms| Tick::from_millis(ms);
-    let mut mix = VersionMix::default();
-    assert!(mix.may_be_mixed(at(0)));
-    assert!(!mix.record(1, at(0)));
-    assert!(!mix.is_mixed(at(1_000)) && mix.may_be_mixed(at(1_000)));
-    assert!(!mix.may_be_mixed(at(0) + MEMORY_TIME));
-    assert!(mix.record(2, at(70_000)));
-    assert!(!mix.record(2, at(71_000)), "it is news once");
-    assert!(mix.is_mixed(at(500_000)), "the list has not changed since");
-    mix.record(1, at(510_000));
-    assert!(mix.is_mixed(at(520_000)));
-    assert!(!mix.may_be_mixed(at(510_000) + MEMORY_TIME));
+    let [one, two] = [HashSet::from(["v1"]), HashSet::from(["v1", "v2"])];
+    let mut history = VersionHistory::default();
+    assert!(history.may_be_mixed(at(0)));
+    assert!(!history.record(&one, at(0)));
+    assert!(!history.is_mixed(at(1_000)) && history.may_be_mixed(at(1_000)));
+    assert!(!history.may_be_mixed(at(0) + MEMORY_TIME));
+    assert!(history.record(&two, at(70_000)));
+    assert!(!history.record(&two, at(71_000)), "it is news once");
+    assert!(history.is_mixed(at(500_000)), "the list has not changed since");
+    history.record(&one, at(510_000));
+    assert!(history.is_mixed(at(520_000)));
+    assert!(!history.may_be_mixed(at(510_000) + MEMORY_TIME));
+}
+
+/// Guards against streams that cross over where the list changed from one version to another between two reads.
+#[test]
+fn version_exchanged() {
+    let mut history = VersionHistory::default();
+    history.record(&HashSet::from(["v1"]), Tick::from_millis(0));
+    assert!(history.record(&HashSet::from(["v2"]), Tick::from_millis(1_000)));
+    assert!(history.is_mixed(Tick::from_millis(2_000)));
+    // A version that comes back is the same one.
+    let mut history = VersionHistory::default();
+    history.record(&HashSet::from(["v1"]), Tick::from_millis(0));
+    history.record(&HashSet::new(), Tick::from_millis(1_000));
+    assert!(!history.record(&HashSet::from(["v1"]), Tick::from_millis(2_000)));
+    assert!(!history.is_mixed(Tick::from_millis(2_000)));
+}
+
+/// Guards against a host that has just started and knows only the version that is left.
+#[test]
+fn versions_seen_by_others() {
+    let (left, now) = (Tick::from_millis(100_000), Tick::from_millis(110_000));
+    let mut history = VersionHistory::default();
+    history.record(&HashSet::from(["v2"]), now);
+    history.record_seen("v2", left);
+    assert!(!history.is_mixed(now));
+    history.record_seen("v1", left);
+    assert!(history.is_mixed(now));
+    history.record_seen("v1", Tick::from_millis(90_000));
+    assert!(history.is_mixed(left + MEMORY_TIME - Duration::from_millis(1)));
+    assert!(!history.is_mixed(left + MEMORY_TIME));
 }
--- a/crates/state/src/applied.rs
+++ b/crates/state/src/applied.rs
@@ -16,6 +16,7 @@
 use wire::state::{Claim, Claimed, Lease, Leased, Outcome, Propose, Proposed, Settle, Settled, Watched};
 
 use crate::uploads::{AddedPiece, Uploads};
+use crate::versions::{ListedVersions, SeenVersions};
 
 /// Configuration changes that are kept for followers of the configuration; one that lacks older ones gets all of it.
 const KEPT_RECORDS: usize = 256;
@@ -64,6 +65,8 @@
     Upload(Upload),
     /// Orders, reads or ends a rollout.
     Rollout(RolloutCall),
+    /// Records which versions of services are listed.
+    Versions(ListedVersions),
 }
 
 /// Request counts of one usage window.
@@ -131,7 +134,7 @@
     Fetched(Fetched),
     /// Result of [`Command::Usage`]: the counts to report.
     Usage(WindowUsage),
-    /// Result of [`Command::Sharers`].
+    /// Result of [`Command::Sharers`] and [`Command::Versions`].
     Stored,
     /// Result of [`Command::Rollout`].
     RolloutReply(RolloutReply),
@@ -186,6 +189,9 @@
     /// The newest rollout of each service. Snapshots hold it after all other fields.
     #[serde(skip)]
     pub rollouts: BTreeMap<ServiceName, Rollout>,
+    /// Versions of services that were listed lately. Snapshots hold them after the rollouts.
+    #[serde(skip)]
+    pub versions: SeenVersions,
 }
 
 type ClaimKey = (CustomerId, String);
@@ -233,6 +239,10 @@
             }
             Command::Upload(piece) => Reply::Uploaded(self.upload(piece)),
             Command::Rollout(call) => Reply::RolloutReply(self.rollout(call)),
+            Command::Versions(listed) => {
+                self.versions.record(listed, self.at_ms);
+                Reply::Stored
+            }
             Command::Fetch => Reply::Fetched(Fetched::Document(self.newest_document())),
         }
     }
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -187,6 +187,7 @@
         let leader = self.leader_address(now);
         let members = self.node.members();
         let newest = self.applied.catalog().map_or(0, |catalog| catalog.version);
+        let now_ms = self.log_time.now_ms(now);
         let common = || Followed {
             parts: Vec::new(),
             newest,
@@ -194,6 +195,7 @@
             members: members.0.values().map(|member| member.address).collect(),
             leader,
             entry_hosts: self.applied.sharers,
+            versions: self.applied.versions.recent(now_ms),
         };
         self.watchers
             .answer_followers(&self.applied, &mut self.feed, common, now);
@@ -303,7 +305,7 @@
         let reply = self.applied.apply_at(record.at.index.0, &entry);
         self.commit_due |= matches!(
             entry.command,
-            Command::Publish(_) | Command::Upload(_) | Command::Sharers(_)
+            Command::Publish(_) | Command::Upload(_) | Command::Sharers(_) | Command::Versions(_)
         );
         if let (Some(old), Some(new)) = (before, &self.applied.published)
             && !Arc::ptr_eq(&old, new)
@@ -364,6 +366,8 @@
     let mut data = postcard::to_stdvec(applied).expect("every part of the state can be encoded");
     let rollouts = postcard::to_stdvec(&applied.rollouts).expect("every rollout can be encoded");
     data.extend_from_slice(&rollouts);
+    let versions = postcard::to_stdvec(&applied.versions).expect("every version can be encoded");
+    data.extend_from_slice(&versions);
     data
 }
 
@@ -373,9 +377,13 @@
     }
     let codec_error = |source| DiskError::Codec { source };
     let (mut applied, rest): (AppliedState, _) = postcard::take_from_bytes(data).map_err(codec_error)?;
-    // Snapshots of earlier releases end here.
+    // Snapshots of earlier releases end here, or after the rollouts.
     if !rest.is_empty() {
-        applied.rollouts = postcard::from_bytes(rest).map_err(codec_error)?;
+        let (rollouts, rest) = postcard::take_from_bytes(rest).map_err(codec_error)?;
+        applied.rollouts = rollouts;
+        if !rest.is_empty() {
+            applied.versions = postcard::from_bytes(rest).map_err(codec_error)?;
+        }
     }
     Ok(applied)
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod settings;
 mod shared_observations;
 pub mod uploads;
+pub mod versions;
--- a/crates/state/src/lists.rs
+++ b/crates/state/src/lists.rs
@@ -12,8 +12,10 @@
 use tokio::sync::oneshot;
 use upstream::directory::Directory;
 
+use crate::applied::Command;
 use crate::core::{Leadership, StateRequest};
 use crate::registry::EntryRegistry;
+use crate::versions::{ListedVersions, listed_versions};
 
 /// Pause between two reads. A reclaim is announced 2.5 s before it takes effect; the list shows it up to a second late,
 /// and entry hosts hear of it with their next heartbeat. Half a second more would take a third of the time that is left
@@ -44,9 +46,10 @@
     pub fn start(mut self) -> std::io::Result<()> {
         let work = move || {
             let mut failures = 0;
+            let mut stored = None;
             loop {
                 if let Some(term) = self.leading_term() {
-                    self.read_list(term, &mut failures);
+                    self.read_list(term, &mut failures, &mut stored);
                 }
                 thread::sleep(READ_PAUSE);
             }
@@ -62,7 +65,8 @@
         lead.since.map(|_| lead.term)
     }
 
-    fn read_list(&mut self, term: u64, failures: &mut u32) {
+    /// `stored` is what this node stored last as the leader of a term.
+    fn read_list(&mut self, term: u64, failures: &mut u32, stored: &mut Option<(u64, ListedVersions)>) {
         let asked = self.clock.now();
         match self.directory.read() {
             Ok(list) => {
@@ -70,6 +74,11 @@
                     info!(self.logger, "list of upstreams is read again"; "tries" => *failures);
                 }
                 *failures = 0;
+                // Before entry hosts send streams to a new version, so that it is known wherever these go on.
+                let listed = (term, listed_versions(&list));
+                if stored.as_ref() != Some(&listed) && self.store_versions(term, &listed.1) {
+                    *stored = Some(listed);
+                }
                 self.registry.set_list(term, list, asked);
             }
             Err(error) => {
@@ -81,4 +90,22 @@
             }
         }
     }
+
+    /// Stores the listed versions in the replicated state; returns whether they were committed.
+    fn store_versions(&self, term: u64, versions: &ListedVersions) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let command = Box::new(Command::Versions(versions.clone()));
+        let sent = self.requests.try_send(StateRequest::Command(command, reply));
+        let stored = match sent.ok().and_then(|()| answer.blocking_recv().ok()) {
+            Some(Ok(_)) => Ok(()),
+            Some(Err(why)) => Err(why.to_string()),
+            None => Err("the node is stopping or overloaded".to_owned()),
+        };
+        match &stored {
+            Ok(()) => info!(self.logger, "listed versions stored"; "term" => term, "versions" => ?versions),
+            // They are stored with the next read.
+            Err(why) => warn!(self.logger, "listed versions not stored"; "term" => term, "error" => why),
+        }
+        stored.is_ok()
+    }
 }
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use contract::Catalog;
+use contract::{Catalog, ServiceName};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
@@ -217,4 +217,18 @@
     /// Number of entry hosts that share the quotas, as the group last stored it; zero if unknown.
     #[serde(default)]
     pub entry_hosts: u32,
+    /// Versions of services that were listed lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<SeenVersion>,
+}
+
+/// A software version of a service that the leader has seen on the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVersion {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// The version.
+    pub version: String,
+    /// Milliseconds since it left the list; zero while it is listed.
+    pub left_ms: u64,
 }
