Keep where streams began across a kill of the state nodes

When entry hosts and state nodes are killed together, nobody knows any more at which version a stream began, as state nodes kept it in memory only. With the versions in the replicated state such streams are refused, also where their version still serves: no stream could be taken up.

State nodes write what they are told to a file without a sync, on a thread of its own, and read it when they start. It survives the end of the process; after a loss of power streams that nobody knows are refused as before.

--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -26,6 +26,7 @@
 
 use crate::core::{Core, NodeConfig, StateRequest, request_channel};
 use crate::disk::{Folder, Limits};
+use crate::origins::OriginStore;
 use crate::peers::PeerSenders;
 use crate::registry::EntryRegistry;
 use crate::rpc::Rpc;
@@ -69,15 +70,16 @@
         let calls = RpcRuntime::start(2, CALL_TIMEOUT)?;
         let (requests, queue) = request_channel();
         let registry = Arc::new(EntryRegistry::new(slack));
+        let (node, listen) = (config.node.clone(), config.address);
+        let core_thread = start_core(config, data, &calls, queue, clock.clone(), logger, stop)?;
         let rpc = Rpc::new(
-            config.node.clone(),
+            node,
             requests.clone(),
             Arc::clone(&registry),
+            OriginStore::open(data, &clock, logger)?,
             clock.clone(),
             logger.clone(),
         );
-        let listen = config.address;
-        let core_thread = start_core(config, data, &calls, queue, clock.clone(), logger, stop)?;
         let mut methods = StateRpcServer::into_rpc(rpc.clone());
         methods.merge(CatalogRpcServer::into_rpc(rpc.clone()))?;
         methods.merge(RaftRpcServer::into_rpc(rpc))?;
--- a/crates/state/src/rpc.rs
+++ b/crates/state/src/rpc.rs
@@ -62,6 +62,7 @@
         node: NodeId,
         requests: Sender<StateRequest>,
         registry: Arc<EntryRegistry>,
+        origins: OriginStore,
         clock: Clock,
         logger: Logger,
     ) -> Self {
@@ -69,7 +70,7 @@
             node,
             requests,
             registry,
-            origins: Arc::default(),
+            origins: Arc::new(origins),
             clock,
             logger,
         }
