Found the state group with a majority of its seeds

Cause: the founder waited for a blank disk at every seed's address, and only the seed with the lowest address founded. A node that hears nothing can't tell a lost seed from one that has founded another group with the rest.

Manual membership forms as before: there nobody says that it is the first start.

platform/state_group::lost_seed, each seed in turn, on: lost_seed: timed out waiting for an acknowledgement after: passed. state/founding::one_group found a fault of the test itself (a wiped seed that founds again, which the settings rule out) and passes with 3000 histories, once with 10000 in a release build.

--- a/crates/state/src/core/discovery.rs
+++ b/crates/state/src/core/discovery.rs
@@ -7,12 +7,13 @@
 use contract::NodeId;
 use policy::Tick;
 use serde::{Deserialize, Serialize};
+use slog::info;
 
 use super::{Core, encode_snapshot};
 use crate::applied::AppliedState;
 use crate::membership::Announced;
 use crate::peers::{PeerBatch, PeerMessage};
-use crate::raft::{Body, Index, Member, MemberId, Members, Position, Snapshot, Term};
+use crate::raft::{Body, Index, Member, MemberId, Members, Node, Position, Snapshot, Term};
 
 /// Interval between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,6 +21,13 @@
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(2);
 /// Time without a leader after which a member announces itself again; longer than an election takes.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after its start from which a seed founds the group without seeds that it has not heard from; the one with the
+/// next address waits as long again.
+const SEED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a founder waits for all seeds once a majority lets it found the group.
+const FOUNDING_WAIT: Duration = Duration::from_millis(300);
+/// Interval between two tries to found the group.
+const FOUNDING_INTERVAL: Duration = Duration::from_secs(1);
 /// Most addresses that are sent or kept; more than the largest deployment has state nodes, old addresses included.
 const MAX_KNOWN_NODES: usize = 64;
 
@@ -83,12 +91,17 @@
     /// Addresses that other nodes have announced.
     reported: BTreeSet<SocketAddr>,
     next_announcement: Tick,
+    started: Tick,
+    /// When this node last asked to found the group.
+    asked_founding: Option<Tick>,
 }
 
 impl Discovery {
-    pub(super) const fn new(own_id: MemberId) -> Self {
+    pub(super) const fn new(own_id: MemberId, started: Tick) -> Self {
         Self {
             own_id,
+            started,
+            asked_founding: None,
             heard: BTreeMap::new(),
             reported: BTreeSet::new(),
             next_announcement: Tick(Duration::ZERO),
@@ -156,20 +169,21 @@
             } else {
                 blank.get(address).copied()?
             };
-            Some((
-                id,
-                Member {
-                    node: node.clone(),
-                    address: *address,
-                    votes: true,
-                    replaces: None,
-                },
-            ))
+            Some((id, first_voter(node, *address)))
         };
         config.peers.iter().map(member).collect::<Option<_>>().map(Members)
     }
 }
 
+fn first_voter(node: &NodeId, address: SocketAddr) -> Member {
+    Member {
+        node: node.clone(),
+        address,
+        votes: true,
+        replaces: None,
+    }
+}
+
 impl Core {
     /// Announces the node if necessary, and forms the group if this node is the one to do so.
     pub(super) fn announce_and_bootstrap(&mut self, now: Tick) {
@@ -181,28 +195,84 @@
         for peer in self.known_nodes() {
             self.peers.send(peer, PeerMessage::Hello(hello.clone()));
         }
-        if !self.node.members().is_empty()
-            || matches!(self.config.membership, MembershipMode::Automatic { bootstrap: false })
-        {
+        if !self.node.members().is_empty() {
             return;
         }
+        match self.config.membership {
+            MembershipMode::Manual => self.form_group(now),
+            MembershipMode::Automatic { bootstrap: true } => self.found_group(now),
+            MembershipMode::Automatic { bootstrap: false } => {}
+        }
+    }
+
+    /// Forms the group of all configured nodes if this node is the one to do so.
+    fn form_group(&mut self, now: Tick) {
         // Only one node, the one with the lowest address, may decide on the first members: two nodes that decide
         // differently would form two groups.
         if self.config.peers.iter().min() == Some(&self.config.address)
             && let Some(members) = self.discovery.first_members(&self.config, now)
         {
-            let at = Position {
+            let first = Position {
                 term: Term(1),
                 index: Index(1),
             };
-            let mut applied = AppliedState::default();
-            applied.index = 1;
-            self.node.bootstrap(&Snapshot {
-                at,
-                members,
-                data: encode_snapshot(&applied).into(),
-            });
+            self.bootstrap(first, members);
+        }
+    }
+
+    /// Founds the group with the seeds that let this node do so, if a majority of all seeds does.
+    ///
+    /// The seed with the lowest address founds it as soon as all have announced themselves. Without some of them it waits
+    /// for a while, and the others longer, one after the other.
+    fn found_group(&mut self, now: Tick) {
+        let blank = self
+            .discovery
+            .blank(now)
+            .map(|(id, node, address)| (address, (id, node.clone())));
+        let mut blank: BTreeMap<SocketAddr, (MemberId, NodeId)> = blank.collect();
+        let own = (self.discovery.own_id, self.config.node.clone());
+        blank.insert(self.config.address, own);
+        blank.retain(|address, _| self.config.peers.contains(address));
+        let majority = self.config.peers.len() / 2 + 1;
+        if let Some((asked_at, granted)) = self.node.founding() {
+            let members = blank.iter().filter(|(_, (id, _))| granted.contains(id));
+            let members = members.map(|(address, (id, node))| (*id, first_voter(node, *address)));
+            let members = Members(members.collect());
+            let waited = now.since(asked_at) >= FOUNDING_WAIT;
+            if members.len() == self.config.peers.len() || (waited && members.len() >= majority) {
+                self.bootstrap(self.node.first_position(), members);
+                return;
+            }
         }
+        let Some(rank) = blank.keys().position(|address| *address == self.config.address) else {
+            return;
+        };
+        let is_whole = blank.len() == self.config.peers.len();
+        let patience = if is_whole { Duration::ZERO } else { SEED_TIMEOUT };
+        let begin = self.discovery.started + patience + SEED_TIMEOUT * rank as u32;
+        let again = self.discovery.asked_founding.map_or(begin, |at| at + FOUNDING_INTERVAL);
+        if blank.len() < majority || now < begin.max(again) {
+            return;
+        }
+        self.discovery.asked_founding = Some(now);
+        let others: Vec<MemberId> = blank
+            .values()
+            .map(|(id, _)| *id)
+            .filter(|id| *id != self.node.id())
+            .collect();
+        info!(self.logger, "asks to found the group"; "seeds" => self.config.peers.len(), "heard" => blank.len());
+        self.node.ask_founding(&others, now);
+    }
+
+    /// Makes this node the first member of a group that others join.
+    fn bootstrap(&mut self, at: Position, members: Members) {
+        let mut applied = AppliedState::default();
+        applied.index = at.index.0;
+        self.node.bootstrap(&Snapshot {
+            at,
+            members,
+            data: encode_snapshot(&applied).into(),
+        });
     }
 
     /// Handles a batch of messages from another node.
@@ -245,7 +315,7 @@
             return;
         }
         let first = self.node.snapshot();
-        if first.members.votes(from) && first.at.index == Index(1) {
+        if first.members.votes(from) && Node::is_first(first) {
             self.peers.send(address, PeerMessage::Form(first.clone()));
         } else if blank || !self.must_announce(now) {
             // Two members that both look for a leader would otherwise answer each other forever.
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -97,8 +97,11 @@
         let applied = decode_snapshot(&restored.snapshot.data)?;
         let now = clock.now();
         let seed = clock.now().0.as_nanos() as u64;
-        let discovery = Discovery::new(restored.id);
-        let node = Node::new(restored, Timing::default(), seed, now);
+        let discovery = Discovery::new(restored.id, now);
+        let mut node = Node::new(restored, Timing::default(), seed, now);
+        if matches!(config.membership, MembershipMode::Automatic { bootstrap: true }) {
+            node.allow_founding();
+        }
         Ok(Self {
             config,
             log_time: LogTime::new(applied.at_ms, now),
--- a/crates/state/src/raft/election.rs
+++ b/crates/state/src/raft/election.rs
@@ -34,6 +34,7 @@
             // The answer has no echo of the sender's clock. When it arrives, the sender may lead in the newer term,
             // even with a restarted clock, and would take the echo for an acknowledgement of that term.
             Body::Append { .. } | Body::Part { .. } => self.queue_message(message.from, Body::Old),
+            Body::AskFounding => self.queue_message(message.from, Body::Founding { granted: false }),
             _ => {}
         }
     }
--- a/crates/state/src/raft/follower.rs
+++ b/crates/state/src/raft/follower.rs
@@ -130,9 +130,10 @@
 
     /// Makes a blank node a member of a new group whose first snapshot is given.
     ///
-    /// Does nothing on a node that already belongs to a group.
+    /// Does nothing on a node that already belongs to a group, or has let another one be founded in a newer term.
     pub fn bootstrap(&mut self, first: &Snapshot) {
-        if self.members().is_empty() && first.members.votes(self.id) && self.log.last().index < first.at.index {
+        let is_new = self.log.last().index < first.at.index && first.at.term >= self.hard_state.term;
+        if self.members().is_empty() && first.members.votes(self.id) && is_new {
             let bytes = first.data.to_vec();
             self.install_snapshot(IncomingSnapshot {
                 at: first.at,
--- a/crates/state/src/raft/message.rs
+++ b/crates/state/src/raft/message.rs
@@ -88,6 +88,13 @@
         /// Echo of the leader's clock.
         sent: u64,
     },
+    /// Asks a blank node to let the sender found the group in this term.
+    AskFounding,
+    /// Answers [`Body::AskFounding`].
+    Founding {
+        /// Whether the sender may found it.
+        granted: bool,
+    },
 }
 
 impl Body {
--- a/crates/state/src/raft/mod.rs
+++ b/crates/state/src/raft/mod.rs
@@ -6,6 +6,7 @@
 mod change;
 mod election;
 mod follower;
+mod founding;
 mod leader;
 mod log;
 mod member;
--- a/crates/state/src/raft/node.rs
+++ b/crates/state/src/raft/node.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::follower::IncomingSnapshot;
+use super::founding::Founding;
 use super::leader::LeaderState;
 use super::log::Log;
 use super::{
@@ -84,6 +85,9 @@
     /// Until when the node grants no vote.
     pub(super) vote_lockout: Tick,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
+    /// Whether the node, while it is blank, may take part in the founding of a group.
+    pub(super) may_found: bool,
+    pub(super) founding: Option<Founding>,
     /// Whether a snapshot was installed that was not handed out for writing yet.
     pub(super) snapshot_received: bool,
     /// Whether the hard state changed since it was last handed out for writing.
@@ -131,6 +135,8 @@
             // election timeout; a vote for another node in that time could make two leaders.
             vote_lockout: now + timing.election,
             incoming_snapshot: None,
+            may_found: false,
+            founding: None,
             snapshot_received: false,
             hard_changed: false,
             before_sync: Vec::new(),
@@ -266,6 +272,8 @@
             Body::Appended { matched, sent } => self.on_appended(from, matched, sent, now),
             Body::Rejected { hint, sent } => self.on_rejected(from, hint, sent, now),
             Body::Received { index, offset, sent } => self.on_received(from, index, offset, sent, now),
+            Body::AskFounding => self.on_ask_founding(from),
+            Body::Founding { granted } => self.on_founding(from, granted),
         }
     }
 
