Tell again where streams began when the state group names the second version

A running host that heard of a second version from a state node before its own list showed it took it for known, and never told where its earlier streams began. policy/stream_origins::versions_seen_by_others holds that it is news.

Also found while reading the change: members beyond the most voters counted as an unfinished change for ever, so that the gauge rose on groups of more than seven; and the founding of a group is split into its parts.

--- a/crates/gateway/src/upstreams/versions.rs
+++ b/crates/gateway/src/upstreams/versions.rs
@@ -10,24 +10,21 @@
 use super::Upstreams;
 
 impl Upstreams {
-    /// Records how many versions each service has.
+    /// Records which versions each service has.
     pub(super) fn record_versions(&mut self, now: Tick) {
-        let mut versions: HashMap<&ServiceName, HashSet<&str>> = HashMap::new();
+        let mut listed: HashMap<&ServiceName, HashSet<&str>> = HashMap::new();
         for upstream in self.all.values() {
-            let listed = &upstream.listed;
-            versions.entry(&listed.service).or_default().insert(&listed.version);
+            let upstream = &upstream.listed;
+            listed.entry(&upstream.service).or_default().insert(&upstream.version);
         }
-        // A service whose last upstream has left keeps its history.
-        for service in self.versions.keys() {
-            versions.entry(service).or_default();
+        for (service, history) in &mut self.versions {
+            if !listed.contains_key(service) {
+                history.record(&HashSet::new(), now);
+            }
         }
-        let listed: Vec<(ServiceName, HashSet<String>)> = versions
-            .into_iter()
-            .map(|(service, versions)| (service.clone(), versions.into_iter().map(str::to_owned).collect()))
-            .collect();
         for (service, versions) in listed {
-            let versions = versions.iter().map(String::as_str).collect();
-            self.has_mixed |= self.versions.entry(service).or_default().record(&versions, now);
+            let history = self.versions.entry(service.clone()).or_default();
+            self.has_mixed |= history.record(&versions, now);
         }
     }
 
@@ -36,7 +33,7 @@
         for version in seen {
             let until = told_at - Duration::from_millis(version.left_ms);
             let history = self.versions.entry(version.service.clone()).or_default();
-            history.record_seen(&version.version, until);
+            self.has_mixed |= history.record_seen(&version.version, until, told_at);
         }
     }
 
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -121,10 +121,12 @@
         self.is_mixed(now) && !was_mixed
     }
 
-    /// Records that a version was listed until a time, as others have seen.
-    pub fn record_seen(&mut self, version: &str, until: Tick) {
+    /// Records that a version was listed until a time, as others have seen. Returns as [`Self::record`] does.
+    pub fn record_seen(&mut self, version: &str, until: Tick, now: Tick) -> bool {
+        let was_mixed = self.is_mixed(now);
         let left_at = self.versions.entry(version.to_owned()).or_insert(Some(until));
         *left_at = left_at.map(|at| at.max(until));
+        self.is_mixed(now) && !was_mixed
     }
 
     /// Returns whether streams of several versions may be running, as far as is known.
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -119,11 +119,11 @@
     let (left, now) = (Tick::from_millis(100_000), Tick::from_millis(110_000));
     let mut history = VersionHistory::default();
     history.record(&HashSet::from(["v2"]), now);
-    history.record_seen("v2", left);
+    assert!(!history.record_seen("v2", left, now));
     assert!(!history.is_mixed(now));
-    history.record_seen("v1", left);
+    assert!(history.record_seen("v1", left, now));
     assert!(history.is_mixed(now));
-    history.record_seen("v1", Tick::from_millis(90_000));
+    assert!(!history.record_seen("v1", Tick::from_millis(90_000), now));
     assert!(history.is_mixed(left + MEMORY_TIME - Duration::from_millis(1)));
     assert!(!history.is_mixed(left + MEMORY_TIME));
 }
--- a/crates/state/src/core/discovery.rs
+++ b/crates/state/src/core/discovery.rs
@@ -225,45 +225,49 @@
     /// The seed with the lowest address founds it as soon as all have announced themselves. Without some of them it waits
     /// for a while, and the others longer, one after the other.
     fn found_group(&mut self, now: Tick) {
-        let blank = self
-            .discovery
-            .blank(now)
-            .map(|(id, node, address)| (address, (id, node.clone())));
-        let mut blank: BTreeMap<SocketAddr, (MemberId, NodeId)> = blank.collect();
-        let own = (self.discovery.own_id, self.config.node.clone());
-        blank.insert(self.config.address, own);
-        blank.retain(|address, _| self.config.peers.contains(address));
-        let majority = self.config.peers.len() / 2 + 1;
-        if let Some((asked_at, granted)) = self.node.founding() {
-            let members = blank.iter().filter(|(_, (id, _))| granted.contains(id));
-            let members = members.map(|(address, (id, node))| (*id, first_voter(node, *address)));
-            let members = Members(members.collect());
-            let waited = now.since(asked_at) >= FOUNDING_WAIT;
-            if members.len() == self.config.peers.len() || (waited && members.len() >= majority) {
-                self.bootstrap(self.node.first_position(), members);
-                return;
-            }
+        let blank = self.blank_seeds(now);
+        if let Some(members) = self.granted_members(&blank, now) {
+            self.bootstrap(self.node.first_position(), members);
+            return;
         }
         let Some(rank) = blank.keys().position(|address| *address == self.config.address) else {
             return;
         };
-        let is_whole = blank.len() == self.config.peers.len();
-        let patience = if is_whole { Duration::ZERO } else { SEED_TIMEOUT };
+        let (heard, seeds) = (blank.len(), self.config.peers.len());
+        let patience = if heard == seeds { Duration::ZERO } else { SEED_TIMEOUT };
         let begin = self.discovery.started + patience + SEED_TIMEOUT * rank as u32;
         let again = self.discovery.asked_founding.map_or(begin, |at| at + FOUNDING_INTERVAL);
-        if blank.len() < majority || now < begin.max(again) {
+        if heard <= seeds / 2 || now < begin.max(again) {
             return;
         }
         self.discovery.asked_founding = Some(now);
-        let others: Vec<MemberId> = blank
-            .values()
-            .map(|(id, _)| *id)
-            .filter(|id| *id != self.node.id())
-            .collect();
-        info!(self.logger, "asks to found the group"; "seeds" => self.config.peers.len(), "heard" => blank.len());
+        let ids = blank.values().map(|(id, _)| *id);
+        let others: Vec<MemberId> = ids.filter(|id| *id != self.node.id()).collect();
+        info!(self.logger, "asks to found the group"; "seeds" => seeds, "heard" => heard);
         self.node.ask_founding(&others, now);
     }
 
+    /// Returns the seeds whose disks are blank, this node included if it is a seed.
+    fn blank_seeds(&self, now: Tick) -> BTreeMap<SocketAddr, (MemberId, NodeId)> {
+        let own = (self.discovery.own_id, self.config.node.clone());
+        let mut seeds = BTreeMap::from([(self.config.address, own)]);
+        let announced = self.discovery.blank(now);
+        seeds.extend(announced.map(|(id, node, address)| (address, (id, node.clone()))));
+        seeds.retain(|address, _| self.config.peers.contains(address));
+        seeds
+    }
+
+    /// Returns the first members once all seeds, or after a while a majority, let this node found the group.
+    fn granted_members(&self, blank: &BTreeMap<SocketAddr, (MemberId, NodeId)>, now: Tick) -> Option<Members> {
+        let (asked_at, granted) = self.node.founding()?;
+        let members = blank.iter().filter(|(_, (id, _))| granted.contains(id));
+        let members = members.map(|(address, (id, node))| (*id, first_voter(node, *address)));
+        let members = Members(members.collect());
+        let (count, seeds) = (members.len(), self.config.peers.len());
+        let waited = now.since(asked_at) >= FOUNDING_WAIT;
+        (count == seeds || (waited && count > seeds / 2)).then_some(members)
+    }
+
     /// Makes this node the first member of a group that others join.
     fn bootstrap(&mut self, at: Position, members: Members) {
         let mut applied = AppliedState::default();
--- a/crates/state/src/core/membership.rs
+++ b/crates/state/src/core/membership.rs
@@ -2,7 +2,7 @@
 
 use metrics::gauge;
 use policy::Tick;
-use slog::{info, warn};
+use slog::info;
 
 use super::Core;
 use super::discovery::MembershipMode;
@@ -28,7 +28,7 @@
             MemberEvent::Waits(new, why) => {
                 // Checks are frequent; only a newcomer or a reason that was not logged last is news.
                 if self.logged_wait.as_ref() != Some(&event) {
-                    warn!(self.logger, "member can't join"; "member" => %new.id, "peer" => %new.node,
+                    info!(self.logger, "member can't join"; "member" => %new.id, "peer" => %new.node,
                         "address" => %new.address, "error" => %why);
                     self.logged_wait = Some(event);
                 }
@@ -40,12 +40,8 @@
     pub(super) fn report_members(&mut self, now: Tick) {
         let members = self.node.members();
         let leads = self.node.leads(now);
-        let unfinished = leads
-            && members
-                .0
-                .values()
-                .any(|member| !member.votes || member.replaces.is_some());
-        self.change_since = unfinished.then(|| self.change_since.unwrap_or(now));
+        let is_changing = leads && self.node.is_changing();
+        self.change_since = is_changing.then(|| self.change_since.unwrap_or(now));
         let age = self.change_since.map_or(0.0, |since| now.since(since).as_secs_f64());
         gauge!("gentian_state_change_age_seconds").set(age);
         gauge!("gentian_state_voters_count").set(members.voters().count() as f64);
--- a/crates/state/src/raft/change.rs
+++ b/crates/state/src/raft/change.rs
@@ -106,6 +106,14 @@
         Ok(self.append_members(members, now))
     }
 
+    /// Returns whether a change of the members has further steps.
+    #[must_use]
+    pub fn is_changing(&self) -> bool {
+        let has_room = self.members().voters().count() < MAX_VOTERS;
+        let mut all = self.members().0.values();
+        all.any(|member| member.replaces.is_some() || (!member.votes && has_room))
+    }
+
     /// Takes the next step of an unfinished change, once the previous step is committed.
     pub(super) fn continue_change(&mut self, now: Tick) {
         let Ok(members) = self.changeable_members() else {
