Wait for the bodies that are read, not for open requests, in slow_senders

Cause: the test waited until eight requests were open, but places for bodies are taken a little later, so that the ninth caller could get the place of the eighth.

--- a/crates/entry/src/callers/request_counts.rs
+++ b/crates/entry/src/callers/request_counts.rs
@@ -47,6 +47,12 @@
         increment(&self.requests, limit)
     }
 
+    /// Returns the number of requests whose bodies are being read.
+    #[must_use]
+    pub fn reading_bodies(&self) -> usize {
+        self.readers.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests that are being served.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/crates/entry/tests/clear_refusals.rs
+++ b/crates/entry/tests/clear_refusals.rs
@@ -216,11 +216,11 @@
         "POST /services/till/search HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 9000\r\n\r\nstart"
     );
     let mut slow: Vec<_> = (0..8).map(|_| send_raw(host.address, announced.as_bytes())).collect();
-    let answer = call(host.address, "GET", "/services/till/stock/7", &[], b"");
-    assert_eq!(answer.status, 200);
-    while host.entry.request_counts.open_requests() < 8 {
+    while host.entry.request_counts.reading_bodies() < 8 {
         std::thread::yield_now();
     }
+    let answer = call(host.address, "GET", "/services/till/stock/7", &[], b"");
+    assert_eq!(answer.status, 200);
     let ninth = read_response(send_raw(host.address, announced.as_bytes()));
     assert_refused(&ninth, 503, "overloaded");
     assert_eq!(ninth.header("Retry-After"), Some("1"));
