Bound what all callers together make an entry host hold

Callers saw: a host that ran out of memory ended, and every request on it with it. Before that, a host whose descriptors were in use answered nobody and reached no upstream.

Cause: each body was bounded by the configuration, and nothing bounded their sum. Bodies were read and kept until the caller's own deadline, also where the head already told that the request is refused; a request that was being sent held its body twice; answers that nobody read, connections, heads, probes, silent connections of other hosts and what the kernel receives for connections that aren't read had no bound at all.

Change: the connections of a listener share one account (policy::intake). They hold bytes before these are allocated and give them back when the request, the answer or the connection ends. When it is full, the connection that has waited for its peer for longest without progress is closed; if none has stalled, the one that asks for more gets 503, not run. Large requests leave half of the account to small ones, and one account of clients gets three quarters of what large ones get. Refused on the head: what has no key or no route, unless its body is short. Bodies are no longer copied to be sent, the receive buffer of the kernel is 64 KiB, a head in small pieces is parsed once, and ids in log lines have 256 bytes at most. The parsers of heads and bodies move to the new crate inbound, which operators' APIs will use as well.

Why this works: the sum of what is allocated for callers never exceeds a quarter of the memory limit, whatever the mix, and what has stalled gives way to what has not.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -249,7 +249,7 @@
             }
             return Err(error);
         }
-        let bytes = self.render(gateway, chosen, after, kv_copy);
+        let outgoing = self.render(gateway, chosen, after, kv_copy);
         if let Some(slot) = &slot {
             slot.record_end(SlotEnd::Abandoned);
         }
@@ -271,7 +271,7 @@
         });
         let backlog_id = self.record_sent(gateway, chosen);
         let attempt = self.new_attempt(gateway, chosen, backlog_id, (slot, !connection.is_relayed()));
-        let exchange = gateway.exchange((&self.service, &chosen.id), connection, &bytes, &self.info.id);
+        let exchange = gateway.exchange((&self.service, &chosen.id), connection, &outgoing, &self.info.id);
         let may_repeat = self.is_idempotent() && self.has_attempts_left();
         let response = tokio::select! {
             response = exchange => response,
@@ -427,7 +427,7 @@
                 AttemptError::Unknown { .. } => upstream.record_failure(now),
             }
         }
-        info!(gateway.logger, "attempt failed"; "request" => &self.info.id, "content" => %self.fingerprint(),
+        info!(gateway.logger, "attempt failed"; "request" => self.info.log_id(), "content" => %self.fingerprint(),
             "upstream" => &chosen.id,
             "address" => %chosen.address, "fate" => %error, "load" => chosen.load, "heard_ms" => heard_ms,
             "reused" => self.last_reused.get(), "relay" => self.last_relay.get().map(|host| host.to_string()),
--- a/crates/gateway/src/attempt_head.rs
+++ b/crates/gateway/src/attempt_head.rs
@@ -1,5 +1,6 @@
 //! Writes a request as an upstream gets it.
 
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::dialect::AttemptHeaders;
@@ -9,6 +10,18 @@
 use crate::response_head::{HEAD_CAPACITY, write_header};
 use crate::upstreams::ChosenUpstream;
 
+/// Longest body that is sent in one piece with its head.
+const MAX_JOINED_BYTES: usize = 8 * 1024;
+
+/// A request as an upstream gets it.
+#[derive(Debug)]
+pub struct OutgoingRequest {
+    /// Head, and the body unless that is long.
+    pub head: Vec<u8>,
+    /// A long body, which is not copied; empty otherwise.
+    pub body: Bytes,
+}
+
 impl Request {
     /// Writes the request for the upstream.
     pub(crate) fn render(
@@ -17,8 +30,10 @@
         chosen: &ChosenUpstream,
         after: Option<u64>,
         kv_copy: Option<&KvCopy>,
-    ) -> Vec<u8> {
-        let mut out = Vec::with_capacity(HEAD_CAPACITY + self.body.len());
+    ) -> OutgoingRequest {
+        let body = self.body.bytes.clone();
+        let is_joined = body.len() <= MAX_JOINED_BYTES;
+        let mut out = Vec::with_capacity(HEAD_CAPACITY + if is_joined { body.len() } else { 0 });
         let start = &self.head.start;
         for part in [&*start.method, b" ", &*start.target, b" HTTP/1.1\r\n"] {
             out.extend_from_slice(part);
@@ -40,12 +55,18 @@
         };
         gateway.codec.write(&mut out, &attempt);
         let bodyless = matches!(&*start.method, b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-        if !self.body.is_empty() || !bodyless {
-            write_header(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
+        if !body.is_empty() || !bodyless {
+            write_header(&mut out, b"Content-Length", body.len().to_string().as_bytes());
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&self.body);
-        out
+        if !is_joined {
+            return OutgoingRequest { head: out, body };
+        }
+        out.extend_from_slice(&body);
+        OutgoingRequest {
+            head: out,
+            body: Bytes::new(),
+        }
     }
 
     fn priority(&self) -> u8 {
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use contract::{RetryMode, Route};
+use inbound::intake::Lease;
+use inbound::request_reader::{Body, ReadError, RequestReader};
 use metrics::counter;
 use policy::quota::OverQuota;
 use slog::info;
@@ -13,12 +15,12 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::dialect::RequestInfo;
+use crate::answer_writer::write_bytes;
+use crate::dialect::{RequestInfo, log_text};
 use crate::head::{Framing, HeadError};
 use crate::refusal::Refusal;
 use crate::request::{Progress, Request};
-use crate::request_reader::{ReadError, RequestReader};
-use crate::server::{DRAIN_TIME, STOP_MARGIN, SYNC_INTERVAL, Server};
+use crate::server::{DRAIN_TIME, FULL_RETRY_AFTER, STOP_MARGIN, SYNC_INTERVAL, Server};
 
 /// Retry delay for a caller refused by a stopping host: by then the balancer sends it to another host.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -26,6 +28,8 @@
 const NOT_RESUMED_RETRY: Duration = Duration::from_millis(500);
 /// Shortest and longest retry delay for a caller over its quota, in seconds.
 const QUOTA_RETRY_S: (f64, f64) = (0.05, 30.0);
+/// Longest body that is read although its request is refused, so that the connection can be used again.
+const MAX_REFUSED_BODY_BYTES: u64 = 16 * 1024;
 /// Longest wait for a body whose caller sets no timeout.
 const DEFAULT_BODY_WAIT: Duration = Duration::from_secs(30);
 /// Longest time that a request waits for the first catalog, as a duration and as a share of its timeout. After a power
@@ -37,15 +41,18 @@
 
 impl Server {
     /// Serves the requests of one connection.
-    pub(crate) async fn serve_caller(self: Rc<Self>, stream: TcpStream) {
+    pub(crate) async fn serve_caller(self: Rc<Self>, stream: TcpStream, lease: Lease) {
         // If this fails, the connection is only slower.
         let _ = stream.set_nodelay(true);
         let (read_half, mut out) = stream.into_split();
-        let mut reader = RequestReader::new(read_half);
+        let Ok(mut reader) = RequestReader::new(read_half, lease.clone()) else {
+            return;
+        };
         counter!("gentian_gateway_connections_total").increment(1);
         while self.wait_request(&mut reader).await {
             self.active.set(self.active.get() + 1);
-            let state = self.serve_request(&mut reader, &mut out).await;
+            // Boxed, so that idle connections don't take the memory of a request.
+            let state = Box::pin(self.serve_request(&mut reader, &mut out, &lease)).await;
             self.active.set(self.active.get() - 1);
             match state {
                 ConnectionState::KeepAlive => {}
@@ -112,13 +119,24 @@
     }
 
     /// Serves one request.
-    async fn serve_request(&self, reader: &mut RequestReader, out: &mut OwnedWriteHalf) -> ConnectionState {
-        let request = match self.read_request(reader, out).await {
+    async fn serve_request(
+        &self,
+        reader: &mut RequestReader,
+        out: &mut OwnedWriteHalf,
+        lease: &Lease,
+    ) -> ConnectionState {
+        let request = match self.read_request(reader, out, lease).await {
             Ok(request) => request,
             Err(NotForwarded::CallerGone) => return ConnectionState::Gone,
             Err(NotForwarded::Refused(refusal, keep_alive)) => {
                 let close = refusal.close || !keep_alive;
-                if out.write_all(&refusal.render(close)).await.is_err() {
+                let rendered = refusal.render(close);
+                if lease.is_closed() {
+                    // The memory is needed now, so that the caller gets what fits without waiting.
+                    let _ = out.try_write(&rendered);
+                    return ConnectionState::Gone;
+                }
+                if write_bytes(out, &rendered, lease).await.is_err() {
                     return ConnectionState::Gone;
                 }
                 return if close {
@@ -133,7 +151,7 @@
             outcome = request.serve(&self.gateway, out) => outcome,
             () = reader.wait_closed() => {
                 counter!("gentian_gateway_callers_left_total").increment(1);
-                info!(self.gateway.logger, "caller left"; "request" => &request.info.id,
+                info!(self.gateway.logger, "caller left"; "request" => request.info.log_id(),
                     "after_ms" => request.arrived.elapsed().as_millis() as u64,
                     "sends" => request.progress.get().sends);
                 return ConnectionState::Gone;
@@ -151,6 +169,7 @@
         &self,
         reader: &mut RequestReader,
         out: &mut OwnedWriteHalf,
+        lease: &Lease,
     ) -> Result<Request, NotForwarded> {
         let gateway = &self.gateway;
         let limits = gateway
@@ -164,10 +183,10 @@
         let head = reader
             .read_head(limits.head_bytes, Duration::from_millis(limits.head_ms))
             .await;
-        let head = head.map_err(|reason| self.refuse_unreadable(&reason))?;
+        let head = head.map_err(|reason| self.refuse_unreadable(reason, ""))?;
         let framing = head
             .framing()
-            .map_err(|error| self.refuse_unreadable(&ReadError::Head(error)))?;
+            .map_err(|error| self.refuse_unreadable(ReadError::Head(error), ""))?;
         let keep_alive = head.keeps_alive() && self.stopping_since.get().is_none();
         if head.values("host").count() != 1 {
             return Err(self.refuse(Refusal::closing(400, "one host is needed"), "", keep_alive));
@@ -177,13 +196,26 @@
             Err(reason) => return Err(self.refuse(Refusal::closing(400, reason), "", keep_alive)),
         };
         let id = info.id.clone();
+        let head_held = lease.hold(head.size() + info.size());
+        let head_held = head_held.map_err(|full| self.refuse_unreadable(ReadError::Full(full), &id))?;
         self.wait_configured(info.timeout).await;
         let routed = gateway.route_request(&head, &info);
+        if let Ok((_, _, account)) = &routed {
+            lease.set_account(account.as_ref().map(|account| account.name.as_str()));
+        }
+        let routed = match routed {
+            // Nothing of a body is read whose request is refused anyway, unless it is short enough to go on after it.
+            Err(refusal) if !is_short(framing) => {
+                return Err(self.refuse(Refusal { close: true, ..refusal }, &id, false));
+            }
+            routed => routed,
+        };
         let expects_continue = head.has_token("expect", "100-continue");
         let deadline = arrived + info.timeout.unwrap_or(DEFAULT_BODY_WAIT);
         let body = self
             .read_body((reader, out), expects_continue, framing, limits.body_bytes, deadline)
-            .await?;
+            .await
+            .map_err(|reason| self.refuse_unreadable(reason, &id))?;
         let (route, service, account) = routed.map_err(|refusal| self.refuse(refusal, &id, keep_alive))?;
         if self.refuses_requests() && !self.ends_before_stop(&route) {
             let refusal = Refusal::closing(503, "not run: the host stops").with_retry_after(STOP_RETRY_AFTER);
@@ -208,6 +240,8 @@
             head,
             info,
             body,
+            lease: lease.clone(),
+            head_held,
             route,
             service,
             account,
@@ -237,12 +271,11 @@
         framing: Framing,
         max_bytes: usize,
         deadline: Instant,
-    ) -> Result<bytes::Bytes, NotForwarded> {
+    ) -> Result<Body, ReadError> {
         if expects_continue && out.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-            return Err(NotForwarded::CallerGone);
+            return Err(ReadError::Closed);
         }
-        let body = reader.read_body(framing, max_bytes, deadline).await;
-        body.map_err(|reason| self.refuse_unreadable(&reason))
+        reader.read_body(framing, max_bytes, deadline).await
     }
 
     /// Refuses a request that is over its account's quota.
@@ -254,7 +287,7 @@
         keep_alive: bool,
     ) -> NotForwarded {
         let wait = Duration::from_secs_f64(exceeded.wait_s.clamp(QUOTA_RETRY_S.0, QUOTA_RETRY_S.1));
-        info!(self.gateway.logger, "over quota"; "request" => &info.id, "account" => account,
+        info!(self.gateway.logger, "over quota"; "request" => info.log_id(), "account" => account,
             "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64, "held_back" => exceeded.held_back,
             "tokens" => info.tokens.map(|tokens| tokens.prompt + tokens.max_output),
             "entries" => self.gateway.entry_count());
@@ -262,7 +295,7 @@
         self.refuse(refusal, &info.id, keep_alive)
     }
 
-    fn refuse_unreadable(&self, reason: &ReadError) -> NotForwarded {
+    fn refuse_unreadable(&self, reason: ReadError, id: &str) -> NotForwarded {
         let refusal = match reason {
             ReadError::Closed => return NotForwarded::CallerGone,
             ReadError::Head(HeadError::TooLarge) => Refusal::closing(431, "the head is too large"),
@@ -270,20 +303,28 @@
             ReadError::MalformedBody => Refusal::closing(400, "the body is malformed"),
             ReadError::BodyTooLarge => Refusal::closing(413, "the body is too large"),
             ReadError::Timeout => Refusal::closing(408, "not run: the request did not come in time"),
+            ReadError::Full(full) => {
+                Refusal::closing(503, format!("not run: {full}")).with_retry_after(FULL_RETRY_AFTER)
+            }
         };
-        self.refuse(refusal, "", false)
+        self.refuse(refusal, id, false)
     }
 
     fn refuse(&self, refusal: Refusal, id: &str, keep_alive: bool) -> NotForwarded {
         counter!("gentian_gateway_refused_total", "status" => refusal.status.to_string()).increment(1);
         let version = self.gateway.shared.table.load().as_ref().map(|table| table.version());
-        info!(self.gateway.logger, "request refused"; "request" => id, "status" => refusal.status,
+        info!(self.gateway.logger, "request refused"; "request" => log_text(id), "status" => refusal.status,
             "why" => &refusal.reason,
             "retry_ms" => refusal.retry_after.map(|after| after.as_millis() as u64), "version" => version);
         NotForwarded::Refused(refusal, keep_alive)
     }
 }
 
+/// Returns whether a body is short enough to be read although its request is refused.
+const fn is_short(framing: Framing) -> bool {
+    matches!(framing, Framing::Length(length) if length <= MAX_REFUSED_BODY_BYTES)
+}
+
 /// What happens to a connection after a request.
 enum ConnectionState {
     KeepAlive,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -32,6 +32,38 @@
     pub shared_parts: Vec<PartId>,
 }
 
+/// Most bytes of a caller's text in a log line; the lines that wait to be written are in memory.
+const MAX_LOGGED_BYTES: usize = 256;
+
+/// Returns the beginning of a caller's text for a log line.
+#[must_use]
+pub fn log_text(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_LOGGED_BYTES)]
+}
+
+impl RequestInfo {
+    /// Returns the caller's id of this attempt for a log line.
+    #[must_use]
+    pub fn log_id(&self) -> &str {
+        log_text(&self.id)
+    }
+
+    /// Returns the id of the try that brought the stream's first event for a log line.
+    #[must_use]
+    pub fn log_began_as(&self) -> Option<&str> {
+        self.began_as.as_deref().map(log_text)
+    }
+
+    /// Returns the bytes that the contents take.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.id.len()
+            + self.began_as.as_ref().map_or(0, String::len)
+            + self.prompt_parts.capacity() * size_of::<PromptPart>()
+            + self.shared_parts.capacity() * size_of::<PartId>()
+    }
+}
+
 /// Size of a generation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenCounts {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,10 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
+use inbound::intake::Lease;
+use inbound::request_reader::{Body, reserve};
+use policy::intake::IntakeFull;
 use policy::send_gate::Hold;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::attempt_head::OutgoingRequest;
 use crate::body::{BodyDecoder, BodyError};
 use crate::dialect::{HeaderCodec, ResponseInfo};
 use crate::head::{self, Head, StatusLine};
@@ -122,7 +126,7 @@
 /// Returns what is certain about the request if no response to it arrives.
 pub async fn send_request(
     mut connection: Connection,
-    request: &[u8],
+    request: &OutgoingRequest,
     id: &str,
     codec: &dyn HeaderCodec,
     on_head: &mut dyn FnMut(&ResponseInfo),
@@ -149,7 +153,7 @@
 /// only later.
 async fn send_and_read(
     connection: &mut Connection,
-    request: &[u8],
+    request: &OutgoingRequest,
     id: &str,
     codec: &dyn HeaderCodec,
     on_head: &mut dyn FnMut(&ResponseInfo),
@@ -161,7 +165,10 @@
         ..
     } = connection;
     let (mut reader, mut writer) = stream.split();
-    let writing = writer.write_all(request);
+    let writing = async {
+        writer.write_all(&request.head).await?;
+        writer.write_all(&request.body).await
+    };
     tokio::pin!(writing);
     let mut request_sent = false;
     let mut write_failed = false;
@@ -332,22 +339,33 @@
         parsed
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body; the caller's connection holds the memory that it takes.
     ///
     /// # Errors
     /// Fails if the body is incomplete, or too long to be buffered.
-    pub async fn read_body(&mut self) -> Result<Bytes, AttemptError> {
-        let mut body = BytesMut::new();
+    pub async fn read_body(&mut self, lease: &Lease) -> Result<Body, AttemptError> {
+        let full = |full: IntakeFull| AttemptError::unknown(format!("no room for the answer: {full}"));
+        let mut held = lease.hold(0).map_err(full)?;
+        let mut bytes = Vec::new();
         loop {
             match self.next_chunk().await? {
-                BodyChunk::End => return Ok(body.freeze()),
-                BodyChunk::Bytes(part) if body.is_empty() && self.decoder.is_done() => return Ok(part),
-                BodyChunk::Bytes(part) => body.extend_from_slice(&part),
+                BodyChunk::End => break,
+                BodyChunk::Bytes(part) if bytes.is_empty() && self.decoder.is_done() => {
+                    return Ok(Body { bytes: part, held });
+                }
+                BodyChunk::Bytes(part) => {
+                    reserve(&mut bytes, part.len(), MAX_BODY_BYTES, &mut held).map_err(full)?;
+                    bytes.extend_from_slice(&part);
+                }
             }
-            if body.len() > MAX_BODY_BYTES {
+            if bytes.len() > MAX_BODY_BYTES {
                 return Err(AttemptError::unknown("the answer is too long"));
             }
         }
+        Ok(Body {
+            bytes: Bytes::from(bytes),
+            held,
+        })
     }
 
     /// Returns the connection with its idle timeout if it can carry another request.
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -21,7 +21,7 @@
         let mut hasher = Xxh3::new();
         let start = &self.head.start;
         // Lengths keep the end of one part from being taken for the beginning of the next.
-        for part in [&*start.method, &*start.target, &*self.body] {
+        for part in [&*start.method, &*start.target, &*self.body.bytes] {
             hasher.update(&part.len().to_le_bytes());
             hasher.update(part);
         }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -10,10 +10,12 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use contract::{ClientAccount, EngineSpec, ListedUpstream, NodeId, Quota, RelayHost, ServiceName, Zone};
+use inbound::intake::SharedIntake;
 use metrics::counter;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::catalog_lag;
+use policy::intake::HostBounds;
 use policy::isolation::Isolation;
 use policy::limits::DemandMeter;
 use policy::parts::Slack;
@@ -167,6 +169,8 @@
     pub relay: Option<SocketAddr>,
     /// Bounds of the requests that wait for upstreams.
     pub waiting: WaitingBounds,
+    /// Bounds of the connections of callers and others.
+    pub bounds: HostBounds,
 }
 
 /// State that all requests share.
@@ -221,6 +225,13 @@
     pub(crate) waiting: UpstreamQueue,
     /// Timeouts that callers have lately set.
     pub(crate) timeouts: RefCell<RecentTimeouts>,
+    /// Version of the catalog whose limits were last compared with the memory of the host.
+    pub(crate) checked_version: Cell<Option<u64>>,
+    /// What the connections of callers hold.
+    pub(crate) intake: SharedIntake,
+    /// What probes, scrapes and connections of other hosts hold.
+    pub(crate) probes: SharedIntake,
+    pub(crate) hosts: SharedIntake,
 }
 
 /// Exponentially decaying average of units per second.
@@ -283,6 +294,10 @@
         (clock, logger): (Clock, Logger),
     ) -> Self {
         let waiting = UpstreamQueue::new(settings.waiting);
+        let bounds = settings.bounds;
+        let intake = |name, bounds| SharedIntake::new(name, bounds, clock.clone(), logger.clone());
+        let (callers, probes) = (intake("callers", bounds.callers), intake("probes", bounds.probes));
+        let hosts = intake("hosts", bounds.hosts);
         Self {
             codec,
             shared,
@@ -312,6 +327,10 @@
             prefills: RefCell::default(),
             waiting,
             timeouts: RefCell::default(),
+            checked_version: Cell::default(),
+            intake: callers,
+            probes,
+            hosts,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,9 +3,9 @@
 //! One event loop serves all callers of an entry host. Background threads follow the state group and read the upstream
 //! list. Header names are left to an implementation of [`dialect::HeaderCodec`].
 
+mod answer_writer;
 pub mod attempt;
-mod attempt_head;
-pub mod body;
+pub mod attempt_head;
 mod caller_connection;
 pub mod catalog_copy;
 mod catalog_follower;
@@ -15,7 +15,7 @@
 pub mod exchange;
 mod fingerprint;
 pub mod gate;
-pub mod head;
+mod intake_report;
 pub mod lender;
 pub mod link;
 pub mod moving;
@@ -32,7 +32,6 @@
 pub mod refusal;
 pub mod relay;
 pub mod request;
-pub mod request_reader;
 mod response_head;
 pub mod rollouts;
 mod routing;
@@ -45,3 +44,5 @@
 pub mod upstreams;
 pub mod usage;
 pub mod waiting;
+
+pub use inbound::{body, head};
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -10,8 +10,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use contract::{EngineSpec, ServiceName};
 use derive_more::{Display, Error};
+use inbound::intake::Lease;
+use inbound::request_reader::Body;
 use metrics::counter;
 use policy::fetch::REMOTE_COPY_FACTOR;
 use policy::pace::{self, PrefillWork};
@@ -20,6 +23,7 @@
 use slog::info;
 use tokio::time::{Sleep, sleep, timeout};
 
+use crate::attempt_head::OutgoingRequest;
 use crate::dialect::KvCopyRequest;
 use crate::events::EventParser;
 use crate::exchange::AttemptError;
@@ -192,7 +196,7 @@
     ) {
         counter!("gentian_gateway_moves_failed_total").increment(1);
         self.failed_copies += 1;
-        info!(gateway.logger, "stream not moved"; "request" => &request.info.id, "upstream" => &self.source.id,
+        info!(gateway.logger, "stream not moved"; "request" => request.info.log_id(), "upstream" => &self.source.id,
             "error" => %error, "failed" => self.failed_copies);
         if matches!(state, MoveState::Copying(..)) && self.failed_copies < MAX_COPY_FAILURES {
             self.start_copy(request, gateway, parser);
@@ -227,7 +231,7 @@
             .then(|| self.choose_target(request, gateway))
             .flatten();
         let target_id = target.as_ref().map(|target| target.id.clone());
-        info!(gateway.logger, "upstream ends"; "request" => &request.info.id, "upstream" => &self.source.id,
+        info!(gateway.logger, "upstream ends"; "request" => request.info.log_id(), "upstream" => &self.source.id,
             "left_ms" => time_left.as_millis() as u64, "how" => %action, "to" => target_id,
             "events" => parser.event_count());
         let Some(target) = target else {
@@ -298,7 +302,7 @@
     ) -> CopyCall {
         let (source, target) = (self.source.clone(), target.address);
         let from = source.address;
-        let (gateway, service) = (Rc::clone(gateway), request.service.clone());
+        let (gateway, service, lease) = (Rc::clone(gateway), request.service.clone(), request.lease.clone());
         let copy_request = KvCopyRequest {
             source: from,
             request_id: request.info.id.clone(),
@@ -306,11 +310,15 @@
             stop_stream,
         };
         Box::pin(async move {
-            let response = timeout(COPY_TIMEOUT, request_copy(&gateway, &service, &source, &copy_request)).await;
+            let response = timeout(
+                COPY_TIMEOUT,
+                request_copy(&gateway, &service, &source, &copy_request, &lease),
+            )
+            .await;
             let (status, body) = response
                 .map_err(|_late| MoveError::Timeout { from })?
                 .map_err(|error| MoveError::Broken { from, error })?;
-            let handle = gateway.codec.copied(&body).filter(|_| status == 200);
+            let handle = gateway.codec.copied(&body.bytes).filter(|_| status == 200);
             handle.ok_or(MoveError::Refused { from, target, status })
         })
     }
@@ -339,7 +347,8 @@
     service: &ServiceName,
     source: &ChosenUpstream,
     copy_request: &KvCopyRequest,
-) -> Result<(u16, bytes::Bytes), AttemptError> {
+    lease: &Lease,
+) -> Result<(u16, Body), AttemptError> {
     let connection = gateway
         .dial(service, source, &copy_request.request_id, COPY_TIMEOUT)
         .await
@@ -347,11 +356,14 @@
             reason: error.to_string(),
         })?;
     gateway.claim_call(&source.id).map_err(AttemptError::Held)?;
-    let mut bytes = Vec::new();
-    gateway.codec.write_copy(&mut bytes, copy_request);
+    let mut outgoing = OutgoingRequest {
+        head: Vec::new(),
+        body: Bytes::new(),
+    };
+    gateway.codec.write_copy(&mut outgoing.head, copy_request);
     let mut response = gateway
-        .exchange((service, &source.id), connection, &bytes, &copy_request.request_id)
+        .exchange((service, &source.id), connection, &outgoing, &copy_request.request_id)
         .await?;
     let status = response.head.start.status;
-    Ok((status, response.read_body().await?))
+    Ok((status, response.read_body(lease).await?))
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -87,7 +87,7 @@
             None => Ok(None),
         };
         let version = found.as_ref().ok().and_then(Option::as_ref);
-        info!(self.logger, "stream is taken up"; "request" => &info.id, "began_as" => &info.began_as,
+        info!(self.logger, "stream is taken up"; "request" => info.log_id(), "began_as" => info.log_began_as(),
             "after" => info.last_event, "version" => version.map(|origin| origin.version.as_str()), "known" => known,
             "mixed" => is_mixed, "error" => found.as_ref().err().map(ToString::to_string),
             "took_ms" => now.since(begun).as_millis() as u64);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -171,7 +171,7 @@
             arrived: now - self.arrived.elapsed(),
             passed: self.passed,
             deadline: now + self.deadline.saturating_duration_since(Instant::now()),
-            bytes: self.body.len() + REQUEST_BYTES,
+            bytes: self.body.bytes.len() + REQUEST_BYTES,
         }
     }
 
@@ -366,7 +366,7 @@
             histogram!("gentian_gateway_predicted_wait_seconds", &labels).record(wait.as_secs_f64());
         }
         if self.may_log() {
-            info!(self.logger, "request waits"; "request" => &request.info.id,
+            info!(self.logger, "request waits"; "request" => request.info.log_id(),
                 "account" => request.account.as_ref().map(|account| account.name.as_str()),
                 "route" => &request.route.name, "service" => %request.service, "place" => forecast.place,
                 "work_ahead" => forecast.work_ahead as u64,
@@ -382,7 +382,7 @@
         ];
         histogram!("gentian_gateway_wait_seconds", &labels).record(waited.as_secs_f64());
         if self.may_log() {
-            info!(self.logger, "request leaves the queue"; "request" => &request.info.id,
+            info!(self.logger, "request leaves the queue"; "request" => request.info.log_id(),
                 "waited_ms" => waited.as_millis() as u64,
                 "predicted_ms" => forecast.wait.map(|wait| wait.as_millis() as u64),
                 "outcome" => cause.map_or("started", WaitCause::label));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -117,7 +117,7 @@
             Some(TryReply::Unavailable(_)) | None => own_trial(),
         });
         let wait_ms = outcome.err().map(|wait| wait.as_millis() as u64);
-        info!(self.logger, "request with a restricted prompt part"; "request" => &request.info.id,
+        info!(self.logger, "request with a restricted prompt part"; "request" => request.info.log_id(),
             "part_ids" => request.part_ids(), "leader" => reply.is_some(), "wait_ms" => wait_ms);
         outcome
     }
@@ -160,7 +160,7 @@
         if request.is_idempotent()
             && let Err(error) = recorded.await
         {
-            warn!(self.logger, "crash not recorded"; "request" => &request.info.id, "error" => %error);
+            warn!(self.logger, "crash not recorded"; "request" => request.info.log_id(), "error" => %error);
         }
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use inbound::reason_phrase;
 
 /// Longest retry delay as a share of the time left; with a longer one callers give up instead of trying again.
 pub(crate) const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
@@ -70,22 +71,3 @@
             .into_bytes()
     }
 }
-
-/// Returns the standard reason phrase of a status code.
-#[must_use]
-pub const fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Error",
-    }
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use inbound::intake::Lease;
 use metrics::{counter, gauge};
 use policy::relays::Relays;
 use serde::Serialize;
@@ -37,8 +38,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Time for which a relay waits for the other host to close after the upstream has.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Most connections that a host relays.
-const MAX_RELAYED: usize = 256;
 /// Buffer for each direction of a relayed connection.
 const BUFFER_BYTES: usize = 8 * 1024;
 
@@ -128,8 +127,11 @@
 }
 
 /// Passes on the connection of another host.
-pub(crate) async fn serve(gateway: Rc<Gateway>, mut stream: TcpStream) {
-    let received = timeout(HELLO_TIMEOUT, read_message::<RelayRequest>(&mut stream)).await;
+pub(crate) async fn serve(gateway: Rc<Gateway>, mut stream: TcpStream, lease: Lease) {
+    let hello = read_message::<RelayRequest>(&mut stream);
+    let Ok(received) = lease.wait_for_peer(timeout(HELLO_TIMEOUT, hello)).await else {
+        return;
+    };
     let request = match received.map_err(|late| RelayError::Io(late.into())).flatten() {
         Ok(request) => request,
         Err(error) => {
@@ -175,7 +177,7 @@
     if gateway.stopping.get() {
         return Err(RelayRefusal::Stopping);
     }
-    if gateway.relayed.get() > MAX_RELAYED {
+    if gateway.relayed.get() > gateway.settings.bounds.relayed {
         return Err(RelayRefusal::Full);
     }
     if gateway.is_isolated(&request.service) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,20 +5,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use contract::{ClientAccount, Fingerprint, PartId, RetryMode, Route, ServiceName, StreamOrigin};
+use inbound::intake::{Held, Lease};
+use inbound::request_reader::Body;
 use metrics::{counter, histogram};
 use policy::Tick;
 use policy::quarantine::parts::SOUND_TIME;
 use policy::retries::SendPermit;
 use rand::Rng;
 use slog::info;
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, timeout_at};
 use wire::slots::SlotEnd;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::answer_writer::{write_answer, write_bytes};
 use crate::attempt::{ActiveAttempt, TrialOutcome};
 use crate::dialect::RequestInfo;
 use crate::exchange::{AttemptError, UpstreamResponse};
@@ -44,7 +45,11 @@
     /// Contents of the headers that concern the gateway.
     pub info: RequestInfo,
     /// The whole body, without its framing.
-    pub body: Bytes,
+    pub body: Body,
+    /// What the caller's connection holds.
+    pub lease: Lease,
+    /// Memory of the head.
+    pub head_held: Held,
     /// Route that the request matched.
     pub route: Route,
     /// Service that the route's weights selected.
@@ -162,7 +167,9 @@
     /// Writes the entry host's own response, if that is the outcome.
     async fn send_refusal(&self, outcome: Outcome, out: &mut OwnedWriteHalf) -> Outcome {
         if let Outcome::Refused(refusal) = &outcome
-            && out.write_all(&refusal.render(!self.keep_alive)).await.is_err()
+            && write_bytes(out, &refusal.render(!self.keep_alive), &self.lease)
+                .await
+                .is_err()
         {
             return Outcome::Broken {
                 reason: "the caller is gone".to_owned(),
@@ -338,7 +345,7 @@
         if is_stream && (200..300).contains(&status) {
             return stream::forward_stream(self, gateway, out, response, attempt, tried).await;
         }
-        let body = match response.read_body().await {
+        let body = match response.read_body(&self.lease).await {
             Ok(body) => body,
             Err(error) => {
                 attempt.judge(TrialOutcome::Failed);
@@ -361,13 +368,12 @@
             attempt.judge(TrialOutcome::Succeeded);
         }
         drop(attempt);
-        let mut bytes = response_head(&response.head, Some(body.len()), self.keep_alive);
-        bytes.extend_from_slice(&body);
+        let head = response_head(&response.head, Some(body.bytes.len()), self.keep_alive);
         if let Some((connection, idle)) = response.into_reusable() {
             gateway.pool.borrow_mut().put(connection, idle);
         }
         self.record_output();
-        Ok(match out.write_all(&bytes).await {
+        Ok(match write_answer(out, head, &body.bytes, &self.lease).await {
             Ok(()) => Outcome::Passed { status },
             Err(error) => Outcome::Broken {
                 reason: format!("write to the caller: {error}"),
@@ -469,7 +475,7 @@
         let upstream = upstream.as_ref();
         let content = (label != "passed").then(|| self.fingerprint().to_string());
         let part_ids = (label != "passed").then(|| self.part_ids()).flatten();
-        info!(gateway.logger, "request ended"; "request" => &self.info.id, "outcome" => label, "why" => reason,
+        info!(gateway.logger, "request ended"; "request" => self.info.log_id(), "outcome" => label, "why" => reason,
             "content" => content,
             "account" => self.account.as_ref().map(|account| account.name.as_str()), "units" => self.quota_units as u64,
             "late" => late, "first_ms" => first_ms, "took_ms" => elapsed.as_millis() as u64,
@@ -477,7 +483,7 @@
             "arrivals" => self.progress.get().arrivals, "budgeted" => self.progress.get().budgeted,
             "upstream" => upstream.map(|upstream| upstream.id.as_str()),
             "at_version" => upstream.map(|upstream| upstream.version.as_str()),
-            "began_as" => &self.info.began_as, "after" => self.info.last_event,
+            "began_as" => self.info.log_began_as(), "after" => self.info.last_event,
             "relay" => self.last_relay.get().map(|host| host.to_string()),
             "load" => upstream.map(|upstream| upstream.load),
             "predicted_ms" => upstream.map(|upstream| upstream.prediction.ms as u64),
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -1,14 +1,15 @@
 //! Writes response heads for callers.
 
+use inbound::reason_phrase;
+
 use crate::head::{Head, StatusLine};
-use crate::refusal::reason_phrase;
 
 /// Initial buffer capacity for a message head; a larger head grows the buffer.
 pub(crate) const HEAD_CAPACITY: usize = 512;
 
 /// Writes the head of a response; without a length the body is chunked.
 pub(crate) fn response_head(head: &Head<StatusLine>, length: Option<usize>, keep_alive: bool) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(HEAD_CAPACITY + length.unwrap_or(0));
+    let mut bytes = Vec::with_capacity(HEAD_CAPACITY);
     let status = head.start.status;
     bytes.extend_from_slice(format!("HTTP/1.1 {status} ").as_bytes());
     if head.start.reason.is_empty() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,16 +9,20 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use inbound::intake::Lease;
+use inbound::listen::listen;
 use metrics::gauge;
+use policy::intake::{IntakeFull, Phase};
 use slog::{info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::gate::Gateway;
 use crate::head::{self, Head, RequestLine};
 use crate::rate_reporter::RateReporter;
+use crate::refusal::Refusal;
 use crate::relay;
 
 /// Interval at which the event loop exchanges state with the background threads.
@@ -35,6 +39,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest request head of a probe.
 const MAX_PROBE_HEAD_BYTES: usize = 8 * 1024;
+/// Retry delay for a caller that found no room; a connection that has stalled may be closed for another one by then.
+pub(crate) const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Pause after a connection could not be accepted, for instance for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -87,15 +93,15 @@
 
 impl Server {
     async fn serve(self: Rc<Self>, settings: ServerSettings) -> io::Result<()> {
-        let callers = bind(settings.callers)?;
-        let ready = bind(settings.ready)?;
+        let callers = listen(settings.callers, BACKLOG)?;
+        let ready = listen(settings.ready, BACKLOG)?;
         spawn_local(Rc::clone(&self).accept(ready, ListenerKind::Probe));
         if let Some(address) = settings.metrics {
-            spawn_local(Rc::clone(&self).accept(bind(address)?, ListenerKind::Probe));
+            spawn_local(Rc::clone(&self).accept(listen(address, BACKLOG)?, ListenerKind::Probe));
         }
         spawn_local(Rc::clone(&self).accept(callers, ListenerKind::Caller));
         if let Some(address) = self.gateway.settings.relay {
-            spawn_local(Rc::clone(&self).accept(bind(address)?, ListenerKind::Host));
+            spawn_local(Rc::clone(&self).accept(listen(address, BACKLOG)?, ListenerKind::Host));
         }
         info!(self.gateway.logger, "serving"; "callers" => %settings.callers, "ready" => %settings.ready);
         spawn_local(Rc::clone(&self.gateway).release_slots());
@@ -110,6 +116,7 @@
             self.gateway.fill_buckets();
             self.gateway.check_links();
             self.gateway.report_waiting();
+            self.gateway.report_intake();
             rate_reporter.report(
                 &self.gateway.upstreams.borrow(),
                 &self.gateway.logger,
@@ -152,10 +159,21 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let server = Rc::clone(&self);
-                    match kind {
-                        ListenerKind::Caller => drop(spawn_local(server.serve_caller(stream))),
-                        ListenerKind::Probe => drop(spawn_local(server.serve_probe(stream))),
-                        ListenerKind::Host => drop(spawn_local(relay::serve(Rc::clone(&server.gateway), stream))),
+                    let gateway = &self.gateway;
+                    let intake = match kind {
+                        ListenerKind::Caller => &gateway.intake,
+                        ListenerKind::Probe => &gateway.probes,
+                        ListenerKind::Host => &gateway.hosts,
+                    };
+                    match (kind, intake.open()) {
+                        (ListenerKind::Caller, Ok(lease)) => drop(spawn_local(server.serve_caller(stream, lease))),
+                        (ListenerKind::Caller, Err(full)) => refuse_connection(&stream, full),
+                        (ListenerKind::Probe, Ok(lease)) => drop(spawn_local(server.serve_probe(stream, lease))),
+                        (ListenerKind::Host, Ok(lease)) => {
+                            drop(spawn_local(relay::serve(Rc::clone(gateway), stream, lease)));
+                        }
+                        // The balancer, and the host that asked, try again on a new connection.
+                        (ListenerKind::Probe | ListenerKind::Host, Err(_full)) => {}
                     }
                 }
                 Err(error) => {
@@ -167,12 +185,20 @@
     }
 
     /// Answers a readiness probe or a metrics scrape.
-    async fn serve_probe(self: Rc<Self>, mut stream: TcpStream) {
+    async fn serve_probe(self: Rc<Self>, stream: TcpStream, lease: Lease) {
+        tokio::select! {
+            () = self.answer_probes(stream, &lease) => {}
+            () = lease.wait_closed() => {}
+        }
+    }
+
+    async fn answer_probes(&self, mut stream: TcpStream, lease: &Lease) {
         let mut buffer = BytesMut::new();
+        let mut deadline = Instant::now() + PROBE_TIMEOUT;
         loop {
             let head = match head::take_request(&mut buffer, MAX_PROBE_HEAD_BYTES) {
                 Ok(Some(head)) => head,
-                Ok(None) => match timeout(PROBE_TIMEOUT, stream.read_buf(&mut buffer)).await {
+                Ok(None) => match timeout_at(deadline, stream.read_buf(&mut buffer)).await {
                     Ok(Ok(count)) if count > 0 => continue,
                     _ => return,
                 },
@@ -183,9 +209,12 @@
                 "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if stream.write_all(response.as_bytes()).await.is_err() || !head.keeps_alive() {
+            let written = timeout(PROBE_TIMEOUT, stream.write_all(response.as_bytes())).await;
+            if !written.is_ok_and(|written| written.is_ok()) || !head.keeps_alive() {
                 return;
             }
+            lease.set_phase(Phase::Waiting);
+            deadline = Instant::now() + PROBE_TIMEOUT;
         }
     }
 
@@ -217,9 +246,9 @@
     Host,
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+/// Tells a caller that nothing was read of its request, as far as that fits without waiting.
+fn refuse_connection(stream: &TcpStream, full: IntakeFull) {
+    let refusal = Refusal::closing(503, format!("not run: {full}")).with_retry_after(FULL_RETRY_AFTER);
+    // The caller takes a connection that ends without an answer for one whose request was not read.
+    let _ = stream.try_write(&refusal.render(true));
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,15 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use inbound::intake::Lease;
 use metrics::counter;
 use slog::info;
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::timeout;
 
 use contract::RetryMode;
 use wire::slots::SlotEnd;
 
+use crate::answer_writer::write_bytes;
 use crate::attempt::{ActiveAttempt, TrialOutcome};
 use crate::events::{Event, EventError, EventParser};
 use crate::exchange::{AttemptError, BodyChunk, UpstreamResponse};
@@ -43,7 +44,11 @@
     let mut parser = EventParser::resume_after(request.info.last_event);
     let head = response_head(&response.head, None, request.keep_alive);
     let mut source = EventSource::new(response, attempt);
-    let mut sink = EventSink { out, head: Some(head) };
+    let mut sink = EventSink {
+        out,
+        lease: &request.lease,
+        head: Some(head),
+    };
     loop {
         let error = match forward_events(request, gateway, &mut source, &mut parser, &mut sink).await {
             Ok(()) => {
@@ -96,7 +101,7 @@
 /// Logs that a stream broke off after its first event.
 fn log_broken(request: &Request, gateway: &Gateway, error: &AttemptError, events: u64, has_copy: bool) {
     let upstream = request.last_upstream.borrow();
-    info!(gateway.logger, "stream broke off"; "request" => &request.info.id, "content" => %request.fingerprint(),
+    info!(gateway.logger, "stream broke off"; "request" => request.info.log_id(), "content" => %request.fingerprint(),
         "upstream" => upstream.as_ref().map(|upstream| upstream.id.as_str()),
         "version" => upstream.as_ref().map(|upstream| upstream.version.as_str()), "why" => %error, "events" => events,
         "copied" => has_copy, "resumable" => request.route.repeat == RetryMode::ResumableStream,
@@ -134,6 +139,7 @@
 /// The caller side of a stream.
 struct EventSink<'a> {
     out: &'a mut OwnedWriteHalf,
+    lease: &'a Lease,
     /// The response head until the first event is written.
     head: Option<Vec<u8>>,
 }
@@ -147,13 +153,13 @@
             bytes.extend_from_slice(&event.bytes);
         }
         bytes.extend_from_slice(b"\r\n");
-        self.out.write_all(&bytes).await
+        write_bytes(self.out, &bytes, self.lease).await
     }
 
     async fn end(&mut self) -> std::io::Result<()> {
         let mut bytes = self.head.take().unwrap_or_default();
         bytes.extend_from_slice(b"0\r\n\r\n");
-        self.out.write_all(&bytes).await
+        write_bytes(self.out, &bytes, self.lease).await
     }
 }
 
@@ -245,7 +251,7 @@
     {
         Ok((response, attempt)) if response.is_acceptable() && response.head.start.status == 200 => {
             counter!("gentian_gateway_streams_moved_total").increment(1);
-            info!(gateway.logger, "stream moved"; "request" => &request.info.id, "upstream" => &kv_copy.upstream.id,
+            info!(gateway.logger, "stream moved"; "request" => request.info.log_id(), "upstream" => &kv_copy.upstream.id,
                 "version" => &kv_copy.upstream.version,
                 "from" => %kv_copy.source, "after" => parser.last_id());
             Some(EventSource::new(response, attempt))
@@ -283,7 +289,7 @@
         match request.send_attempt(gateway, &chosen, parser.last_id(), None).await {
             Ok((response, attempt)) if response.is_acceptable() && response.head.start.status == 200 => {
                 counter!("gentian_gateway_streams_resumed_total").increment(1);
-                info!(gateway.logger, "stream resumed"; "request" => &request.info.id, "upstream" => &chosen.id,
+                info!(gateway.logger, "stream resumed"; "request" => request.info.log_id(), "upstream" => &chosen.id,
                     "version" => &chosen.version, "after" => parser.last_id());
                 return Some(EventSource::new(response, attempt));
             }
--- a/crates/gateway/src/upstream_news.rs
+++ b/crates/gateway/src/upstream_news.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 use wire::relay::{RelayRequest, RelayedNews};
 
+use crate::attempt_head::OutgoingRequest;
 use crate::dialect::{BackoffHint, ResponseInfo};
 use crate::exchange::{AttemptError, UpstreamResponse, send_request};
 use crate::gate::Gateway;
@@ -32,7 +33,7 @@
         &self,
         (service, upstream): (&ServiceName, &str),
         connection: Connection,
-        request: &[u8],
+        request: &OutgoingRequest,
         id: &str,
     ) -> Result<UpstreamResponse, AttemptError> {
         let sent_at = self.clock.now();
--- a/crates/gateway/tests/common/host.rs
+++ b/crates/gateway/tests/common/host.rs
@@ -18,6 +18,7 @@
 use gateway::waiting::WaitingBounds;
 use load::trial::process::free_address;
 use policy::Tick;
+use policy::intake::HostBounds;
 use policy::parts::Slack;
 use policy::retries::RetryBounds;
 use slog::{Discard, Logger, o};
@@ -136,6 +137,7 @@
                 source: None,
                 relay: Some(relay),
                 waiting,
+                bounds: HostBounds::of(256_000_000, 4_096),
             };
             let borrower = QuotaBorrower::new(NodeId::from("e"), Arc::clone(&shared));
             let log = (Clock::start(), Logger::root(Discard, o!()));
--- a/crates/gateway/src/head.rs
+++ b/crates/inbound/src/head.rs
@@ -5,6 +5,8 @@
 
 /// Most headers of a message; common servers allow about as many.
 const MAX_HEADERS: usize = 100;
+/// Bytes that end a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// One header.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,6 +69,13 @@
 }
 
 impl<S> Head<S> {
+    /// Returns the bytes that the headers take.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let sizes = self.headers.iter().map(|header| header.name.len() + header.value.len());
+        sizes.sum::<usize>() + self.headers.len() * size_of::<Header>()
+    }
+
     /// Returns the values of all headers with a name.
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         let headers = self.headers.iter();
@@ -190,6 +199,28 @@
     }
 }
 
+/// Finds out whether a head that arrives in small pieces has to be parsed again. Each byte is looked at once, so that a
+/// head costs no more the smaller its pieces are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeadScan {
+    scanned: usize,
+}
+
+impl HeadScan {
+    /// Returns whether the bytes after the last call may complete the head, or make it invalid.
+    pub fn may_parse(&mut self, buffer: &[u8], max_bytes: usize) -> bool {
+        let from = self.scanned.saturating_sub(HEAD_END.len() - 1);
+        let new = buffer.get(from..).unwrap_or(buffer);
+        // A line feed whose line began before the new bytes was looked at with the end of that line.
+        let is_malformed = has_bare_line_end(new.strip_prefix(b"\n").filter(|_| from > 0).unwrap_or(new));
+        let may_parse =
+            buffer.len() > max_bytes || is_malformed || new.windows(HEAD_END.len()).any(|bytes| bytes == HEAD_END);
+        // Parsing may take empty lines from the front.
+        self.scanned = if may_parse { 0 } else { buffer.len() };
+        may_parse
+    }
+}
+
 /// Takes a request's head from the front of a buffer; returns `None` while it is incomplete.
 ///
 /// # Errors
@@ -252,8 +283,8 @@
 }
 
 fn take_head(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Bytes>, HeadError> {
-    let end = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
-    let Some(end) = end.map(|index| index + 4) else {
+    let end = buffer.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END);
+    let Some(end) = end.map(|index| index + HEAD_END.len()) else {
         return if buffer.len() > max_bytes {
             Err(HeadError::TooLarge)
         } else if has_bare_line_end(buffer) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod home_speed;
 pub mod homes;
+pub mod intake;
 pub mod isolation;
 pub mod lane;
 pub mod life;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cli;
 pub mod cloud;
+pub mod crowd;
 pub mod engine;
 mod http;
 pub mod record;
