Serve the APIs of state nodes within an intake

Operators saw: 16 half uploads blocked the API of a node for good, since each of its eight threads waits for a body without a time-out; 64 uploads that lack one byte, or header lines without end, made a node take more than its machine has; connections that stayed took all descriptors, so that the node answered neither operators nor other nodes.

Cause: the library that parsed requests there bounds neither lines nor connections, and reads bodies on the thread that handles the request.

--- a/crates/state/src/admin/mod.rs
+++ b/crates/state/src/admin/mod.rs
@@ -23,8 +23,8 @@
 use access::{Caller, Permission};
 use answer::{problem, proposed, unavailable};
 
-/// Most bytes of a request body that are read.
-const MAX_BODY_BYTES: u64 = 1024 * 1024;
+/// Longest request body.
+pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Handler of the administration API.
 #[derive(Clone, Debug)]
@@ -220,7 +220,7 @@
     let mut text = String::new();
     let read = request
         .data()
-        .map(|data| data.take(MAX_BODY_BYTES).read_to_string(&mut text));
+        .map(|data| data.take(MAX_BODY_BYTES as u64).read_to_string(&mut text));
     if !matches!(read, Some(Ok(_))) {
         return Err(problem(400, "the body can't be read as text"));
     }
--- a/crates/state/src/cli.rs
+++ b/crates/state/src/cli.rs
@@ -26,6 +26,12 @@
     /// json or terminal
     #[argh(option)]
     pub log: Option<String>,
+    /// operators' connections at once
+    #[argh(option)]
+    pub connections: Option<String>,
+    /// megabytes that these connections hold at most
+    #[argh(option)]
+    pub intake_mb: Option<String>,
     /// check the settings and end
     #[argh(switch)]
     pub check_settings: bool,
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -1,18 +1,21 @@
 //! `gentian-state`: a node of gentianspring's replicated state.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use contract::settings::{self, SettingsReader};
-use crossbeam_channel::Sender;
+use inbound::api::{self, ApiSettings};
+use inbound::intake::SharedIntake;
+use policy::intake::IntakeBounds;
 use policy::parts::Slack;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
-use state::admin::Admin;
+use state::admin::{Admin, MAX_BODY_BYTES};
 use state::cli::Options;
-use state::core::{MembershipMode, NodeConfig, StateRequest};
+use state::core::{MembershipMode, NodeConfig};
 use state::program::StateNode;
 use state::settings::Settings;
 use telemetry::scrape::MetricsExporter;
@@ -46,10 +49,10 @@
         membership: MembershipMode::Manual,
     };
     let node = StateNode::start(me, &settings.data, Slack::default(), logger, &stop)?;
-    let admin = start_admin(settings, node.requests.clone(), scrape)?;
-    info!(logger, "serving"; "inner" => %settings.listen, "admin" => %admin.server_addr());
+    let admin = start_admin(settings, &node, scrape, logger)?;
+    info!(logger, "serving"; "inner" => %settings.listen, "admin" => %admin);
     while !stop.load(Ordering::Relaxed) {
-        admin.poll_timeout(Duration::from_millis(50));
+        std::thread::sleep(Duration::from_millis(50));
     }
     info!(logger, "stopping");
     let stopped = node.stop(&settings.data);
@@ -59,11 +62,19 @@
 
 fn start_admin(
     settings: &Settings,
-    requests: Sender<StateRequest>,
+    node: &StateNode,
     scrape: MetricsExporter,
-) -> anyhow::Result<rouille::Server<impl Fn(&rouille::Request) -> rouille::Response + Send + Sync + 'static>> {
-    let admin = Admin::new(requests, settings.operator.clone(), scrape);
-    let server = rouille::Server::new(settings.admin, move |request| admin.answer(request))
-        .map_err(|error| anyhow::anyhow!("listen on {}: {error}", settings.admin))?;
-    Ok(server.pool_size(ADMIN_THREADS))
+    logger: &Logger,
+) -> anyhow::Result<SocketAddr> {
+    let admin = Admin::new(node.requests.clone(), settings.operator.clone(), scrape);
+    let api_settings = ApiSettings {
+        address: settings.admin,
+        threads: ADMIN_THREADS,
+        max_body: MAX_BODY_BYTES,
+    };
+    let bounds = IntakeBounds::of_bytes(settings.intake, settings.connections);
+    let intake = SharedIntake::new("operators", bounds, node.clock.clone(), logger.clone());
+    let handler = Arc::new(move |request: &rouille::Request| admin.answer(request));
+    api::start(api_settings, intake, handler, logger.clone())
+        .map_err(|error| anyhow::anyhow!("listen on {}: {error}", settings.admin))
 }
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -65,9 +65,35 @@
     help: "How log lines are written.",
     secret: false,
 };
+const CONNECTIONS: Setting = Setting {
+    flag: "connections",
+    env: "GENTIAN_CONNECTIONS",
+    default: Some("256"),
+    allowed: "16 to 16384",
+    help: "Operators' connections at once.",
+    secret: false,
+};
+const INTAKE: Setting = Setting {
+    flag: "intake-mb",
+    env: "GENTIAN_INTAKE_MB",
+    default: Some("32"),
+    allowed: "8 to 1000000",
+    help: "Megabytes that these connections hold at most, half of them for large requests.",
+    secret: false,
+};
 
 /// Every setting of the program, in the order of the reference page.
-pub static ALL: [&Setting; 7] = [&NODE, &PEERS, &LISTEN, &ADMIN, &DATA, &OPERATOR_KEY, &LOG];
+pub static ALL: [&Setting; 9] = [
+    &NODE,
+    &PEERS,
+    &LISTEN,
+    &ADMIN,
+    &DATA,
+    &OPERATOR_KEY,
+    &LOG,
+    &CONNECTIONS,
+    &INTAKE,
+];
 
 /// Validated settings.
 #[derive(Clone, Debug)]
@@ -86,6 +112,10 @@
     pub operator: KeyHash,
     /// Format of log lines.
     pub log: Format,
+    /// Most connections of operators.
+    pub connections: usize,
+    /// Bytes that these connections hold at most.
+    pub intake: usize,
 }
 
 impl Settings {
@@ -108,6 +138,10 @@
         let key = sheet.read::<String>(&OPERATOR_KEY, options.operator_key.as_deref());
         let key = sheet.check(&OPERATOR_KEY, key, |key| key.len() >= 16);
         let log = sheet.read(&LOG, options.log.as_deref());
+        let connections = sheet.read(&CONNECTIONS, options.connections.as_deref());
+        let connections = sheet.check(&CONNECTIONS, connections, |count| (16..=16_384).contains(count));
+        let intake = sheet.read::<usize>(&INTAKE, options.intake_mb.as_deref());
+        let intake = sheet.check(&INTAKE, intake, |megabytes| (8..=1_000_000).contains(megabytes));
         sheet.finish()?;
         let settings = || {
             Some(Self {
@@ -118,6 +152,8 @@
                 data: data?,
                 operator: KeyHash::of(&key?),
                 log: log?,
+                connections: connections?,
+                intake: intake? * 1_000_000,
             })
         };
         settings().ok_or_else(ValidationErrors::default)
--- a/crates/state/tests/nodes/mod.rs
+++ b/crates/state/tests/nodes/mod.rs
@@ -33,12 +33,19 @@
     pub admin: Vec<SocketAddr>,
     pub client: StateClient,
     program: PathBuf,
+    /// Environment variables of the processes.
+    variables: Vec<(&'static str, &'static str)>,
     children: Vec<Option<Child>>,
 }
 
 impl Nodes {
     /// Starts a group and waits until it has a leader.
     pub fn start(program: &Path, count: usize) -> Self {
+        Self::start_with(program, count, &[])
+    }
+
+    /// Starts a group with some environment variables, like [`Self::start`].
+    pub fn start_with(program: &Path, count: usize, variables: &[(&'static str, &'static str)]) -> Self {
         let inner = own_addresses(count);
         let admin = own_addresses(count);
         let calls = RpcRuntime::start(2, Duration::from_secs(2)).unwrap();
@@ -51,6 +58,7 @@
             admin,
             client,
             program: program.to_owned(),
+            variables: variables.to_vec(),
             children,
         };
         (0..count).for_each(|n| nodes.run(n));
@@ -73,6 +81,7 @@
             .arg("--data")
             .arg(self.data(n))
             .env("GENTIAN_OPERATOR_KEY", KEY)
+            .envs(self.variables.iter().copied())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
