Bound what callers of the product's own interface make it hold

Callers saw: 120 bodies of 1 MiB without their last byte made gentian-entry take 167 MB (chunked: 171), header lines without end at its address for health checks 156, and as many idle connections as it has threads kept it from everybody else for a minute.

Bodies were bounded one by one, the first connections kept their threads however long they stayed idle, and the library behind health checks bounds no line.

A connection that is closed for another one is shut down, which wakes the thread that is blocked on it.

--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -35,7 +35,7 @@
         .bearer_key()
         .and_then(|key| view.account(key))
         .ok_or_else(Problem::unauthorized)?;
-    let chat = CheckedChat::parse(&caller.body(entry)?).map_err(Problem::bad_request)?;
+    let chat = CheckedChat::parse(&caller.body(entry, &contract.customer)?).map_err(Problem::bad_request)?;
     let model = &chat.request.model;
     if !view.config.upstreams.values().any(|spec| spec.serves_model(model)) {
         return Err(Problem::not_found(format!("no engine serves the model {model}")));
--- a/crates/entry/src/callers/http/connection.rs
+++ b/crates/entry/src/callers/http/connection.rs
@@ -1,11 +1,16 @@
 //! Reads requests from one connection of a caller.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use chunked_transfer::Decoder;
 use derive_more::{Display, Error, From};
+use inbound::head::HeadScan;
+use inbound::intake::{Held, Lease};
+use inbound::request_reader::reserve;
+use policy::intake::{IntakeFull, Phase};
 
 use super::{
     BODY_TIMEOUT, BodyLength, HEAD_TIMEOUT, Head, IDLE_TIMEOUT, InvalidHead, MAX_BODY_BYTES, MAX_HEAD_BYTES,
@@ -24,8 +29,18 @@
 /// A connection with a buffer of bytes that were read and not used yet.
 #[derive(Debug)]
 pub(in crate::callers) struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buffer: Vec<u8>,
+    lease: Lease,
+}
+
+/// A whole body, and the memory that it takes.
+#[derive(Debug)]
+pub(in crate::callers) struct Body {
+    /// The body without its framing.
+    pub(in crate::callers) bytes: Vec<u8>,
+    /// Memory of the body.
+    pub(in crate::callers) held: Held,
 }
 
 /// Why no complete request was received.
@@ -49,6 +64,8 @@
     /// The body ends early or its chunked encoding is invalid.
     #[display("the body can't be read: {_0}")]
     Body(io::Error),
+    /// There is no room for the request.
+    Full(IntakeFull),
 }
 
 impl Connection {
@@ -56,13 +73,22 @@
     ///
     /// # Errors
     /// Fails if a socket option can't be set.
-    pub(in crate::callers) fn new(stream: TcpStream) -> io::Result<Self> {
+    pub(in crate::callers) fn new(stream: TcpStream, lease: Lease) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
         stream.set_write_timeout(Some(SEND_TIMEOUT))?;
+        let stream = Arc::new(stream);
+        let weak = Arc::downgrade(&stream);
+        lease.on_close(move || {
+            // The thread of the connection finds its end, unless it has just ended anyway.
+            if let Some(stream) = weak.upgrade() {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
         Ok(Self {
             stream,
             buffer: Vec::new(),
+            lease,
         })
     }
 
@@ -71,13 +97,18 @@
     /// # Errors
     /// Fails if the caller closes the connection, sends too slowly or sends an invalid head.
     pub(in crate::callers) fn read_head(&mut self) -> Result<Head, ReadError> {
+        self.lease.set_phase(Phase::Waiting);
         if self.buffer.is_empty() {
             self.wait_for_request()?;
         }
         let started = Instant::now();
+        let mut scan = HeadScan::default();
         loop {
-            if let Some((head, length)) = Head::parse(&self.buffer)? {
+            if scan.may_parse(&self.buffer, MAX_HEAD_BYTES)
+                && let Some((head, length)) = Head::parse(&self.buffer)?
+            {
                 self.buffer.drain(..length);
+                self.lease.set_phase(Phase::Working);
                 return Ok(head);
             }
             if self.buffer.len() >= MAX_HEAD_BYTES {
@@ -88,7 +119,7 @@
             }
             match read_available(&self.stream, &mut self.buffer) {
                 Ok(0) => return Err(ReadError::Closed),
-                Ok(_) => {}
+                Ok(count) => self.lease.advance(count),
                 Err(error) if is_no_data(&error) => {}
                 Err(_) => return Err(ReadError::Closed),
             }
@@ -111,45 +142,43 @@
         }
     }
 
-    /// Reads the body that belongs to a head.
+    /// Reads the body that belongs to a head; `account` is the client account of the request.
     ///
     /// # Errors
-    /// Fails if the body is too long, arrives too slowly or ends early.
-    pub(in crate::callers) fn read_body(&mut self, head: &Head) -> Result<Vec<u8>, ReadError> {
-        if matches!(head.body_length, BodyLength::Bytes(length) if length > MAX_BODY_BYTES) {
-            return Err(ReadError::LongBody);
-        }
+    /// Fails if the body is too long, arrives too slowly or ends early, or if there is no room for it.
+    pub(in crate::callers) fn read_body(&mut self, head: &Head, account: &str) -> Result<Body, ReadError> {
+        let most = match head.body_length {
+            BodyLength::Bytes(length) if length > MAX_BODY_BYTES => return Err(ReadError::LongBody),
+            BodyLength::Bytes(length) => length as usize,
+            BodyLength::Chunked => MAX_BODY_BYTES as usize,
+        };
+        self.lease.set_account(Some(account));
+        self.lease.set_phase(Phase::Waiting);
         if head.expects_continue() {
-            (&self.stream)
+            (&*self.stream)
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .map_err(|_gone| ReadError::Closed)?;
         }
-        let mut reader = BodyReader {
+        let mut source = BodyReader {
             stream: &self.stream,
             buffer: &mut self.buffer,
+            lease: &self.lease,
             deadline: Instant::now() + BODY_TIMEOUT,
         };
-        let mut body = Vec::new();
-        let read = match head.body_length {
-            BodyLength::Bytes(length) => (&mut reader).take(length).read_to_end(&mut body),
-            BodyLength::Chunked => Decoder::new(&mut reader)
-                .take(MAX_BODY_BYTES + 1)
-                .read_to_end(&mut body),
+        let room = self.lease.hold(0)?;
+        let body = match head.body_length {
+            BodyLength::Bytes(length) => collect(&mut (&mut source).take(length), most, room)?,
+            BodyLength::Chunked => collect(&mut Decoder::new(&mut source), most, room)?,
         };
-        match read {
-            Err(error) if error.kind() == ErrorKind::TimedOut => return Err(ReadError::TimedOut(BODY_TIMEOUT)),
-            Err(error) => return Err(ReadError::Body(error)),
-            Ok(_) if body.len() as u64 > MAX_BODY_BYTES => return Err(ReadError::LongBody),
-            Ok(_) => {}
-        }
-        match head.body_length {
-            BodyLength::Bytes(length) if (body.len() as u64) < length => Err(ReadError::Closed),
-            _ => Ok(body),
+        if matches!(head.body_length, BodyLength::Bytes(length) if (body.bytes.len() as u64) < length) {
+            return Err(ReadError::Closed);
         }
+        self.lease.set_phase(Phase::Working);
+        Ok(body)
     }
 
     /// Returns the socket for writing responses.
-    pub(in crate::callers) const fn stream(&self) -> &TcpStream {
+    pub(in crate::callers) fn stream(&self) -> &TcpStream {
         &self.stream
     }
 
@@ -157,7 +186,8 @@
     ///
     /// Closing it with unread data would reset the connection, and the caller could lose the response.
     pub(in crate::callers) fn discard_and_close(self) {
-        if self.stream.shutdown(std::net::Shutdown::Write).is_err() {
+        self.lease.set_phase(Phase::Waiting);
+        if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
         let deadline = Instant::now() + MAX_DISCARD_TIME;
@@ -207,6 +237,7 @@
 struct BodyReader<'a> {
     stream: &'a TcpStream,
     buffer: &'a mut Vec<u8>,
+    lease: &'a Lease,
     deadline: Instant,
 }
 
@@ -218,7 +249,7 @@
             }
             match read_available(self.stream, self.buffer) {
                 Ok(0) => return Ok(0),
-                Ok(_) => {}
+                Ok(count) => self.lease.advance(count),
                 Err(error) if is_no_data(&error) => {}
                 Err(error) => return Err(error),
             }
@@ -230,6 +261,25 @@
     }
 }
 
+/// Reads a body of at most `most` bytes to its end.
+fn collect(reader: &mut impl Read, most: usize, mut held: Held) -> Result<Body, ReadError> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; READ_BYTES];
+    loop {
+        let count = match reader.read(&mut chunk) {
+            Ok(0) => return Ok(Body { bytes, held }),
+            Ok(count) => count,
+            Err(error) if error.kind() == ErrorKind::TimedOut => return Err(ReadError::TimedOut(BODY_TIMEOUT)),
+            Err(error) => return Err(ReadError::Body(error)),
+        };
+        if bytes.len() + count > most {
+            return Err(ReadError::LongBody);
+        }
+        reserve(&mut bytes, count, most, &mut held)?;
+        bytes.extend_from_slice(&chunk[..count]);
+    }
+}
+
 fn read_available(mut stream: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
     let mut chunk = [0; READ_BYTES];
     let count = stream.read(&mut chunk)?;
--- a/crates/entry/src/callers/http/mod.rs
+++ b/crates/entry/src/callers/http/mod.rs
@@ -7,7 +7,7 @@
 mod head;
 mod reply;
 
-pub(super) use connection::{CallerProbe, Connection, ReadError};
+pub(super) use connection::{Body, CallerProbe, Connection, ReadError};
 pub(super) use head::{BodyLength, Head, InvalidHead};
 pub(super) use reply::{ChunkedReply, Reply};
 
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -16,13 +16,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use contract::CustomerId;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use inbound::intake::{Held, Lease, RECEIVE_BUFFER_BYTES};
 use metrics::counter;
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 
 use crate::EntryHost;
 use http::{Connection, Head, Reply};
-use problem::Problem;
+use problem::{FULL_RETRY_AFTER, Problem};
 use request_counts::CountGuard;
 
 pub use request_counts::RequestCounts;
@@ -45,6 +47,8 @@
     connection: &'a mut Connection,
     head: Head,
     body_read: bool,
+    /// Memory of the body, once it was read.
+    held: Option<Held>,
     keep_alive: bool,
 }
 
@@ -63,8 +67,8 @@
     }
 }
 
-/// An accepted connection and the guard that counts it.
-type CountedConnection = (TcpStream, CountGuard);
+/// An accepted connection, the guard that counts it and what it holds.
+type CountedConnection = (TcpStream, CountGuard, Lease);
 
 /// Opens the listening socket for callers.
 ///
@@ -73,6 +77,8 @@
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    // Accepted connections inherit the size. A system that does not support it keeps its own bound.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize);
     socket.bind(&address.into())?;
     // The standard library uses a backlog of 128. In a larger burst the kernel drops the rest, and those callers retry
     // the handshake only after a second.
@@ -115,10 +121,11 @@
     queue: &Sender<CountedConnection>,
     idle: &Receiver<CountedConnection>,
 ) {
-    let Some(guard) = entry.request_counts.count_connection(entry.settings.connections) else {
+    let Ok(lease) = entry.intake.open() else {
         return refuse(&stream);
     };
-    let Err(TrySendError::Full(first) | TrySendError::Disconnected(first)) = queue.try_send((stream, guard)) else {
+    let connection = (stream, entry.request_counts.count_connection(), lease);
+    let Err(TrySendError::Full(first) | TrySendError::Disconnected(first)) = queue.try_send(connection) else {
         return;
     };
     let (entry, idle) = (Arc::clone(entry), idle.clone());
@@ -127,8 +134,8 @@
         .stack_size(STACK_BYTES);
     let spawned = thread.spawn(move || {
         let mut next = Some(first);
-        while let Some((stream, guard)) = next {
-            serve_connection(&entry, stream);
+        while let Some((stream, guard, lease)) = next {
+            serve_connection(&entry, stream, lease);
             drop(guard);
             next = idle.recv_timeout(THREAD_IDLE_TIME).ok();
         }
@@ -141,13 +148,13 @@
 /// Refuses a connection on the accepting thread.
 fn refuse(stream: &TcpStream) {
     counter!("gentian_refused_total", "cause" => "connections").increment(1);
-    let problem = Problem::overloaded(Duration::from_secs(1));
+    let problem = Problem::overloaded(FULL_RETRY_AFTER);
     // The response fits the empty send buffer of a new connection, so this never blocks.
     let _ = problem.reply().send(stream, None, false);
 }
 
-fn serve_connection(entry: &EntryHost, stream: TcpStream) {
-    let Ok(mut connection) = Connection::new(stream) else {
+fn serve_connection(entry: &EntryHost, stream: TcpStream, lease: Lease) {
+    let Ok(mut connection) = Connection::new(stream, lease) else {
         return;
     };
     loop {
@@ -170,6 +177,7 @@
             connection: &mut connection,
             head,
             body_read,
+            held: None,
             keep_alive,
         };
         let response = route(entry, &mut caller);
@@ -216,8 +224,8 @@
 }
 
 impl CallerRequest<'_> {
-    /// Reads the body; called only after the caller was authenticated.
-    fn body(&mut self, entry: &EntryHost) -> Result<Vec<u8>, Problem> {
+    /// Reads the body; called only after the caller was authenticated as a customer.
+    fn body(&mut self, entry: &EntryHost, customer: &CustomerId) -> Result<Vec<u8>, Problem> {
         if self.body_read {
             return Ok(Vec::new());
         }
@@ -225,12 +233,13 @@
         let _reader = entry
             .request_counts
             .count_reader(entry.settings.connections / 2)
-            .ok_or_else(|| Problem::overloaded(Duration::from_secs(1)))?;
-        let body = self
+            .ok_or_else(|| Problem::overloaded(FULL_RETRY_AFTER))?;
+        let http::Body { bytes, held } = self
             .connection
-            .read_body(&self.head)
+            .read_body(&self.head, customer.as_str())
             .map_err(|error| problem::from_read_error(&error).unwrap_or_else(|| Problem::bad_request(error)))?;
         self.body_read = true;
-        Ok(body)
+        self.held = Some(held);
+        Ok(bytes)
     }
 }
--- a/crates/entry/src/callers/problem.rs
+++ b/crates/entry/src/callers/problem.rs
@@ -10,6 +10,8 @@
 use super::http::{ReadError, Reply};
 use crate::admission::Refusal;
 
+/// Retry delay for a caller that found no room; a connection that has stalled may be closed for another one by then.
+pub(super) const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Response header that says whether a refused request was run.
 const OUTCOME_HEADER: &str = "Gentian-Outcome";
 
@@ -195,5 +197,6 @@
         }
         ReadError::Head(head) => Some(Problem::bad_request(head)),
         ReadError::Body(_) => Some(Problem::bad_request(error)),
+        ReadError::Full(_) => Some(Problem::overloaded(FULL_RETRY_AFTER)),
     }
 }
--- a/crates/entry/src/callers/request_counts.rs
+++ b/crates/entry/src/callers/request_counts.rs
@@ -19,9 +19,10 @@
 pub struct CountGuard(Arc<AtomicUsize>);
 
 impl RequestCounts {
-    /// Counts a connection; returns `None` if `limit` are open.
-    pub(super) fn count_connection(&self, limit: usize) -> Option<CountGuard> {
-        let guard = increment(&self.connections, limit);
+    /// Counts a connection.
+    pub(super) fn count_connection(&self) -> CountGuard {
+        self.connections.fetch_add(1, Ordering::SeqCst);
+        let guard = CountGuard(Arc::clone(&self.connections));
         gauge!("gentian_connections").set(self.connections.load(Ordering::Relaxed) as f64);
         guard
     }
--- a/crates/entry/src/callers/service.rs
+++ b/crates/entry/src/callers/service.rs
@@ -63,7 +63,7 @@
     if !view.config.upstreams.values().any(|spec| spec.serves_service(service)) {
         return Err(Problem::not_found(format!("there is no service {service}")));
     }
-    let body = caller.body(entry)?;
+    let body = caller.body(entry, &contract.customer)?;
     let class = request_class(contract, &caller.head, service, &path)?;
     let time_limit = Duration::from_millis(class.targets.whole_answer_ms);
     let request = AdmissionRequest {
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -41,6 +41,9 @@
     /// callers' connections at once
     #[argh(option)]
     pub connections: Option<String>,
+    /// megabytes that callers' connections hold at most
+    #[argh(option)]
+    pub intake_mb: Option<String>,
     /// name in the cloud of the host that this process runs on
     #[argh(option)]
     pub host: Option<String>,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -6,9 +6,11 @@
 
 use arc_swap::ArcSwap;
 use contract::RequestId;
+use inbound::intake::SharedIntake;
 use parking_lot::Mutex;
 use policy::Tick;
 use policy::budget::RetryBudget;
+use policy::intake::IntakeBounds;
 use policy::route::RoutingRules;
 use slog::Logger;
 use telemetry::Clock;
@@ -62,6 +64,8 @@
     pub peers: PeerClients,
     /// Counters of callers' connections and requests.
     pub request_counts: RequestCounts,
+    /// What the connections of callers hold.
+    pub intake: SharedIntake,
     /// Running attempts that may have to move off a leaving host.
     pub rescue: StreamRescue,
     /// Retry budget of all requests.
@@ -106,6 +110,8 @@
         let others = settings.peers.iter().filter(|peer| **peer != settings.inner);
         admission.apply_config(&ConfigView::default(), others.count() as u32 + 1, 0);
         let live = LiveHosts::new(&settings.data_center, &settings.node);
+        let bounds = IntakeBounds::of_bytes(settings.intake, settings.connections);
+        let intake = SharedIntake::new("callers", bounds, clock.clone(), logger.clone());
         Ok(Self {
             admission,
             live_hosts: ArcSwap::from_pointee(live),
@@ -119,6 +125,7 @@
             engine_client: EngineClient::new(CONNECT_TIMEOUT),
             peers: PeerClients::new(calls, &settings.node, &settings.peers)?,
             request_counts: RequestCounts::default(),
+            intake,
             rescue: StreamRescue::default(),
             retry_budget: Mutex::new(RetryBudget::new(RETRIES_PER_SUCCESS)),
             service_client: ServiceClient::new(CONNECT_TIMEOUT),
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -12,6 +12,9 @@
 use entry::rpc::EntryRpcHandler;
 use entry::settings::Settings;
 use entry::{EntryHost, active_config, burn, callers, drain, exchange, hosts, ops, rescue, upstreams};
+use inbound::api::{self, ApiSettings};
+use inbound::intake::SharedIntake;
+use policy::intake::IntakeBounds;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
 use telemetry::scrape::MetricsExporter;
@@ -25,6 +28,9 @@
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Threads that serve health checks and metrics.
 const OPS_THREADS: usize = 4;
+/// Connections of the balancer and of scrapers, and bytes that they hold at most.
+const OPS_CONNECTIONS: usize = 64;
+const OPS_INTAKE_BYTES: usize = 8 * 1024 * 1024;
 /// Longest wait at shutdown for outcomes that are still to be recorded in the state group.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -66,6 +72,7 @@
         let acceptor = scope.spawn(|| callers::accept(entry, &listener));
         let must_stop = || stop.load(Ordering::Relaxed) || entry.leave_requested.load(Ordering::Relaxed);
         while !must_stop() && !acceptor.is_finished() {
+            entry.intake.report();
             thread::sleep(STOP_CHECK_INTERVAL);
         }
         drain::drain(entry);
@@ -85,17 +92,16 @@
 fn start_ops(entry: &Arc<EntryHost>, scrape: MetricsExporter) -> anyhow::Result<std::net::SocketAddr> {
     let shared = Arc::clone(entry);
     let listen = entry.settings.ops;
-    let server = rouille::Server::new(listen, move |request| ops::respond(&shared, &scrape, request))
-        .map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))?
-        .pool_size(OPS_THREADS);
-    let address = server.server_addr();
-    let entry = Arc::clone(entry);
-    thread::Builder::new().name("ops".to_owned()).spawn(move || {
-        while !entry.stop.load(Ordering::Relaxed) {
-            server.poll_timeout(STOP_CHECK_INTERVAL);
-        }
-    })?;
-    Ok(address)
+    let api_settings = ApiSettings {
+        address: listen,
+        threads: OPS_THREADS,
+        max_body: 0,
+    };
+    let bounds = IntakeBounds::of_bytes(OPS_INTAKE_BYTES, OPS_CONNECTIONS);
+    let intake = SharedIntake::new("scrapers", bounds, entry.clock.clone(), entry.logger.clone());
+    let handler = Arc::new(move |request: &rouille::Request| ops::respond(&shared, &scrape, request));
+    api::start(api_settings, intake, handler, entry.logger.clone())
+        .map_err(|error| anyhow::anyhow!("listen on {listen}: {error}"))
 }
 
 fn start_threads(entry: &Arc<EntryHost>) -> std::io::Result<()> {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -107,6 +107,14 @@
     "16 to 16384",
     "Callers' connections at once; each has a thread."
 );
+setting!(
+    INTAKE,
+    "intake-mb",
+    "GENTIAN_INTAKE_MB",
+    Some("64"),
+    "16 to 1000000",
+    "Megabytes that callers' connections hold at most, half of them for large requests."
+);
 setting!(
     HOST,
     "host",
@@ -157,7 +165,7 @@
 );
 
 /// Every setting, in the order of the reference page.
-pub static ALL: [&Setting; 18] = [
+pub static ALL: [&Setting; 19] = [
     &NODE,
     &DATA_CENTER,
     &LISTEN,
@@ -170,6 +178,7 @@
     &RUNNING,
     &WAITING,
     &CONNECTIONS,
+    &INTAKE,
     &HOST,
     &INCARNATION,
     &NOTICE,
@@ -220,6 +229,8 @@
     pub waiting: usize,
     /// Most concurrent connections of callers.
     pub connections: usize,
+    /// Bytes that these connections hold at most.
+    pub intake: usize,
     /// Cloud name of the host that this process runs on; by default the name of the node.
     pub host: HostId,
     /// Counts the hosts that have had this host's name.
@@ -263,6 +274,8 @@
         let waiting = sheet.check(&WAITING, waiting, |count| allowed.contains(count));
         let connections = sheet.read(&CONNECTIONS, options.connections.as_deref());
         let connections = sheet.check(&CONNECTIONS, connections, |count| (16..=16_384).contains(count));
+        let intake = sheet.read::<usize>(&INTAKE, options.intake_mb.as_deref());
+        let intake = sheet.check(&INTAKE, intake, |megabytes| (16..=1_000_000).contains(megabytes));
         let host = sheet.read::<String>(&HOST, options.host.as_deref()).map(HostId::from);
         let host = sheet.check(&HOST, host, |name| name.as_str().is_empty() || name.is_valid());
         let incarnation = sheet.read(&INCARNATION, options.incarnation.as_deref());
@@ -289,6 +302,7 @@
                 running: running?,
                 waiting: waiting?,
                 connections: connections?,
+                intake: intake? * 1_000_000,
                 incarnation: incarnation?,
                 notice: Duration::from_millis(notice?),
                 cloud: cloud?.0,
--- a/crates/entry/tests/common/process.rs
+++ b/crates/entry/tests/common/process.rs
@@ -33,11 +33,22 @@
 
     /// Starts an entry host and waits until it is ready; returns its addresses for callers and for health checks.
     pub fn entry(name: &str, state: SocketAddr, more: &[&str]) -> (Self, SocketAddr, SocketAddr) {
+        Self::entry_with(name, state, more, &[])
+    }
+
+    /// Starts an entry host with some environment variables, like [`Self::entry`].
+    pub fn entry_with(
+        name: &str,
+        state: SocketAddr,
+        more: &[&str],
+        variables: &[(&str, &str)],
+    ) -> (Self, SocketAddr, SocketAddr) {
         let (listen, ops) = (free_address(), free_address());
         let (state, listens, opens) = (state.to_string(), listen.to_string(), ops.to_string());
         let arguments = ["--node", name, "--data-center", "dc-1", "--state", &state];
         let addresses = ["--listen", &listens, "--ops", &opens];
-        let process = Self::start("gentian-entry", &[&arguments[..], &addresses[..], more].concat());
+        let arguments = [&arguments[..], &addresses[..], more].concat();
+        let process = Self::start_with("gentian-entry", &arguments, variables);
         until("an entry host", || {
             TcpStream::connect(ops).is_ok() && call(ops, "GET", "/readyz", &[], &[]).status == 200
         });
@@ -50,12 +61,27 @@
         let _ = self.0.wait();
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.0.try_wait(), Ok(None))
+    }
+
     fn start(name: &str, arguments: &[&str]) -> Self {
+        Self::start_with(name, arguments, &[])
+    }
+
+    fn start_with(name: &str, arguments: &[&str], variables: &[(&str, &str)]) -> Self {
         let program = Path::new(env!("CARGO_BIN_EXE_gentian-entry")).with_file_name(name);
         let mut command = Command::new(program);
         command
             .args(arguments)
-            .env("GENTIAN_OPERATOR_KEY", "test-operator-key-0001");
+            .env("GENTIAN_OPERATOR_KEY", "test-operator-key-0001")
+            .envs(variables.iter().copied());
         Self(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap())
     }
 }
