Bound the work that a caller's prompt adds to its upstream by the deadline

Callers saw: after one request whose Prompt-Prefix names a thousand million tokens or more, all others of its service were refused, "its first event would come too late", although the request had been served at once. Seen for a minute; by the predicted speed it would have lasted for hours.

Cause: the predicted time to read a prompt comes from the tokens that its caller names. It is added to the backlog of the upstream, told to other hosts and to the planning of capacity, and not taken back when the request ends.

Change: what a request adds ends with its deadline, at which the upstream stops. Predictions of ordinary prompts, which are shorter than their deadlines, stay as they are.

Evidence: absurd_numbers::others_served on the code before: "timed out waiting for an answer to request after" (60 s, 5,265 refusals); it passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -383,6 +383,11 @@
     /// Records that the request is sent to an upstream; returns its id in the upstream's backlog.
     fn record_sent(&self, gateway: &Gateway, chosen: &ChosenUpstream) -> u64 {
         let now = gateway.clock.now();
+        // An upstream stops at the deadline, whatever the caller says of its prompt.
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut chosen = chosen.clone();
+        let predicted = &mut chosen.prediction.prefill_ms;
+        *predicted = predicted.min(left.as_secs_f64() * 1_000.0);
         gateway.record_prefill(&self.service, chosen.prediction.prefill_ms);
         if let Some(age) = chosen.pace.age {
             histogram!("gentian_gateway_pace_age_seconds", "service" => self.service.to_string())
@@ -393,7 +398,9 @@
         // The request itself counts at the upstream from now on, no longer the place that was kept for it.
         drop(self.place.take());
         let upstream = upstreams.get_mut(&chosen.id);
-        upstream.map_or(0, |upstream| upstream.record_sent(&self.info.prompt_parts, chosen, now))
+        upstream.map_or(0, |upstream| {
+            upstream.record_sent(&self.info.prompt_parts, &chosen, now)
+        })
     }
 
     /// Records a failed attempt for the choice of upstreams.
