Read refused documents to their end, up to 32 MiB

Cause: a peer that sends everything before it reads loses the response when the connection closes with unread bytes.

Change: up to 32 MiB are read and dropped, for a second at most as before.

--- a/crates/inbound/src/request_reader.rs
+++ b/crates/inbound/src/request_reader.rs
@@ -17,8 +17,9 @@
 /// Longest time for which a peer's bytes are read after this side has closed the connection; closing at once would
 /// send a reset, which destroys a response on its way.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(1);
-/// Most bytes that are read after this side has closed the connection.
-const MAX_DRAIN_BYTES: usize = 1024 * 1024;
+/// Most bytes that are read after this side has closed the connection. A peer that sends a whole document before it reads
+/// loses the response if the document is longer.
+const MAX_DRAIN_BYTES: usize = 32 * 1024 * 1024;
 /// Bytes that are read at once, and that a buffer keeps between two requests.
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Longest time in which a body advances by less than [`MIN_ADVANCE_BYTES`]. Freezes, cuts and lost packets of an
