Set the bounds of an intake with its other gauges

Operators of gentian-entry saw no gentian_intake_max_bytes: it was set when the intake is made, before the exporter is installed, so that it went nowhere. It is set at each report now, like the others.

--- a/crates/inbound/src/intake.rs
+++ b/crates/inbound/src/intake.rs
@@ -67,8 +67,6 @@
     /// Creates the intake of a listener.
     #[must_use]
     pub fn new(listener: &'static str, bounds: IntakeBounds, clock: Clock, logger: Logger) -> Self {
-        gauge!("gentian_intake_max_bytes", "listener" => listener).set(bounds.bytes as f64);
-        gauge!("gentian_intake_max_connections", "listener" => listener).set(bounds.connections as f64);
         Self(Arc::new(IntakeState {
             listener,
             clock,
@@ -112,6 +110,9 @@
     pub fn report(&self) {
         let listener = self.0.listener;
         let mut inner = self.0.inner.lock();
+        let bounds = inner.intake.bounds();
+        gauge!("gentian_intake_max_bytes", "listener" => listener).set(bounds.bytes as f64);
+        gauge!("gentian_intake_max_connections", "listener" => listener).set(bounds.connections as f64);
         gauge!("gentian_intake_held_bytes", "listener" => listener).set(inner.intake.bytes() as f64);
         gauge!("gentian_intake_large_bytes", "listener" => listener).set(inner.intake.large_bytes() as f64);
         gauge!("gentian_intake_open_connections", "listener" => listener).set(inner.intake.len() as f64);
@@ -122,7 +123,7 @@
         }
         inner.logged_at = Some(now);
         let (refused, closed) = (std::mem::take(&mut inner.refused), std::mem::take(&mut inner.closed));
-        let (intake, bounds) = (&inner.intake, inner.intake.bounds());
+        let intake = &inner.intake;
         let (account, account_bytes) = intake.largest_account().unzip();
         warn!(self.0.logger, "intake full"; "listener" => listener, "refused" => refused, "closed" => closed,
             "connections" => intake.len(), "most_connections" => bounds.connections,
