--- a/crates/entry/src/callers/http/reply.rs
+++ b/crates/entry/src/callers/http/reply.rs
@@ -5,6 +5,8 @@
 use std::io::{self, Write};
 use std::net::TcpStream;
 
+use inbound::reason_phrase;
+
 use super::Head;
 
 /// A response that is sent at once.
@@ -135,28 +137,3 @@
     }
     text.into_bytes()
 }
-
-const fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        202 => "Accepted",
-        204 => "No Content",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        // The reason phrase has no meaning to clients.
-        _ => "Status",
-    }
-}
