--- a/review/kit2/src/lib.rs
+++ b/review/kit2/src/lib.rs
@@ -1,8 +1,10 @@
 //! Starts the programs of the deploy file as processes on loopback addresses, with a stand-in of the platform's API.
 
+pub mod client;
 pub mod cloud;
 pub mod http;
 pub mod record;
+pub mod replica;
 pub mod system;
 
 /// Returns whether the script injects its disruption; `TROUBLE=0` leaves it out.
--- a/review/kit2/src/system.rs
+++ b/review/kit2/src/system.rs
@@ -11,6 +11,8 @@
 
 /// Program of the state nodes, as the deploy file names it.
 const STATE_PROGRAM: &str = "target/release/gentian-platform-state";
+/// Program of the entry hosts, as the deploy file names it.
+const ENTRY_PROGRAM: &str = "target/release/gentian-platform-entry";
 /// Path of the operator's configuration resource.
 const CONFIG_PATH: &str = "/gentianspring/config";
 /// Time after which an operator moves on to another daemon.
@@ -19,6 +21,8 @@
 const CLAIM: u8 = 250;
 /// Host of the platform's API.
 const CLOUD: u8 = 200;
+/// Host of the entry.
+const ENTRY: u8 = 101;
 
 /// Figures of a deployment that reach a state node by its settings.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +61,7 @@
     control_port: u16,
     inner_port: u16,
     nodes: Vec<Option<Child>>,
+    entry: Option<Child>,
     _claim: TcpListener,
 }
 
@@ -89,6 +94,7 @@
             control_port,
             inner_port,
             nodes: (0..=deployment.core).map(|_| None).collect(),
+            entry: None,
             _claim: claim,
         })
     }
@@ -132,20 +138,64 @@
             self.cloud.address,
         );
         fs::create_dir_all(self.data(host)).expect("create a data folder");
-        let file = self.folder.join(format!("core-{host}.settings"));
+        let node = self.spawn(STATE_PROGRAM, &format!("core-{host}"), &settings);
+        self.nodes[usize::from(host)] = Some(node);
+    }
+
+    /// Returns an address of this system for a replica; its port is chosen by the system.
+    #[must_use]
+    pub fn replica(&self, host: u8) -> SocketAddr {
+        SocketAddr::from(([127, 99, self.subnet, host], 0))
+    }
+
+    /// Returns the address of the entry host for callers.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::from(([127, 99, self.subnet, ENTRY], 20_001))
+    }
+
+    /// Starts the entry host.
+    ///
+    /// # Panics
+    /// Panics when the process can't be started.
+    pub fn start_entry(&mut self) {
+        let seeds: Vec<String> = (1..=3).map(|seed| self.control(seed).to_string()).collect();
+        let ip = self.callers().ip();
+        let settings = format!(
+            "GENTIAN_NODE=front-1\nGENTIAN_ZONE=zone-1\nGENTIAN_CALLERS={}\nGENTIAN_READY={ip}:20002\nGENTIAN_METRICS={ip}:20003\n\
+             GENTIAN_INNER={}\nGENTIAN_SEEDS={}\nGENTIAN_CLOUD={}\nGENTIAN_LIST_PER_S={}\nGENTIAN_GRACE_S=8.0\n\
+             GENTIAN_REPEAT_RATIO=0.2\nGENTIAN_REPEAT_EXTRA=200\nGENTIAN_REPEAT_WINDOW_S=10\nGENTIAN_USAGE_WINDOW_S=5\n\
+             GENTIAN_QUOTA_SLACK=140000\nGENTIAN_QUOTA_WINDOW_S=8\nGENTIAN_MEMORY_MB=160\nGENTIAN_DESCRIPTORS=4100\n",
+            self.callers(),
+            SocketAddr::new(ip, self.inner_port),
+            seeds.join(","),
+            self.cloud.address,
+            self.deployment.list_per_s,
+        );
+        self.entry = Some(self.spawn(ENTRY_PROGRAM, "front-1", &settings));
+    }
+
+    /// Returns the log of a host.
+    #[must_use]
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    fn spawn(&self, program: &str, name: &str, settings: &str) -> Child {
+        let file = self.folder.join(format!("{name}.settings"));
         fs::write(&file, settings).expect("write a settings file");
         let log = File::options()
             .create(true)
             .append(true)
-            .open(self.folder.join(format!("core-{host}.log")))
+            .open(self.folder.join(format!("{name}.log")))
             .expect("open a log");
-        let child = Command::new(STATE_PROGRAM)
+        let child = Command::new(program)
             .env("GENTIANSPRING_NODE_FILE", file)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("share a log"))
             .stderr(log)
             .spawn();
-        self.nodes[usize::from(host)] = Some(child.expect("start a state node"));
+        child.expect("start a program of the deploy file")
     }
 
     /// Kills a state node with SIGKILL; its disk stays.
@@ -226,6 +276,11 @@
         for host in self.hosts() {
             self.kill(host);
         }
+        if let Some(mut entry) = self.entry.take() {
+            // It may have ended by itself.
+            let _ = entry.kill();
+            let _ = entry.wait();
+        }
         if std::env::var("KEEP").is_err() {
             // A folder that stays does not change the verdict.
             let _ = fs::remove_dir_all(&self.folder);
