--- a/review/kit2/src/bin/case-4.rs
+++ b/review/kit2/src/bin/case-4.rs
@@ -19,7 +19,9 @@
 const EXTRA: Duration = Duration::from_secs(15);
 
 fn main() {
-    let path = std::env::args().nth(1).map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
+    let path = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
     let record = Record::create(&path);
     let code = match System::new(MWANGAZA_GROWN) {
         Some(mut system) => run(&mut system, &record),
@@ -48,7 +50,11 @@
     }
     let dark_since = Instant::now();
     sleep(CHANGE_AFTER);
-    let running: Vec<u8> = hosts.iter().copied().filter(|host| !has_trouble() || *host != dark).collect();
+    let running: Vec<u8> = hosts
+        .iter()
+        .copied()
+        .filter(|host| !has_trouble() || *host != dark)
+        .collect();
     let Some(by) = system.publish(&running, &config(2, 0), Duration::from_secs(10)) else {
         record.line("version 2 was not acknowledged");
         return NOT_RUN;
@@ -86,7 +92,10 @@
             return BROKEN;
         }
         if reads.contains(&Ok(2)) {
-            record.line(&format!("version 2 is read {:.1} s after all are back", back.elapsed().as_secs_f64()));
+            record.line(&format!(
+                "version 2 is read {:.1} s after all are back",
+                back.elapsed().as_secs_f64()
+            ));
             return 0;
         }
         sleep(Duration::from_millis(500));
--- a/review/kit2/src/bin/case-5.rs
+++ b/review/kit2/src/bin/case-5.rs
@@ -25,7 +25,9 @@
 const ACK_TIME: Duration = Duration::from_millis(5_000 + 3 * 7_001);
 
 fn main() {
-    let path = std::env::args().nth(1).map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
+    let path = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
     let record = Record::create(&path);
     let code = match System::new(MWANGAZA_GROWN) {
         Some(mut system) => run(&mut system, &record),
@@ -71,7 +73,10 @@
                 break false;
             }
             let host = *order.next().unwrap_or(&1);
-            if system.put(host, &text, MOVE_ON).is_some_and(|reply| reply.status == 200) {
+            if system
+                .put(host, &text, MOVE_ON)
+                .is_some_and(|reply| reply.status == 200)
+            {
                 break true;
             }
             sleep(Duration::from_millis(50));
@@ -79,20 +84,32 @@
         if is_acknowledged {
             acknowledged += 1;
         } else if !broken(&machines) {
-            record.line(&format!("version {version} was not acknowledged within {} s", ACK_TIME.as_secs()));
+            record.line(&format!(
+                "version {version} was not acknowledged within {} s",
+                ACK_TIME.as_secs()
+            ));
         }
         if version % 50 == 0 {
             let memory: Vec<u64> = hosts.iter().map(|host| system.resident_mb(*host)).collect();
-            record.line(&format!("{acknowledged} changes acknowledged, {} bytes each; resident MB: {memory:?}", text.len()));
+            record.line(&format!(
+                "{acknowledged} changes acknowledged, {} bytes each; resident MB: {memory:?}",
+                text.len()
+            ));
         }
         if broken(&machines) {
             break;
         }
     }
     for (host, machine) in hosts.iter().zip(&machines) {
-        record.line(&format!("core-{host}: {} ends by itself, {} MB at most", machine.ends, machine.peak_mb));
+        record.line(&format!(
+            "core-{host}: {} ends by itself, {} MB at most",
+            machine.ends, machine.peak_mb
+        ));
     }
-    record.line(&format!("{acknowledged} changes acknowledged in {:.0} s", started.elapsed().as_secs_f64()));
+    record.line(&format!(
+        "{acknowledged} changes acknowledged in {:.0} s",
+        started.elapsed().as_secs_f64()
+    ));
     if broken(&machines) { BROKEN } else { 0 }
 }
 
--- a/review/kit2/src/bin/case-6.rs
+++ b/review/kit2/src/bin/case-6.rs
@@ -24,7 +24,9 @@
 const ALLOWED: u32 = 3;
 
 fn main() {
-    let path = std::env::args().nth(1).map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
+    let path = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("record.txt"), PathBuf::from);
     let record = Record::create(&path);
     let code = match System::new(MWANGAZA_GROWN) {
         Some(mut system) => run(&mut system, &record),
@@ -43,7 +45,10 @@
     if let Ok(mut list) = system.cloud.instances.lock() {
         list.push(first.entry(service, "zone-1"));
     }
-    record.line(&format!("replica {} states Keep-Alive: {ORDINARY}; {} states {endless}", first.id, second.id));
+    record.line(&format!(
+        "replica {} states Keep-Alive: {ORDINARY}; {} states {endless}",
+        first.id, second.id
+    ));
     let hosts: Vec<u8> = system.hosts().collect();
     for host in &hosts {
         system.start(*host, true);
--- a/review/kit2/src/client.rs
+++ b/review/kit2/src/client.rs
@@ -71,7 +71,11 @@
             }
             Err(is_closed) => {
                 self.connection = None;
-                if is_closed { Outcome::Closed(self.answered) } else { Outcome::Silent }
+                if is_closed {
+                    Outcome::Closed(self.answered)
+                } else {
+                    Outcome::Silent
+                }
             }
         }
     }
@@ -80,7 +84,10 @@
 /// Reads an answer with its status, its body and whether the connection stays open; `Err(true)` if the connection ends.
 fn read_answer(reader: &mut BufReader<TcpStream>) -> Result<(u16, String, bool), bool> {
     let is_end = |error: std::io::Error| {
-        !matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+        !matches!(
+            error.kind(),
+            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+        )
     };
     let mut start = String::new();
     if reader.read_line(&mut start).map_err(is_end)? == 0 {
--- a/review/kit2/src/cloud.rs
+++ b/review/kit2/src/cloud.rs
@@ -12,6 +12,8 @@
     pub address: SocketAddr,
     /// Entries of the list of replicas, as JSON objects.
     pub instances: Arc<Mutex<Vec<String>>>,
+    /// Bodies of the usage reports, in the order of their arrival.
+    pub usage: Arc<Mutex<Vec<String>>>,
 }
 
 impl Cloud {
@@ -23,8 +25,11 @@
     pub fn start(address: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).expect("listen for calls to the platform");
         let address = listener.local_addr().expect("address of a listener");
-        let instances = Arc::default();
-        let cloud = Self { address, instances };
+        let cloud = Self {
+            address,
+            instances: Arc::default(),
+            usage: Arc::default(),
+        };
         let serving = cloud.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -43,7 +48,7 @@
             if reader.read_line(&mut start).ok()? == 0 {
                 return None;
             }
-            let mut length = 0;
+            let (mut length, mut is_chunked) = (0, false);
             loop {
                 let mut line = String::new();
                 reader.read_line(&mut line).ok()?;
@@ -54,9 +59,19 @@
                 if let Some(value) = line.strip_prefix("content-length:") {
                     length = value.trim().parse().ok()?;
                 }
+                is_chunked |= line == "transfer-encoding: chunked";
+            }
+            let body = if is_chunked {
+                read_chunks(&mut reader)?
+            } else {
+                read_bytes(&mut reader, length)?
+            };
+            if start.starts_with("POST /usage") {
+                self.usage
+                    .lock()
+                    .ok()?
+                    .push(String::from_utf8_lossy(&body).into_owned());
             }
-            let mut body = vec![0; length];
-            reader.read_exact(&mut body).ok()?;
             let answer = if start.starts_with("GET /instances") {
                 let entries = self.instances.lock().ok()?.join(",");
                 format!("{{\"instances\":[{entries}],\"next\":null}}")
@@ -72,3 +87,24 @@
         }
     }
 }
+
+fn read_bytes(reader: &mut impl Read, length: usize) -> Option<Vec<u8>> {
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+/// Reads a body in chunks, without trailer lines.
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim(), 16).ok()?;
+        body.extend(read_bytes(reader, length)?);
+        reader.read_line(&mut line).ok()?;
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
--- a/review/kit2/src/replica.rs
+++ b/review/kit2/src/replica.rs
@@ -92,11 +92,19 @@
         let keep_alive = &self.keep_alive;
         let common = format!("Server-Load: 1,0,{SLOTS}\r\nKeep-Alive: {keep_alive}\r\n");
         if start.starts_with("GET /health ") {
-            return format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{common}Content-Length: 0\r\n\r\n", self.id);
+            return format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{common}Content-Length: 0\r\n\r\n",
+                self.id
+            );
         }
         let id = headers.get("request-id").cloned().unwrap_or_default();
-        if headers.get("expect-instance").is_some_and(|expected| *expected != self.id) {
-            return format!("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{common}Content-Length: 0\r\n\r\n");
+        if headers
+            .get("expect-instance")
+            .is_some_and(|expected| *expected != self.id)
+        {
+            return format!(
+                "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{common}Content-Length: 0\r\n\r\n"
+            );
         }
         if let Ok(mut runs) = self.runs.lock() {
             *runs.entry(id.clone()).or_default() += 1;
--- a/review/kit2/src/system.rs
+++ b/review/kit2/src/system.rs
@@ -261,7 +261,10 @@
             if started.elapsed() > max_wait {
                 return None;
             }
-            if self.put(*host, config, OPERATOR_TIMEOUT).is_some_and(|reply| reply.status == 200) {
+            if self
+                .put(*host, config, OPERATOR_TIMEOUT)
+                .is_some_and(|reply| reply.status == 200)
+            {
                 return Some(*host);
             }
             std::thread::sleep(Duration::from_millis(50));
@@ -298,6 +301,12 @@
 /// Returns a configuration like that of the page of the operator's API, with some routes beyond the first.
 #[must_use]
 pub fn config(version: u64, extra_routes: usize) -> String {
+    config_with(version, extra_routes, "")
+}
+
+/// Returns such a configuration with further services, each with a comma before it.
+#[must_use]
+pub fn config_with(version: u64, extra_routes: usize, services: &str) -> String {
     let mut routes = vec![
         "{\"name\":\"r-m82thhk\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/pufi791/\",\"kind\":\"unsafe\",\"timeoutMs\":2500,\"targetLatencyMs\":150,\"priority\":0,\"service\":\"wuno96b\",\"maxAttempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}".to_owned(),
     ];
@@ -309,7 +318,7 @@
         ));
     }
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"wuno96b\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"i9n73hh2b9wu3fexd9dn\"]}}]}}",
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"wuno96b\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}{services}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"i9n73hh2b9wu3fexd9dn\"]}}]}}",
         routes.join(",")
     )
 }
