--- a/review/kit2/src/bin/case-5.rs
+++ b/review/kit2/src/bin/case-5.rs
@@ -69,7 +69,7 @@
         let mut order = hosts.iter().cycle().skip(version as usize);
         let is_acknowledged = loop {
             look(system, &hosts, &mut machines, record, acknowledged);
-            if broken(&machines) || sent.elapsed() > ACK_TIME {
+            if broken(&machines) || sent.elapsed() > ACK_TIME || started.elapsed() > LONGEST {
                 break false;
             }
             let host = *order.next().unwrap_or(&1);
