Keep the votes of silent machines that the group needs to bear lost disks

Cause: a voter that had not answered for 2 s was removed as soon as three members answered. An acknowledged change was then on as many disks as fitted the machines that happened to be up: of four voters the loss of two leaves no majority, although the dark machine comes back with its disk. A newcomer elsewhere took the place of a silent voter in the same way, first without and then with the new vote, which left two voters of a group of three in between.

A voter and its successor are members side by side for one record, and decisions need a majority without the one and a majority without the other, so that no order of adding and removing leaves a smaller group. A newcomer waits up to 2 s while a voter is silent, since it may have to take its place. Why it works: any 2 f + 1 voters less f disks are a majority, and every change is on f + 1 disks.

--- a/crates/state/src/core/discovery.rs
+++ b/crates/state/src/core/discovery.rs
@@ -49,10 +49,12 @@
 pub enum MembershipMode {
     /// Operators: the group starts with the configured peers, and members are replaced on request.
     Manual,
-    /// The leader: it adds nodes that announce themselves and removes members that do not answer.
+    /// The leader: it adds nodes that announce themselves, and replaces or removes members that do not answer.
     Automatic {
         /// Whether the whole system starts for the first time, so that blank seeds may form a group.
         bootstrap: bool,
+        /// Disks whose loss at once the group is to bear; `None` for as many as its number of voters allows.
+        lost_disks: Option<usize>,
     },
 }
 
@@ -200,8 +202,8 @@
         }
         match self.config.membership {
             MembershipMode::Manual => self.form_group(now),
-            MembershipMode::Automatic { bootstrap: true } => self.found_group(now),
-            MembershipMode::Automatic { bootstrap: false } => {}
+            MembershipMode::Automatic { bootstrap: true, .. } => self.found_group(now),
+            MembershipMode::Automatic { bootstrap: false, .. } => {}
         }
     }
 
--- a/crates/state/src/core/membership.rs
+++ b/crates/state/src/core/membership.rs
@@ -25,6 +25,9 @@
                     "replaces" => old.map(|old| old.to_string()));
             }
             MemberEvent::Removed(lost) => info!(self.logger, "member removed"; "member" => %lost),
+            MemberEvent::Assigned(new, lost) => {
+                info!(self.logger, "member takes a place"; "member" => %new, "replaces" => %lost);
+            }
             MemberEvent::Waits(new, why) => {
                 // Checks are frequent; only a newcomer or a reason that was not logged last is news.
                 if self.logged_wait.as_ref() != Some(&event) {
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -100,9 +100,13 @@
         let seed = clock.now().0.as_nanos() as u64;
         let discovery = Discovery::new(restored.id, now);
         let mut node = Node::new(restored, Timing::default(), seed, now);
-        if matches!(config.membership, MembershipMode::Automatic { bootstrap: true }) {
+        if matches!(config.membership, MembershipMode::Automatic { bootstrap: true, .. }) {
             node.allow_founding();
         }
+        let lost_disks = match config.membership {
+            MembershipMode::Automatic { lost_disks, .. } => lost_disks,
+            MembershipMode::Manual => None,
+        };
         Ok(Self {
             config,
             log_time: LogTime::new(applied.at_ms, now),
@@ -118,7 +122,7 @@
             logger,
             current_at: None,
             led_since: None,
-            membership: AutoMembership::default(),
+            membership: AutoMembership::new(lost_disks),
             logged_wait: None,
             logged_members: None,
             change_since: None,
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -10,12 +10,12 @@
 
 /// Interval between two checks of the members.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without an answer after which a member is replaced by a newcomer, or removed if enough others answer. A paused
-/// or killed host is usually back within a few seconds and joins again if it was removed; a lost one must no longer
-/// count for majorities when the next host is lost.
+/// Time without an answer after which a member is replaced by a newcomer, or removed if the group is large enough
+/// without it. A paused or killed host is usually back within a few seconds and joins again if it was removed; a lost one
+/// must no longer count for majorities when the next host is lost.
 const LOST_AFTER: Duration = Duration::from_secs(2);
-/// Members, the leader included, that must answer before a voter is removed without a replacement.
-const MIN_ANSWERING: usize = 3;
+/// Fewest voters that are left when one is removed without a replacement.
+const MIN_VOTERS: usize = 3;
 
 /// A node that announced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     Joins(Announced, Option<MemberId>),
     /// A lost member was removed.
     Removed(MemberId),
+    /// A learner takes the place of a lost voter.
+    Assigned(MemberId, MemberId),
     /// A node that announced itself can't join now.
     Waits(Announced, ChangeError),
 }
@@ -43,11 +45,20 @@
 #[derive(Debug, Default)]
 pub struct AutoMembership {
     next_check: Tick,
+    lost_disks: Option<usize>,
 }
 
 impl AutoMembership {
+    /// Creates the membership of a group that is to bear the loss of `lost_disks` disks at once; if that is not known, of
+    /// as many as its number of voters allows.
+    #[must_use]
+    pub fn new(lost_disks: Option<usize>) -> Self {
+        let next_check = Tick::default();
+        Self { next_check, lost_disks }
+    }
+
     /// Adds a node that announced itself, in place of a lost member if there is one; if none can be added, removes a
-    /// lost member. Returns what was done.
+    /// lost member or has a learner take its place. Returns what was done.
     pub fn maintain(&mut self, node: &mut Node, announced: &[Announced], now: Tick) -> Option<MemberEvent> {
         if now < self.next_check || !node.leads(now) {
             return None;
@@ -61,7 +72,7 @@
                 Err(why) => waits = waits.or_else(|| Some(MemberEvent::Waits(newcomer.clone(), why))),
             }
         }
-        remove_lost(node, now).or(waits)
+        remove_lost(node, self.lost_disks, now).or(waits)
     }
 }
 
@@ -83,6 +94,8 @@
     };
     match old {
         Some(old) => node.replace(old, newcomer.id, member, now),
+        // As a further voter it would make majorities larger, and with them what a voter that is gone for good costs.
+        None if !all_voters_answer(node, now) => Err(ChangeError::AwaitsVoter),
         None => node.add(newcomer.id, member, now),
     }?;
     Ok(old)
@@ -106,14 +119,23 @@
         .map(|(id, _)| *id))
 }
 
+/// Returns whether each voter answers or is being replaced.
+fn all_voters_answer(node: &Node, now: Tick) -> bool {
+    let members = node.members();
+    members
+        .voters()
+        .all(|id| node.answers(id, now) || is_replaced(node, id, now))
+}
+
+/// Returns whether another member that answers takes the place of a member.
+fn is_replaced(node: &Node, id: MemberId, now: Tick) -> bool {
+    let mut all = node.members().0.iter();
+    all.any(|(new, member)| member.replaces == Some(id) && node.answers(*new, now))
+}
+
 /// Returns the member that has been lost for the longest time, without voters whose replacement is under way.
 fn lost_member(node: &Node, now: Tick) -> Option<MemberId> {
-    let members = &node.members().0;
-    let is_replaced = |id: &MemberId| {
-        let mut all = members.iter();
-        all.any(|(new, member)| member.replaces == Some(*id) && node.answers(*new, now))
-    };
-    lost_members(node, now).find(|id| !is_replaced(id))
+    lost_members(node, now).find(|id| !is_replaced(node, *id, now))
 }
 
 /// Returns the members that have not answered for [`LOST_AFTER`], the longest silent one first.
@@ -125,15 +147,33 @@
     lost.into_iter().map(|(_, id)| id)
 }
 
-/// Removes a lost member: a learner, or a voter if enough others answer.
-fn remove_lost(node: &mut Node, now: Tick) -> Option<MemberEvent> {
-    let members = node.members();
-    let counts = |id: &&MemberId| members.votes(**id) || node.awaits_promotion(**id, now);
-    let answering = members.0.keys().filter(counts).filter(|id| node.answers(**id, now));
-    let enough = answering.count() >= MIN_ANSWERING;
+/// Removes a lost member: a learner, or a voter if the others are enough. Where the vote can't be spared, a learner that
+/// waits for one takes the place of the lost voter.
+fn remove_lost(node: &mut Node, lost_disks: Option<usize>, now: Tick) -> Option<MemberEvent> {
+    let members = node.members().clone();
     // A learner that was only paused announces itself again.
     let learner = lost_members(node, now).find(|id| !members.votes(*id));
-    let lost = learner.or_else(|| lost_member(node, now).filter(|_| enough))?;
-    node.remove(lost, now).ok()?;
-    Some(MemberEvent::Removed(lost))
+    if let Some(learner) = learner {
+        node.remove(learner, now).ok()?;
+        return Some(MemberEvent::Removed(learner));
+    }
+    let lost = lost_member(node, now).filter(|_| !members.is_replacing())?;
+    let voters = members.voters().count();
+    if voters > min_voters(voters, lost_disks) {
+        node.remove(lost, now).ok()?;
+        return Some(MemberEvent::Removed(lost));
+    }
+    let is_free = |(id, member): &(&MemberId, &Member)| member.replaces.is_none() && node.awaits_promotion(**id, now);
+    let (learner, _) = members.0.iter().find(is_free)?;
+    node.assign(*learner, lost, now).ok()?;
+    Some(MemberEvent::Assigned(*learner, lost))
+}
+
+/// Returns the fewest voters that a group may be left with because some don't answer.
+///
+/// A silent voter may still have its disk. Were the group to go on with fewer voters, an entry would be on fewer disks
+/// and the loss of some of these would leave no majority, although the silent voter comes back with what it holds.
+fn min_voters(voters: usize, lost_disks: Option<usize>) -> usize {
+    let lost_disks = lost_disks.unwrap_or(voters.saturating_sub(1) / 2);
+    lost_disks.saturating_mul(2).saturating_add(1).max(MIN_VOTERS)
 }
--- a/crates/state/src/raft/change.rs
+++ b/crates/state/src/raft/change.rs
@@ -30,12 +30,15 @@
     /// A member at the same address still answers.
     #[display("the member at its address still answers")]
     AddressInUse,
+    /// A voter has not answered for a while, and the node would take its place if it is lost.
+    #[display("a voter does not answer, but may not be lost")]
+    AwaitsVoter,
 }
 
 impl Node {
-    /// Adds a learner in place of a member. In place of a voter, it catches up and becomes a voter, and the old one is
-    /// removed; a learner that was to replace the same voter and does not answer is given up. In place of a learner, it
-    /// takes over whatever that was to do.
+    /// Adds a learner in place of a member. In place of a voter, it catches up and becomes a voter beside the old one,
+    /// which is removed then; a learner that was to replace the same voter and does not answer is given up. In place of
+    /// a learner, it takes over whatever that was to do.
     ///
     /// The later steps need no further call; a new leader continues them as well.
     ///
@@ -94,6 +97,22 @@
         Ok(self.append_members(members, now))
     }
 
+    /// Has a learner without a task take the place of a voter.
+    ///
+    /// # Errors
+    /// Fails when the node does not lead, another change is not finished, or one of the two is no member; then nothing
+    /// was written.
+    pub fn assign(&mut self, learner: MemberId, old: MemberId, now: Tick) -> Result<Index, ChangeError> {
+        self.check_lease(now);
+        let mut members = self.changeable_members()?;
+        if !members.votes(old) {
+            return Err(ChangeError::NoSuchMember);
+        }
+        let member = members.0.get_mut(&learner).ok_or(ChangeError::NoSuchMember)?;
+        member.replaces = Some(old);
+        Ok(self.append_members(members, now))
+    }
+
     /// Removes a member.
     ///
     /// # Errors
@@ -140,47 +159,42 @@
         })
     }
 
-    /// Returns the members without one that a voter has replaced, unless the voter is lost in its turn while the old one
-    /// still answers.
+    /// Returns the members without one that a voter has replaced, or with the new voter as a learner again if it is lost
+    /// in its turn while the old one answers.
     fn finish_replacement(&self, members: &Members, new: MemberId, old: MemberId, now: Tick) -> Option<Members> {
-        if !self.answers(new, now) && self.answers(old, now) {
-            return None;
+        if !members.votes(old) {
+            return Some(without(members, old, new));
         }
-        let next = without(members, old, new);
-        (!members.votes(old) || self.survives(&next, now)).then_some(next)
+        let next = if self.answers(new, now) || !self.answers(old, now) {
+            without(members, old, new)
+        } else {
+            with_vote(members, new, false)
+        };
+        self.survives(&next, now).then_some(next)
     }
 
-    /// Returns the members with a learner that has caught up as a voter, or first without the lost voter that it
-    /// replaces.
+    /// Returns the members with a learner that has caught up as a voter.
     fn promote(&self, members: &Members, learner: MemberId, replaces: Option<MemberId>, now: Tick) -> Option<Members> {
         if !self.has_caught_up(learner) || !self.answers(learner, now) {
             return None;
         }
-        let old = replaces.filter(|old| members.votes(*old));
-        if let Some(old) = old
-            && !self.answers(old, now)
-        {
-            // A voter that does not answer only makes majorities larger.
-            let next = without(members, old, learner);
-            return self.survives(&next, now).then_some(next);
-        }
-        if old.is_none() && members.voters().count() >= MAX_VOTERS {
+        let takes_place = replaces.is_some_and(|old| members.votes(old));
+        // The voters before and after a change must overlap, which holds for one replacement at a time.
+        let has_room = members.voters().count() < MAX_VOTERS;
+        if (takes_place && members.is_replacing()) || (!takes_place && !has_room) {
             return None;
         }
-        let mut next = members.clone();
-        if let Some(member) = next.0.get_mut(&learner) {
-            member.votes = true;
-        }
+        let next = with_vote(members, learner, true);
         // A voter that was lost just before the learner came, perhaps on the same machine, has not answered since.
-        let answers = |id: &MemberId| self.answers(*id, now) && self.answered_since_added(*id, learner);
-        let answering = members.voters().filter(answers).count();
-        (answering >= next.majority() || answering == members.voters().count()).then_some(next)
+        let answers = |id: MemberId| self.answers(id, now) && self.answered_since_added(id, learner);
+        let all_answer = members.voters().all(answers);
+        let goes_on = next.is_quorum(|id| id != learner && answers(id));
+        (goes_on || all_answer).then_some(next)
     }
 
-    /// Returns whether the voters that answer are a majority of the given members.
+    /// Returns whether the voters that answer are a quorum of the given members.
     fn survives(&self, members: &Members, now: Tick) -> bool {
-        let answering = members.voters().filter(|id| self.answers(*id, now));
-        answering.count() >= members.majority()
+        members.is_quorum(|id| self.answers(id, now))
     }
 
     /// Returns whether a learner is close enough to the end of the log to become a voter.
@@ -215,6 +229,15 @@
     }
 }
 
+/// Returns the members with one of them as a voter or a learner.
+fn with_vote(members: &Members, id: MemberId, votes: bool) -> Members {
+    let mut next = members.clone();
+    if let Some(member) = next.0.get_mut(&id) {
+        member.votes = votes;
+    }
+    next
+}
+
 /// Returns the members without one that was replaced by another.
 fn without(members: &Members, old: MemberId, new: MemberId) -> Members {
     let mut next = members.clone();
--- a/crates/state/src/raft/election.rs
+++ b/crates/state/src/raft/election.rs
@@ -49,7 +49,7 @@
         self.reset_election_deadline(now);
     }
 
-    /// Steps down when the leader lease has ended: no majority has answered within it.
+    /// Steps down when the leader lease has ended: no quorum has answered within it.
     ///
     /// A leader that was partitioned or paused must stop before others elect a new one; otherwise both would grant
     /// leases and report different configurations to operators. The check uses the node's own clock and runs before any
@@ -149,11 +149,10 @@
         self.count_votes(now);
     }
 
-    /// Starts the election or becomes leader when a majority has granted the pre-vote or vote.
+    /// Starts the election or becomes leader when a quorum has granted the pre-vote or vote.
     fn count_votes(&mut self, now: Tick) {
         let members = self.members();
-        let won =
-            |votes: &BTreeSet<MemberId>| votes.iter().filter(|id| members.votes(**id)).count() >= members.majority();
+        let won = |votes: &BTreeSet<MemberId>| members.is_quorum(|id| votes.contains(&id));
         match &self.role {
             Role::PreCandidate { granted } if won(granted) => self.start_election(now),
             Role::Candidate { granted, since } if won(granted) => {
--- a/crates/state/src/raft/leader.rs
+++ b/crates/state/src/raft/leader.rs
@@ -84,7 +84,7 @@
             let last_ack = leading.others.get(&id).and_then(|progress| progress.last_ack);
             last_ack.unwrap_or(leading.since)
         };
-        let since = self.members().majority_value(answered)?;
+        let since = self.members().quorum_value(answered)?;
         Some(since + self.timing.lease())
     }
 
@@ -239,7 +239,7 @@
         }
     }
 
-    /// Commits what a majority has synced, once a record of this term is among it.
+    /// Commits what a quorum has synced, once a record of this term is among it.
     pub(super) fn advance_commit(&mut self, now: Tick) {
         let Role::Leader(leading) = &self.role else {
             return;
@@ -250,11 +250,11 @@
             }
             leading.others.get(&id).map_or(Index(0), |progress| progress.matched)
         };
-        let Some(majority_index) = self.members().majority_value(matched) else {
+        let Some(quorum_index) = self.members().quorum_value(matched) else {
             return;
         };
-        if majority_index > self.commit && self.log.term_of(majority_index) == Some(self.hard_state.term) {
-            self.commit = majority_index;
+        if quorum_index > self.commit && self.log.term_of(quorum_index) == Some(self.hard_state.term) {
+            self.commit = quorum_index;
             self.continue_change(now);
         }
     }
--- a/crates/state/tests/founding.rs
+++ b/crates/state/tests/founding.rs
@@ -80,7 +80,7 @@
             }
             let accepted = self.accepted.entry(first.at).or_default();
             accepted.insert(node.id());
-            if accepted.len() >= first.members.majority() {
+            if first.members.is_quorum(|id| accepted.contains(&id)) {
                 self.acting.insert(first.at);
             }
         }
--- a/crates/state/tests/group/mod.rs
+++ b/crates/state/tests/group/mod.rs
@@ -6,7 +6,7 @@
 
 use policy::Tick;
 use quickcheck::Gen;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use state::membership::{Announced, AutoMembership};
@@ -72,6 +72,8 @@
     hellos: Vec<(u64, usize, Announced)>,
     /// Whether leaders change the members by themselves.
     automatic: bool,
+    /// Disks whose loss at once the group is to bear, if the leaders know.
+    lost_disks: Option<usize>,
     cut_links: BTreeSet<(usize, usize)>,
     faultless: bool,
     next_id: u64,
@@ -128,6 +130,7 @@
             in_flight: Vec::new(),
             hellos: Vec::new(),
             automatic: false,
+            lost_disks: None,
             cut_links: BTreeSet::new(),
             faultless: true,
             next_id,
@@ -150,6 +153,16 @@
         group
     }
 
+    /// The same for leaders that know how many disks may be lost at once.
+    pub fn bearing(seed: u64, hosts: usize, lost_disks: Option<usize>) -> Self {
+        let mut group = Self::automatic(seed, hosts);
+        group.lost_disks = lost_disks;
+        for host in &mut group.hosts {
+            host.membership = AutoMembership::new(lost_disks);
+        }
+        group
+    }
+
     /// Runs a history of faults, then a phase without faults in which everything must work again.
     pub fn run_history(&mut self, history: History) {
         self.faultless = false;
@@ -267,6 +280,13 @@
         self.random.random_range(0..limit)
     }
 
+    /// Returns the positions of all hosts in a random order.
+    pub fn shuffled(&mut self) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.hosts.len()).collect();
+        all.shuffle(&mut self.random);
+        all
+    }
+
     /// Returns whether the committed members are all voters and are exactly the hosts' current disks.
     pub fn is_repaired(&self) -> bool {
         let (ids, members) = (self.ids(), self.committed_members());
@@ -554,7 +574,7 @@
         let disk = host.disk.clone();
         host.hash = disk.snapshot.data[..].try_into().map_or(0, u64::from_le_bytes);
         host.started = self.now;
-        host.membership = AutoMembership::default();
+        host.membership = AutoMembership::new(self.lost_disks);
         host.heard.clear();
         let restored = Restored {
             id: disk.id,
