Bound the records that a state node keeps and sends by their bytes

The same class beside it: a follower that doesn't answer was sent up to 8,192 records, and each peer's queue held 256 messages, which keep records that the log has dropped.

--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -366,6 +366,7 @@
         }
         gauge!("gentian_state_leader_count").set(if leads { 1.0 } else { 0.0 });
         gauge!("gentian_state_committed_index").set(self.node.committed().0 as f64);
+        gauge!("gentian_state_log_bytes").set(self.node.log_bytes() as f64);
     }
 }
 
--- a/crates/state/src/peers.rs
+++ b/crates/state/src/peers.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use contract::{NodeId, Revision};
@@ -18,6 +20,9 @@
 
 /// Most messages that may wait for a peer; more are dropped and counted, and Raft sends again what is needed.
 const MAX_QUEUED: usize = 256;
+/// Most payload bytes that may wait for a peer, unless a single message is larger. A peer that does not answer would
+/// otherwise keep records in memory that the log has dropped.
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 /// Most payload bytes of one call, unless a single message is larger.
 const MAX_BATCH_BYTES: usize = 1024 * 1024;
 /// Pause after a call that failed.
@@ -52,7 +57,29 @@
     node: NodeId,
     id: MemberId,
     address: SocketAddr,
-    queues: BTreeMap<SocketAddr, Sender<PeerMessage>>,
+    queues: BTreeMap<SocketAddr, PeerQueue>,
+}
+
+/// Messages that wait for a peer.
+#[derive(Debug)]
+struct PeerQueue {
+    messages: Sender<PeerMessage>,
+    /// Payload bytes of the messages.
+    bytes: Arc<AtomicUsize>,
+}
+
+impl PeerQueue {
+    /// Adds a message unless too many wait; returns whether it was added.
+    fn add(&self, message: PeerMessage) -> bool {
+        let size = payload_size(&message);
+        let before = self.bytes.fetch_add(size, Ordering::Relaxed);
+        let fits = before == 0 || before + size <= MAX_QUEUED_BYTES;
+        let added = fits && self.messages.try_send(message).is_ok();
+        if !added {
+            self.bytes.fetch_sub(size, Ordering::Relaxed);
+        }
+        added
+    }
 }
 
 impl PeerSenders {
@@ -75,21 +102,21 @@
         {
             self.queues.insert(to, queue);
         }
-        let sent = self
-            .queues
-            .get(&to)
-            .is_some_and(|queue| queue.try_send(message).is_ok());
+        let sent = self.queues.get(&to).is_some_and(|queue| queue.add(message));
         if !sent {
             counter!("gentian_state_messages_dropped_total").increment(1);
         }
     }
 
-    fn start_sender(&self, to: SocketAddr) -> Option<Sender<PeerMessage>> {
+    fn start_sender(&self, to: SocketAddr) -> Option<PeerQueue> {
         let client = self.calls.client(to, Duration::ZERO).ok()?;
         let (queue, messages) = bounded(MAX_QUEUED);
         let (calls, node, id, address) = (self.calls.clone(), self.node.clone(), self.id, self.address);
+        let bytes = Arc::new(AtomicUsize::new(0));
+        let waiting = Arc::clone(&bytes);
         let work = move || {
             while let Some(batch) = next_batch(&messages) {
+                waiting.fetch_sub(batch.iter().map(payload_size).sum(), Ordering::Relaxed);
                 let delivery = PeerBatch {
                     from: id,
                     address,
@@ -103,7 +130,7 @@
         };
         let thread = std::thread::Builder::new().name(format!("to {to}"));
         thread.spawn(work).ok()?;
-        Some(queue)
+        Some(PeerQueue { messages: queue, bytes })
     }
 }
 
--- a/crates/state/src/raft/leader.rs
+++ b/crates/state/src/raft/leader.rs
@@ -6,12 +6,14 @@
 use policy::Tick;
 
 use super::node::Role;
-use super::{Body, Index, MemberId, Node, Position, Term};
+use super::{Body, Index, MemberId, Node, Position, Snapshot, Term};
 
 /// Most bytes of a snapshot in one message.
 const PART_BYTES: usize = 256 * 1024;
 /// Most records that may be sent to a follower before it has acknowledged them.
 const MAX_IN_FLIGHT: u64 = 8_192;
+/// Most bytes of these records, unless a single message has more.
+const MAX_IN_FLIGHT_BYTES: usize = 2 * 1024 * 1024;
 
 /// State that only a leader has.
 #[derive(Debug)]
@@ -20,6 +22,8 @@
     pub(super) next_heartbeat: Tick,
     /// Commit index that the last heartbeat carried.
     pub(super) sent_commit: Index,
+    /// An older snapshot that some member still receives.
+    older: Option<Snapshot>,
     /// When this node asked for the votes that elected it.
     since: Tick,
 }
@@ -43,8 +47,9 @@
     Probe,
     /// Records are sent as they are appended, before earlier ones are acknowledged.
     Stream,
-    /// The follower needs records that only the snapshot at `index` covers; `offset` of its bytes have arrived.
-    Snapshot { index: Index, offset: u64 },
+    /// The follower needs records that only the snapshot at `index` covers; `offset` of its bytes have arrived, and the
+    /// next ones were sent at `part_sent`, in microseconds of the leader's clock.
+    Snapshot { index: Index, offset: u64, part_sent: u64 },
 }
 
 impl Progress {
@@ -66,9 +71,16 @@
             others,
             next_heartbeat: now,
             sent_commit: Index(0),
+            older: None,
             since,
         }
     }
+
+    /// Returns whether some member receives the snapshot at an index.
+    fn transfers(&self, index: Index) -> bool {
+        let receives = |progress: &Progress| matches!(progress.mode, Mode::Snapshot { index: at, .. } if at == index);
+        self.others.values().any(receives)
+    }
 }
 
 impl Node {
@@ -117,11 +129,14 @@
         let Role::Leader(leading) = &self.role else {
             return;
         };
-        let behind = |progress: &Progress| {
-            progress.mode == Mode::Stream
-                && progress.next <= last
-                && progress.next.0 - progress.matched.0 <= MAX_IN_FLIGHT
+        let in_flight_fits = |progress: &Progress| {
+            // Records before the base are no longer counted, but may still be under way.
+            progress.next.0 - progress.matched.0 <= MAX_IN_FLIGHT
+                && progress.matched >= self.log.base().index
+                && self.log.bytes_between(progress.matched, progress.next.previous()) <= MAX_IN_FLIGHT_BYTES
         };
+        let behind =
+            |progress: &Progress| progress.mode == Mode::Stream && progress.next <= last && in_flight_fits(progress);
         let others = leading.others.iter().filter(|(_, progress)| behind(progress));
         let others: Vec<MemberId> = others.map(|(id, _)| *id).collect();
         for id in others {
@@ -164,21 +179,55 @@
         }
     }
 
+    /// Keeps the snapshot for the members that receive it, before a newer one takes its place; a member whose transfer
+    /// began anew with each snapshot would never catch up while much is written. Returns whether there are such members.
+    pub(super) fn keep_transfer(&mut self) -> bool {
+        let index = self.snapshot.at.index;
+        let Role::Leader(leading) = &mut self.role else {
+            return false;
+        };
+        let older = leading.older.take();
+        leading.older = older.filter(|older| leading.transfers(older.at.index));
+        if leading.older.is_none() && leading.transfers(index) {
+            leading.older = Some(self.snapshot.clone());
+        }
+        leading.older.is_some()
+    }
+
+    /// Returns the snapshot at an index, if it is the newest one or some member still receives it.
+    fn snapshot_at(&self, index: Index) -> Option<&Snapshot> {
+        let older = match &self.role {
+            Role::Leader(leading) => leading.older.as_ref(),
+            _ => None,
+        };
+        let mut kept = std::iter::once(&self.snapshot).chain(older);
+        kept.find(|snapshot| snapshot.at.index == index)
+    }
+
     /// Sends the next part of the snapshot; a heartbeat carries no bytes and asks how many have arrived.
     fn send_snapshot_part(&mut self, to: MemberId, heartbeat: bool, sent: u64) {
-        let at = self.snapshot.at;
         let Some(progress) = self.progress(to) else {
             return;
         };
-        let offset = match progress.mode {
-            Mode::Snapshot { index, offset } if index == at.index => offset,
-            _ => 0,
-        };
-        progress.mode = Mode::Snapshot {
-            index: at.index,
-            offset,
+        let begun = match progress.mode {
+            Mode::Snapshot {
+                index,
+                offset,
+                part_sent,
+            } => Some((index, offset, part_sent)),
+            Mode::Probe | Mode::Stream => None,
         };
-        let data = &self.snapshot.data;
+        let begun = begun.and_then(|(index, offset, at)| Some((self.snapshot_at(index)?.clone(), offset, at)));
+        let (snapshot, offset, part_sent) = begun.unwrap_or_else(|| (self.snapshot.clone(), 0, 0));
+        let at = snapshot.at;
+        if let Some(progress) = self.progress(to) {
+            progress.mode = Mode::Snapshot {
+                index: at.index,
+                offset,
+                part_sent: if heartbeat { part_sent } else { sent },
+            };
+        }
+        let data = &snapshot.data;
         let from = (offset as usize).min(data.len());
         let until = if heartbeat {
             from
@@ -187,7 +236,7 @@
         };
         let bytes = data[from..until].to_vec();
         let total = data.len() as u64;
-        let members = self.snapshot.members.clone();
+        let members = snapshot.members;
         self.queue_message(
             to,
             Body::Part {
@@ -228,13 +277,27 @@
         self.replicate_to(from, false, now);
     }
 
-    /// Continues a snapshot transfer after the bytes that have arrived.
+    /// Continues a snapshot transfer after the bytes that have arrived, unless the next ones are under way: each answer to
+    /// a heartbeat would otherwise send them once more.
     pub(super) fn on_received(&mut self, from: MemberId, index: Index, offset: u64, sent: u64, now: Tick) {
         let Some(progress) = self.record_ack(from, sent) else {
             return;
         };
-        if matches!(progress.mode, Mode::Snapshot { index: sending, .. } if sending == index) {
-            progress.mode = Mode::Snapshot { index, offset };
+        let Mode::Snapshot {
+            index: sending,
+            offset: arrived,
+            part_sent,
+        } = progress.mode
+        else {
+            return;
+        };
+        // Messages arrive in order: an answer to a later one that brings nothing new shows that the part was lost.
+        if sending == index && (offset > arrived || sent > part_sent) {
+            progress.mode = Mode::Snapshot {
+                index,
+                offset,
+                part_sent,
+            };
             self.replicate_to(from, false, now);
         }
     }
--- a/crates/state/src/raft/log.rs
+++ b/crates/state/src/raft/log.rs
@@ -14,12 +14,20 @@
 pub(super) struct Log {
     base: Position,
     records: VecDeque<Record>,
+    /// Bytes of all payloads.
+    bytes: usize,
 }
 
 impl Log {
     pub(super) fn new(base: Position, records: Vec<Record>) -> Self {
+        let bytes = records.iter().map(|record| record.payload.size()).sum();
         let records = records.into();
-        Self { base, records }
+        Self { base, records, bytes }
+    }
+
+    /// Returns the bytes of all payloads.
+    pub(super) const fn bytes(&self) -> usize {
+        self.bytes
     }
 
     pub(super) fn base(&self) -> Position {
@@ -47,13 +55,40 @@
     }
 
     pub(super) fn push(&mut self, record: Record) {
+        self.bytes += record.payload.size();
         self.records.push_back(record);
     }
 
     /// Removes all records from an index on.
     pub(super) fn truncate(&mut self, from: Index) {
-        let keep = from.0.saturating_sub(self.base.index.0 + 1);
-        self.records.truncate(keep as usize);
+        let keep = from.0.saturating_sub(self.base.index.0 + 1) as usize;
+        self.bytes -= self.size_of_range(keep, self.records.len());
+        self.records.truncate(keep);
+    }
+
+    /// Returns the bytes of the payloads after one index up to another.
+    pub(super) fn bytes_between(&self, after: Index, until: Index) -> usize {
+        let at = |index: Index| index.0.saturating_sub(self.base.index.0) as usize;
+        self.size_of_range(at(after), at(until))
+    }
+
+    fn size_of_range(&self, from: usize, to: usize) -> usize {
+        let records = self.records.iter().take(to).skip(from);
+        records.map(|record| record.payload.size()).sum()
+    }
+
+    /// Returns the index after which the records up to `until` are within a number and a number of bytes.
+    pub(super) fn newest_within(&self, until: Index, most_records: u64, most_bytes: usize) -> Index {
+        let oldest = Index(until.0.saturating_sub(most_records)).max(self.base.index);
+        let (mut at, mut bytes) = (until, 0);
+        while at > oldest {
+            bytes += self.get(at).map_or(0, |record| record.payload.size());
+            if bytes > most_bytes {
+                break;
+            }
+            at = at.previous();
+        }
+        at
     }
 
     /// Returns records from an index on, as many as fit into one message.
@@ -97,8 +132,9 @@
     /// Moves the base forward and removes the records up to it.
     pub(super) fn compact(&mut self, base: Position) {
         if base.index > self.base.index {
-            let drop = (base.index.0 - self.base.index.0) as usize;
-            self.records.drain(..drop.min(self.records.len()));
+            let drop = ((base.index.0 - self.base.index.0) as usize).min(self.records.len());
+            self.bytes -= self.size_of_range(0, drop);
+            self.records.drain(..drop);
             self.base = base;
         }
     }
--- a/crates/state/src/raft/node.rs
+++ b/crates/state/src/raft/node.rs
@@ -16,8 +16,13 @@
     Body, HardState, Index, MemberId, Members, Message, Payload, Position, Ready, Record, Snapshot, Term, Timing,
 };
 
-/// Records that stay in memory before a snapshot's position, so that followers a little behind need no snapshot.
+/// Most records that stay in memory before a snapshot's position, so that followers a little behind need no snapshot.
 const KEPT_RECORDS: u64 = 1_024;
+/// Most bytes of these records.
+const KEPT_BYTES: usize = 4 * 1024 * 1024;
+/// Most bytes of these records while a follower receives a snapshot, after which it needs those that were written
+/// meanwhile.
+const TRANSFER_KEPT_BYTES: usize = 16 * 1024 * 1024;
 
 /// What a node finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
@@ -170,6 +175,12 @@
         self.log.last()
     }
 
+    /// Returns the bytes of the records that are in memory.
+    #[must_use]
+    pub const fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the current members, committed or not.
     ///
     /// # Panics
@@ -338,8 +349,9 @@
     }
 
     /// Takes over `data` as the snapshot of the applied state and drops the log before it, except for the newest
-    /// records, which followers a little behind still need.
+    /// records, which followers a little behind still need, up to a number of bytes.
     pub fn compact(&mut self, data: Vec<u8>) -> &Snapshot {
+        let transfers = self.keep_transfer();
         let index = self.applied;
         let term = self.log.term_of(index).unwrap_or(self.snapshot.at.term);
         let members = self.members_at(index);
@@ -348,7 +360,8 @@
             members,
             data: data.into(),
         };
-        let base = Index(index.0.saturating_sub(KEPT_RECORDS)).max(self.log.base().index);
+        let most_bytes = if transfers { TRANSFER_KEPT_BYTES } else { KEPT_BYTES };
+        let base = self.log.newest_within(index, KEPT_RECORDS, most_bytes);
         if let Some(term) = self.log.term_of(base) {
             self.log.compact(Position { term, index: base });
         }
