Add up metrics at intervals although nobody reads them

The recorder keeps each value of a histogram until somebody reads the metrics, and deploy/system.toml names none to be read.

--- a/crates/telemetry/src/scrape.rs
+++ b/crates/telemetry/src/scrape.rs
@@ -1,7 +1,12 @@
 //! Metrics in the Prometheus text format.
 
+use std::time::Duration;
+
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 
+/// Interval at which recorded values are added up.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Handle to the metrics of the process.
 #[derive(Clone)]
 pub struct MetricsExporter(PrometheusHandle);
@@ -18,7 +23,26 @@
     /// # Errors
     /// Fails if the process has a recorder already.
     pub fn install() -> Result<Self, BuildError> {
-        PrometheusBuilder::new().install_recorder().map(Self)
+        Self::install_with(UPKEEP_INTERVAL)
+    }
+
+    /// Installs the recorder with an interval at which recorded values are added up. Without that, each value of a
+    /// histogram would be kept until somebody reads the metrics.
+    ///
+    /// # Errors
+    /// Fails if the process has a recorder already.
+    pub fn install_with(interval: Duration) -> Result<Self, BuildError> {
+        let handle = PrometheusBuilder::new().install_recorder()?;
+        let kept = handle.clone();
+        let upkeep = move || {
+            loop {
+                std::thread::sleep(interval);
+                kept.run_upkeep();
+            }
+        };
+        // If the thread can't start, values are added up when the metrics are read.
+        drop(std::thread::Builder::new().name("metrics".to_owned()).spawn(upkeep));
+        Ok(Self(handle))
     }
 
     /// Renders all metrics in the Prometheus text format.
