Bound the figures of upstreams before a clock counts with them

Cause: the pool adds the stated idle time to the clock, which panics when it overflows, after the answer was read and before it was written. The same class: Duration::from_secs_f64 panics on large figures, and the part of a rate limit that an upstream names divides by it.

Evidence: gateway/absurd_figures states nothing but idle times.

Why it works: idle times count up to an hour, a part that is no positive number is none, and policy::duration_from_secs converts any number.

--- a/crates/entry/src/rescue.rs
+++ b/crates/entry/src/rescue.rs
@@ -17,10 +17,10 @@
 use crossbeam_channel::{Sender, bounded};
 use metrics::counter;
 use parking_lot::{Condvar, Mutex};
-use policy::Tick;
 use policy::life::AnyHostState;
 use policy::prefix::Prefix;
 use policy::rescue::{MoveRates, Stream, StreamAction, plan};
+use policy::{Tick, duration_from_secs};
 
 use crate::EntryHost;
 use crate::settings::KvExport;
@@ -74,7 +74,7 @@
     }
 
     fn rates(&self, export: bool) -> MoveRates {
-        let measured = self.export_seconds.lock().map(Duration::from_secs_f64);
+        let measured = self.export_seconds.lock().map(duration_from_secs);
         MoveRates {
             export: export.then(|| measured.unwrap_or(EXPORT_PER_TOKEN)),
             prefill: PREFILL_PER_TOKEN,
--- a/crates/entry/src/upstreams/mod.rs
+++ b/crates/entry/src/upstreams/mod.rs
@@ -16,13 +16,13 @@
 use contract::{DataCenter, Revision, UpstreamId};
 use metrics::counter;
 use parking_lot::{Mutex, RwLock};
-use policy::Tick;
 use policy::load::LoadReport;
 use policy::prefix::{Prefix, PrefixIndex};
 use policy::route::{
     Ablation, Candidate, Choice, ProposedCandidate, Reason, RequestNeed, Routing, RoutingRules, Target, UpstreamGroup,
     choose,
 };
+use policy::{Tick, duration_from_secs};
 use telemetry::Clock;
 use wire::digest::LoadDigest;
 use wire::entry::HostSignal;
@@ -374,7 +374,7 @@
             TargetSlots {
                 target: target.clone(),
                 slots: slots.floor() as usize,
-                first_token: Duration::from_secs_f64(rates.first_token_ms / 1_000.0),
+                first_token: duration_from_secs(rates.first_token_ms / 1_000.0),
             }
         });
         sizes.collect()
--- a/crates/entry/src/upstreams/poll.rs
+++ b/crates/entry/src/upstreams/poll.rs
@@ -6,9 +6,9 @@
 use contract::Revision;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use metrics::{counter, gauge};
-use policy::Tick;
 use policy::divide::polling_host;
 use policy::load::LoadReport;
+use policy::{Tick, duration_from_secs};
 use upstream::engine::EngineClient;
 
 use super::Upstreams;
@@ -80,7 +80,7 @@
 fn poll_interval(upstreams: usize, hosts: usize) -> Duration {
     let peers = hosts.saturating_sub(1) as f64;
     let budget = (BYTES_PER_S.0 - peers * BYTES_PER_S.1).max(BYTES_PER_S.2);
-    Duration::from_secs_f64(upstreams as f64 * POLL_BYTES / budget).max(MIN_INTERVAL)
+    duration_from_secs(upstreams as f64 * POLL_BYTES / budget).max(MIN_INTERVAL)
 }
 
 impl OwnPolls {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,12 +2,11 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use contract::ServiceName;
 use metrics::{counter, histogram};
-use policy::Tick;
 use policy::reach::Reachability;
+use policy::{Tick, duration_from_secs};
 use slog::info;
 use tokio::time::{Instant, sleep};
 use wire::slots::SlotEnd;
@@ -367,7 +366,7 @@
 
     /// Records that a response is expected on this host's own link.
     fn start_own_wait(&self, gateway: &Gateway, chosen: &ChosenUpstream) -> OwnWait {
-        let expected = Duration::from_secs_f64(chosen.prediction.ms.max(0.0) / 1_000.0);
+        let expected = duration_from_secs(chosen.prediction.ms.max(0.0) / 1_000.0);
         let now = gateway.clock.now();
         let number = gateway.update_isolation(&self.service, |isolation| {
             isolation.record_sent(&chosen.id, expected, now)
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -7,6 +7,7 @@
 use inbound::intake::Lease;
 use inbound::request_reader::{Body, ReadError, RequestReader};
 use metrics::counter;
+use policy::duration_from_secs;
 use policy::quota::OverQuota;
 use slog::info;
 use tokio::io::AsyncWriteExt;
@@ -265,7 +266,7 @@
         info: &RequestInfo,
         keep_alive: bool,
     ) -> NotForwarded {
-        let wait = Duration::from_secs_f64(exceeded.wait_s.clamp(QUOTA_RETRY_S.0, QUOTA_RETRY_S.1));
+        let wait = duration_from_secs(exceeded.wait_s.clamp(QUOTA_RETRY_S.0, QUOTA_RETRY_S.1));
         info!(self.gateway.logger, "over quota"; "request" => info.log_id(), "account" => account,
             "saved" => exceeded.balance as i64, "rate" => exceeded.rate as i64, "held_back" => exceeded.held_back,
             "tokens" => info.tokens.map(|tokens| tokens.prompt + tokens.max_output),
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,8 +14,8 @@
 use jsonrpsee::http_client::HttpClient;
 use metrics::counter;
 use parking_lot::Mutex;
-use policy::Tick;
 use policy::first_reads::first_read_pause;
+use policy::{Tick, duration_from_secs};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use upstream::directory::Directory;
@@ -204,9 +204,7 @@
         if starting {
             return STARTUP_INTERVAL;
         }
-        HEARTBEAT_INTERVAL.max(Duration::from_secs_f64(
-            f64::from(self.entry_count()) / MAX_HEARTBEATS_PER_S,
-        ))
+        HEARTBEAT_INTERVAL.max(duration_from_secs(f64::from(self.entry_count()) / MAX_HEARTBEATS_PER_S))
     }
 
     fn entry_count(&self) -> u32 {
@@ -283,7 +281,7 @@
         let interval = f64::from(self.entry_count()) / (rate * LIST_RATE_SHARE).max(0.1);
         // Processes that start together would otherwise stay in step forever.
         let jitter = 0.9 + 0.2 * rand::random::<f64>();
-        MIN_LIST_INTERVAL.max(Duration::from_secs_f64(interval)).mul_f64(jitter)
+        MIN_LIST_INTERVAL.max(duration_from_secs(interval)).mul_f64(jitter)
     }
 }
 
--- a/crates/gateway/src/moving.rs
+++ b/crates/gateway/src/moving.rs
@@ -16,6 +16,7 @@
 use inbound::intake::Lease;
 use inbound::request_reader::Body;
 use metrics::counter;
+use policy::duration_from_secs;
 use policy::fetch::REMOTE_COPY_FACTOR;
 use policy::pace::{self, PrefillWork};
 use policy::place::Prediction;
@@ -337,7 +338,7 @@
 fn choose_action(stream: &Stream<()>, engine: EngineSpec, engine_rates: pace::EngineRates) -> StreamAction {
     let rates = MoveRates {
         export: copy_time(&engine, 1),
-        prefill: Duration::from_secs_f64(engine_rates.token_ms / 1_000.0),
+        prefill: duration_from_secs(engine_rates.token_ms / 1_000.0),
     };
     plan(&[*stream], &rates)
         .first()
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -7,8 +7,8 @@
 use contract::{Route, ServiceName};
 use derive_more::{Display, Error, From};
 use metrics::{counter, gauge, histogram};
-use policy::Tick;
 use policy::place::PromptPart;
+use policy::{Tick, duration_from_secs};
 use slog::info;
 use tokio::time::Instant;
 
@@ -153,7 +153,7 @@
             return Ok(());
         }
         self.count_refusal("too_slow");
-        let after = Duration::from_secs_f64(prediction.ms / 1_000.0).saturating_sub(left);
+        let after = duration_from_secs(prediction.ms / 1_000.0).saturating_sub(left);
         let work = self.work(chosen);
         let deadline = now + self.deadline.saturating_duration_since(Instant::now());
         Err(Unplaced::TooSlow {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -16,6 +16,8 @@
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 /// Idle timeout of a connection whose upstream announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which a connection is kept idle, whatever its upstream announces; later times can't be represented.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 /// Time before an upstream closes an idle connection at which it is no longer used. A request sent while the upstream
 /// closes the connection has an unknown outcome.
 const CLOSE_MARGIN: Duration = Duration::from_millis(600);
@@ -152,6 +154,7 @@
         let idle_since = Instant::now();
         let lifetime = idle_timeout
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
+            .min(MAX_IDLE_TIMEOUT)
             .saturating_sub(CLOSE_MARGIN);
         let idle = self.idle.entry(connection.upstream).or_default();
         if idle.len() >= MAX_IDLE_PER_UPSTREAM {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,9 +9,9 @@
 use inbound::intake::{Held, Lease};
 use inbound::request_reader::Body;
 use metrics::{counter, histogram};
-use policy::Tick;
 use policy::quarantine::parts::SOUND_TIME;
 use policy::retries::SendPermit;
+use policy::{Tick, duration_from_secs};
 use rand::Rng;
 use slog::info;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -350,7 +350,7 @@
     /// Returns the delay after which a refused caller should try again.
     fn retry_delay(&self) -> Duration {
         let delay = rand::rng().random_range(RETRY_AFTER_S.0..RETRY_AFTER_S.1);
-        Duration::from_secs_f64(delay.min(self.longest_delay().as_secs_f64()).max(0.01))
+        duration_from_secs(delay.min(self.longest_delay().as_secs_f64()).max(0.01))
     }
 
     /// Forwards a response.
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -1,5 +1,6 @@
 //! Header names for the tests.
 
+use policy::duration_from_secs;
 use std::time::Duration;
 
 use contract::KeyHash;
@@ -74,13 +75,16 @@
             news: UpstreamNews {
                 rate_limit: head.get("limit").and_then(|text| text.parse().ok()),
                 backoff: head.get("pause").map(|text| match text.parse() {
-                    Ok(seconds) => BackoffHint::Lasts(Duration::from_secs_f64(seconds)),
+                    Ok(seconds) => BackoffHint::Lasts(duration_from_secs(seconds)),
                     Err(_unreadable) => BackoffHint::Unreadable(text.to_owned()),
                 }),
                 leaving: head.get("leaving").is_some(),
                 ..UpstreamNews::default()
             },
-            idle_timeout: None,
+            idle_timeout: head
+                .get("keep-s")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_secs),
         }
     }
 
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -11,8 +11,8 @@
 use contract::{ListedUpstream, NodeId, ServiceName, Zone};
 use gateway::dialect::ReportedLoad;
 use gateway::upstreams::{ChosenUpstream, UpstreamNeed, Upstreams};
-use policy::Tick;
 use policy::place::PromptPart;
+use policy::{Tick, duration_from_secs};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use state::registry::{EntryRegistry, SharedLimits};
@@ -320,5 +320,5 @@
 }
 
 fn to_tick(ms: f64) -> Tick {
-    Tick(Duration::from_secs_f64(ms / 1_000.0))
+    Tick(duration_from_secs(ms / 1_000.0))
 }
--- a/crates/gateway/tests/slow_node/mod.rs
+++ b/crates/gateway/tests/slow_node/mod.rs
@@ -15,6 +15,7 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use load::trial::process::free_address;
+use policy::duration_from_secs;
 use policy::parts::Slack;
 use serde::Serialize;
 use slog::{Discard, Logger, o};
@@ -226,10 +227,7 @@
 impl SlowProxy {
     /// Waits for the time that a response takes on the link.
     async fn delay<T: Serialize>(&self, response: &T) {
-        tokio::time::sleep(Duration::from_secs_f64(
-            encoded_size(response) as f64 / self.bytes_per_s,
-        ))
-        .await;
+        tokio::time::sleep(duration_from_secs(encoded_size(response) as f64 / self.bytes_per_s)).await;
     }
 }
 
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -34,7 +34,7 @@
 pub fn compare(options: &Compare) -> anyhow::Result<()> {
     let plan_options = PlanOptions {
         seed: options.seed,
-        duration: Duration::from_secs_f64(options.duration),
+        duration: Duration::try_from_secs_f64(options.duration).unwrap_or(Duration::MAX),
         rate: options.rate.unwrap_or_else(|| options.workload.usual_rate()),
     };
     let comparer = Comparer::new(options.workload, &plan_options, options.quiet)?;
@@ -67,7 +67,7 @@
 pub fn run_single(options: &RunOptions) -> anyhow::Result<()> {
     let plan_options = PlanOptions {
         seed: options.seed,
-        duration: Duration::from_secs_f64(options.duration),
+        duration: Duration::try_from_secs_f64(options.duration).unwrap_or(Duration::MAX),
         rate: options.rate.unwrap_or_else(|| options.workload.usual_rate()),
     };
     let comparer = Comparer::new(options.workload, &plan_options, options.quiet)?;
--- a/crates/load/src/slopes/bench.rs
+++ b/crates/load/src/slopes/bench.rs
@@ -47,7 +47,7 @@
     std::thread::sleep(SETTLE_TIME);
     let (before, bytes, started) = (system.usage()?, system.bytes(), Instant::now());
     let digests = system.digests();
-    let in_force_ms = system.change_for(changes, Duration::from_secs_f64(seconds))?;
+    let in_force_ms = system.change_for(changes, Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))?;
     let (after, bytes_after, elapsed_s) = (system.usage()?, system.bytes(), started.elapsed().as_secs_f64());
     let digests_per_s = (system.digests() - digests) / elapsed_s / entries as f64;
     let cost = |at: usize, link_bytes: u64, processes: usize| Cost {
@@ -155,7 +155,7 @@
             self.wait_in_force(revision)?;
             latencies.record(u64::try_from(changed.elapsed().as_micros())?.max(1))?;
             number += 1;
-            let due = Duration::from_secs_f64(number as f64 / rate);
+            let due = Duration::try_from_secs_f64(number as f64 / rate).unwrap_or(Duration::MAX);
             std::thread::sleep(due.saturating_sub(started.elapsed()));
         }
         std::thread::sleep(period.saturating_sub(started.elapsed()));
--- a/crates/load/src/workload/mod.rs
+++ b/crates/load/src/workload/mod.rs
@@ -166,7 +166,7 @@
         let mut times = Vec::new();
         let mut at = self.interarrival(rate);
         while at < end_s {
-            times.push(Duration::from_secs_f64(at));
+            times.push(Duration::try_from_secs_f64(at).unwrap_or(Duration::MAX));
             at += self.interarrival(rate);
         }
         times
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::Tick;
 use crate::pace::PrefillWork;
 use crate::pace::moment::ExpectedPace;
+use crate::{Tick, duration_from_secs};
 
 /// Longest wait for a first event that counts as a sign of a backlog; a request that waits longer is taken for lost.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
@@ -51,7 +51,7 @@
 impl Backlog {
     /// Records a sent request and returns the number to pass to [`Backlog::first_event`] or [`Backlog::ended`].
     pub fn sent(&mut self, sent: SentRequest, now: Tick) -> u64 {
-        self.prefilled_at = self.prefilled_at.max(now) + Duration::from_secs_f64(sent.prefill_ms / 1_000.0);
+        self.prefilled_at = self.prefilled_at.max(now) + duration_from_secs(sent.prefill_ms / 1_000.0);
         self.last_number += 1;
         self.waiting.insert(self.last_number, (now, sent));
         self.last_number
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::Tick;
+use crate::{Tick, duration_from_secs};
 
 /// Times over which starts are counted; the shortest with enough starts is used, so that a change shows soon. A load that
 /// ended longer ago than the longest of them is forgotten.
@@ -76,11 +76,7 @@
     pub fn wait(&self, work: f64, now: Tick) -> Option<Duration> {
         let seconds = work / self.tokens_per_s(now)?;
         let most = MAX_WAIT.as_secs_f64();
-        Some(Duration::from_secs_f64(if seconds > 0.0 {
-            seconds.min(most)
-        } else {
-            0.0
-        }))
+        Some(duration_from_secs(if seconds > 0.0 { seconds.min(most) } else { 0.0 }))
     }
 
     fn tokens_per_s(&self, now: Tick) -> Option<f64> {
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -4,9 +4,9 @@
 
 use derive_more::{Display, Error};
 
-use crate::Tick;
 use crate::fair::{FairQueue, RefusalReason, Ticket};
 use crate::returns::ReturnTimes;
+use crate::{Tick, duration_from_secs};
 
 /// Weight of the newest finished request in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
@@ -141,7 +141,7 @@
         let slots = self.capacity.max(1) as f64;
         // On average, a slot becomes free every mean hold time divided by the number of slots.
         let seconds = (hold + self.queue.work_ahead(ticket) * per_token) / slots;
-        Duration::from_secs_f64(seconds.min(3_600.0))
+        duration_from_secs(seconds.min(3_600.0))
     }
 
     /// Queues a request; returns another one that was dropped for it.
@@ -166,7 +166,7 @@
         } else {
             0.0
         };
-        let duration = wait + Duration::from_secs_f64(run);
+        let duration = wait + duration_from_secs(run);
         let left = ticket.latest_start.since(now);
         let waits = wait > Duration::ZERO;
         if ticket.latest_start < now || (waits && duration > left) {
@@ -207,7 +207,7 @@
     pub fn reject(&mut self, why: RefusalReason, tokens: f64, late: Duration, now: Tick) -> Rejection {
         let (shortest, longest) = RETRY_AFTER;
         let work = tokens * self.averages.per_token().unwrap_or_default() / self.capacity.max(1) as f64;
-        let work = Duration::from_secs_f64(work.max(0.0).min(longest.as_secs_f64()));
+        let work = duration_from_secs(work.max(0.0).min(longest.as_secs_f64()));
         let after = late.max(self.next_slot()).max(shortest);
         Rejection {
             why,
@@ -219,6 +219,6 @@
     #[must_use]
     pub fn next_slot(&self) -> Duration {
         let hold = self.averages.mean_hold().unwrap_or_default();
-        Duration::from_secs_f64(hold / self.running.max(1) as f64)
+        duration_from_secs(hold / self.running.max(1) as f64)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,4 +52,4 @@
 pub mod turns;
 pub mod urgency;
 
-pub use time::Tick;
+pub use time::{Tick, duration_from_secs};
--- a/crates/policy/src/limits/bucket.rs
+++ b/crates/policy/src/limits/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::Tick;
+use crate::{Tick, duration_from_secs};
 
 /// Time for which a bucket saves up unused allowance.
 pub const BURST: Duration = Duration::from_secs(1);
@@ -43,7 +43,7 @@
         self.fill(now);
         let needed = amount.min(burst(self.rate));
         if self.level < needed {
-            return Err(Duration::from_secs_f64(
+            return Err(duration_from_secs(
                 ((needed - self.level) / self.rate.max(1e-9)).min(3_600.0),
             ));
         }
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -10,7 +10,7 @@
 
 use contract::NodeId;
 
-use crate::Tick;
+use crate::{Tick, duration_from_secs};
 
 /// Time for which a host may use its part after the heartbeat that the part answers. It covers two heartbeats of 390
 /// hosts; for as long, the part of a host that is lost goes unused.
@@ -258,7 +258,7 @@
 
 impl HostPart {
     fn interval(&self) -> Duration {
-        Duration::from_secs_f64(1.0 / self.per_s)
+        duration_from_secs(1.0 / self.per_s)
     }
 }
 
@@ -281,7 +281,7 @@
             self.named = named;
             self.own = false;
         }
-        if per_s <= 0.0 {
+        if per_s.is_nan() || per_s <= 0.0 {
             self.part = None;
             return;
         }
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -5,6 +5,16 @@
 
 use derive_more::Display;
 
+/// Converts seconds to a duration: zero for a negative number and for none, the longest one for more than it can hold.
+#[must_use]
+pub fn duration_from_secs(seconds: f64) -> Duration {
+    if seconds > 0.0 {
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Time since the start of the process.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{:.3} s", _0.as_secs_f64())]
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -67,7 +67,9 @@
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     let rate = engine.options.kv_mbps.max(1) * MEGABYTE_BYTES;
     let _link = engine.link.lock();
-    let mut remaining = Duration::from_secs_f64(bytes as f64 / rate as f64).mul_f64(engine.faults.lock().slowdown());
+    let mut remaining = Duration::try_from_secs_f64(bytes as f64 / rate as f64)
+        .unwrap_or(Duration::MAX)
+        .mul_f64(engine.faults.lock().slowdown());
     while !remaining.is_zero() && !engine.is_dead() {
         let slice = remaining.min(POLL_INTERVAL);
         std::thread::sleep(slice);
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -65,9 +65,9 @@
         return Response::json(&json!({"error": "too many loads"})).with_status_code(429);
     }
     let link = store.link.lock();
-    std::thread::sleep(Duration::from_secs_f64(
-        megabytes as f64 / store.options.mbps.max(1) as f64,
-    ));
+    std::thread::sleep(
+        Duration::try_from_secs_f64(megabytes as f64 / store.options.mbps.max(1) as f64).unwrap_or(Duration::MAX),
+    );
     drop(link);
     store.pending_loads.fetch_sub(1, Ordering::Relaxed);
     store.finished_loads.lock().push(url);
