Log, count and contain panics

One that a request runs into ends that request alone: 500 with what is known of it, or its stream breaks off. Threads and tasks that have to go on begin anew after a second; the thread that owns a state node's state ends the process instead, which starts again from its disk.

gateway/absurd_figures::failing_host before: the connection closed; after: 500 telemetry/panics new

--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -18,6 +18,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{Logger, info};
 use telemetry::clock::wall_ms;
+use telemetry::panics;
 use telemetry::scrape::MetricsExporter;
 use telemetry::{Clock, ended, log};
 use wire::client::{RpcRuntime, StateClient};
@@ -41,6 +42,7 @@
         return Ok(());
     };
     let logger = log::start(settings.log, "gentian-capacity", settings.node.as_str());
+    panics::report(&logger);
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -17,6 +17,7 @@
 use policy::intake::IntakeBounds;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
+use telemetry::panics;
 use telemetry::scrape::MetricsExporter;
 use telemetry::{ended, log};
 use wire::client::RpcRuntime;
@@ -53,6 +54,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
+    panics::report(&entry.logger);
     let scrape = MetricsExporter::install()?;
     let listen = entry.settings.listen;
     let listener = callers::listen(listen).with_context(|| format!("listen on {listen}"))?;
@@ -64,7 +66,7 @@
     start_threads(entry)?;
     let (shared, runtime) = (Arc::clone(entry), calls.clone());
     let back_up = move || burn::back_up_peer(&shared, &runtime, inner_address);
-    thread::Builder::new().name("burn".to_owned()).spawn(back_up)?;
+    panics::spawn_restarting("burn", &entry.logger, back_up)?;
     start_exchange(entry, inner_address)?;
     info!(entry.logger, "serving"; "callers" => %listener.local_addr()?, "ops" => %ops,
         "inner" => %inner_address);
@@ -107,23 +109,17 @@
 
 fn start_threads(entry: &Arc<EntryHost>) -> std::io::Result<()> {
     let learner = Arc::clone(entry);
-    thread::Builder::new()
-        .name("learner".to_owned())
-        .spawn(move || active_config::watch_state(&learner))?;
+    panics::spawn_restarting("learner", &entry.logger, move || active_config::watch_state(&learner))?;
     rescue::start(entry)?;
     let watcher = Arc::clone(entry);
-    thread::Builder::new()
-        .name("hosts".to_owned())
-        .spawn(move || hosts::watch_hosts(&watcher))?;
+    panics::spawn_restarting("hosts", &entry.logger, move || hosts::watch_hosts(&watcher))?;
     let poller = Arc::clone(entry);
-    // The result is dropped: starting the poller threads fails only if the system has no threads left.
-    thread::Builder::new()
-        .name("loads".to_owned())
-        .spawn(move || upstreams::poll::run(&poller))?;
+    panics::spawn_restarting("loads", &entry.logger, move || {
+        // Starting the poller threads fails only if the system has no threads left.
+        let _ = upstreams::poll::run(&poller);
+    })?;
     let reader = Arc::clone(entry);
-    thread::Builder::new()
-        .name("events".to_owned())
-        .spawn(move || upstreams::events::run(&reader))?;
+    panics::spawn_restarting("events", &entry.logger, move || upstreams::events::run(&reader))?;
     Ok(())
 }
 
@@ -132,8 +128,7 @@
     let socket =
         exchange::open(own_address).map_err(|error| anyhow::anyhow!("bind UDP socket at {own_address}: {error}"))?;
     let entry = Arc::clone(entry);
-    thread::Builder::new()
-        .name("exchange".to_owned())
-        .spawn(move || exchange::run(&entry, &socket, own_address))?;
+    let logger = entry.logger.clone();
+    panics::spawn_restarting("exchange", &logger, move || exchange::run(&entry, &socket, own_address))?;
     Ok(())
 }
--- a/crates/entry/src/rescue.rs
+++ b/crates/entry/src/rescue.rs
@@ -25,6 +25,7 @@
 use crate::EntryHost;
 use crate::settings::KvExport;
 use ended::{EndedAnswer, EndedAnswers};
+use telemetry::panics;
 pub use tracked::{AttemptInfo, StreamMove, TrackedAttempt};
 use tracked::{AttemptRecord, MoveStage};
 
@@ -201,15 +202,13 @@
     let (queue, jobs) = bounded::<CopyJob>(COPY_THREADS);
     for _ in 0..COPY_THREADS {
         let (entry, jobs) = (Arc::clone(entry), jobs.clone());
-        std::thread::Builder::new()
-            .name("copier".to_owned())
-            .spawn(move || jobs.iter().for_each(|job| copy::run(&entry, job)))?;
+        let logger = entry.logger.clone();
+        let copy_all = move || jobs.iter().for_each(|job| copy::run(&entry, job));
+        panics::spawn_restarting("copier", &logger, copy_all)?;
     }
     let entry = Arc::clone(entry);
-    std::thread::Builder::new()
-        .name("rescue".to_owned())
-        .spawn(move || watch_attempts(&entry, &queue))?;
-    Ok(())
+    let logger = entry.logger.clone();
+    panics::spawn_restarting("rescue", &logger, move || watch_attempts(&entry, &queue))
 }
 
 fn watch_attempts(entry: &EntryHost, queue: &Sender<CopyJob>) {
--- a/crates/entry/src/upstreams/poll.rs
+++ b/crates/entry/src/upstreams/poll.rs
@@ -9,6 +9,7 @@
 use policy::divide::polling_host;
 use policy::load::LoadReport;
 use policy::{Tick, duration_from_secs};
+use telemetry::panics;
 use upstream::engine::EngineClient;
 
 use super::Upstreams;
@@ -51,8 +52,8 @@
     for _ in 0..POLL_THREADS {
         let entry = Arc::clone(entry);
         let receiver: Receiver<Upstream> = receiver.clone();
-        let poller = std::thread::Builder::new().name("load".to_owned());
-        poller.spawn(move || poll_upstreams(&entry, &receiver))?;
+        let logger = entry.logger.clone();
+        panics::spawn_restarting("load", &logger, move || poll_upstreams(&entry, &receiver))?;
     }
     let mut own_polls = OwnPolls::default();
     while !entry.is_stopping() {
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -10,6 +10,7 @@
 use policy::duration_from_secs;
 use policy::quota::OverQuota;
 use slog::info;
+use telemetry::panics;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -50,8 +51,9 @@
         while self.wait_request(&mut reader).await {
             self.active.set(self.active.get() + 1);
             // Boxed, so that idle connections don't take the memory of a request.
-            let state = Box::pin(self.serve_request(&mut reader, &mut out, &lease)).await;
+            let served = panics::catch(Box::pin(self.serve_request(&mut reader, &mut out, &lease))).await;
             self.active.set(self.active.get() - 1);
+            let state = served.unwrap_or(ConnectionState::Gone);
             match state {
                 ConnectionState::KeepAlive => {}
                 ConnectionState::Close => {
--- a/crates/gateway/src/catalog_follower.rs
+++ b/crates/gateway/src/catalog_follower.rs
@@ -76,7 +76,7 @@
     }
 
     /// Follows the catalog for as long as the process runs.
-    pub(crate) fn run(mut self) {
+    pub(crate) fn run(&mut self) {
         loop {
             let Some((peer, client)) = self.next_client() else {
                 thread::sleep(RETRY_PAUSE);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -18,6 +18,7 @@
 use policy::{Tick, duration_from_secs};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
+use telemetry::panics;
 use upstream::directory::Directory;
 use wire::Envelope;
 use wire::catalog::CatalogRpcClient;
@@ -81,13 +82,11 @@
     ///
     /// # Errors
     /// Fails when the operating system refuses to create a thread.
-    pub fn start(&self, directory: Box<dyn Directory>) -> std::io::Result<()> {
+    pub fn start(&self, mut directory: Box<dyn Directory>) -> std::io::Result<()> {
         let rpc = RpcRuntime::start(1, RPC_TIMEOUT)?;
         let known = Arc::new(Mutex::new(KnownNodes::default()));
-        let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
-            thread::Builder::new().name(name.to_owned()).spawn(work).map(drop)
-        };
-        let follower = CatalogFollower::new(self.clone(), rpc.clone(), Arc::clone(&known));
+        let spawn = |name: &str, work: Box<dyn FnMut() + Send>| panics::spawn_restarting(name, &self.logger, work);
+        let mut follower = CatalogFollower::new(self.clone(), rpc.clone(), Arc::clone(&known));
         spawn("follow", Box::new(move || follower.run()))?;
         let sync = self.clone();
         let (watch_rpc, watch_known) = (rpc.clone(), Arc::clone(&known));
@@ -98,7 +97,7 @@
             Box::new(move || watch::run(&sync, &watch_rpc, &watch_known)),
         )?;
         let sync = self.clone();
-        spawn("list", Box::new(move || sync.poll_list(directory)))
+        spawn("list", Box::new(move || sync.poll_list(&mut *directory)))
     }
 
     /// Returns the addresses of all known state nodes.
@@ -240,7 +239,7 @@
     }
 
     /// Reads the upstream list while no leader provides it.
-    fn poll_list(&self, mut directory: Box<dyn Directory>) {
+    fn poll_list(&self, directory: &mut dyn Directory) {
         let mut failures = 0;
         loop {
             let sent_at = self.clock.now();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 use policy::{Tick, duration_from_secs};
 use rand::Rng;
 use slog::info;
+use telemetry::panics::{self, Panicked};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Instant, timeout_at};
 use wire::slots::SlotEnd;
@@ -159,9 +160,11 @@
     pub async fn serve(&self, gateway: &Rc<Gateway>, out: &mut OwnedWriteHalf) -> Outcome {
         gateway.record_demand(&self.service);
         gateway.record_running(&self.service, 1.0);
-        let outcome = match timeout_at(self.deadline, self.run_attempts(gateway, out)).await {
-            Ok(outcome) => outcome,
-            Err(_late) => self.timeout_outcome(),
+        let attempts = Box::pin(timeout_at(self.deadline, self.run_attempts(gateway, out)));
+        let outcome = match panics::catch(attempts).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_late)) => self.timeout_outcome(),
+            Err(panicked) => self.panic_outcome(panicked),
         };
         gateway.record_running(&self.service, -1.0);
         if matches!(outcome, Outcome::Passed { .. }) {
@@ -205,6 +208,22 @@
         Outcome::Refused(Refusal::new(503, "not run: no upstream took the request in time"))
     }
 
+    /// Returns the outcome of a request whose handling panicked.
+    fn panic_outcome(&self, panicked: Panicked) -> Outcome {
+        let progress = self.progress.get();
+        if progress.output_started {
+            return Outcome::Broken {
+                reason: panicked.to_string(),
+            };
+        }
+        let ran = if progress.may_have_run {
+            "may have run"
+        } else {
+            "not run"
+        };
+        Outcome::Refused(Refusal::closing(500, format!("{ran}: this host failed on it")))
+    }
+
     async fn run_attempts(&self, gateway: &Rc<Gateway>, out: &mut OwnedWriteHalf) -> Outcome {
         let mut tried: Vec<String> = Vec::new();
         let mut failed_connects = 0;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,7 +13,8 @@
 use inbound::listen::listen;
 use metrics::gauge;
 use policy::intake::{IntakeFull, Phase};
-use slog::{info, warn};
+use slog::{error, info, warn};
+use telemetry::panics;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -38,6 +39,8 @@
 pub(crate) const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Pause after a connection could not be accepted, for instance for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before a task that panicked begins anew.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
 
 /// Where an entry host listens, and how long a stop may take.
 #[derive(Clone, Copy, Debug)]
@@ -87,19 +90,20 @@
     async fn serve(self: Rc<Self>, settings: ServerSettings) -> io::Result<()> {
         let callers = listen(settings.callers, BACKLOG)?;
         let ready = listen(settings.ready, BACKLOG)?;
-        spawn_local(Rc::clone(&self).accept(ready, ListenerKind::Probe));
+        self.start_accepting(ready, ListenerKind::Probe);
         if let Some(address) = settings.metrics {
-            spawn_local(Rc::clone(&self).accept(listen(address, BACKLOG)?, ListenerKind::Probe));
+            self.start_accepting(listen(address, BACKLOG)?, ListenerKind::Probe);
         }
-        spawn_local(Rc::clone(&self).accept(callers, ListenerKind::Caller));
+        self.start_accepting(callers, ListenerKind::Caller);
         if let Some(address) = self.gateway.settings.relay {
-            spawn_local(Rc::clone(&self).accept(listen(address, BACKLOG)?, ListenerKind::Host));
+            self.start_accepting(listen(address, BACKLOG)?, ListenerKind::Host);
         }
         info!(self.gateway.logger, "serving"; "callers" => %settings.callers, "ready" => %settings.ready);
-        spawn_local(Rc::clone(&self.gateway).release_slots());
-        spawn_local(Rc::clone(&self.gateway).report_crashes());
-        spawn_local(Rc::clone(&self.gateway).tell_origins());
-        spawn_local(Rc::clone(&self.gateway).start_waiting());
+        let gateway = &self.gateway;
+        spawn_restarting("slots", gateway, Gateway::release_slots);
+        spawn_restarting("crashes", gateway, Gateway::report_crashes);
+        spawn_restarting("origins", gateway, Gateway::tell_origins);
+        spawn_restarting("waiting", gateway, Gateway::start_waiting);
         let (mut was_ready, mut was_stopping) = (false, false);
         let rate_reporter = RateReporter::default();
         loop {
@@ -139,7 +143,15 @@
         self.has_config() && self.gateway.planned_stop().is_none()
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener, kind: ListenerKind) {
+    /// Starts the task that accepts the connections of a listener.
+    fn start_accepting(self: &Rc<Self>, listener: TcpListener, kind: ListenerKind) {
+        let (server, listener) = (Rc::clone(self), Rc::new(listener));
+        spawn_restarting("accept", &self.gateway, move |_| {
+            Rc::clone(&server).accept(Rc::clone(&listener), kind)
+        });
+    }
+
+    async fn accept(self: Rc<Self>, listener: Rc<TcpListener>, kind: ListenerKind) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -237,3 +249,18 @@
     // The caller takes a connection that ends without an answer for one whose request was not read.
     let _ = stream.try_write(&refusal.render(true));
 }
+
+/// Starts a task that begins anew after a panic.
+fn spawn_restarting<F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    gateway: &Rc<Gateway>,
+    start: impl Fn(Rc<Gateway>) -> F + 'static,
+) {
+    let gateway = Rc::clone(gateway);
+    spawn_local(async move {
+        while panics::catch(start(Rc::clone(&gateway))).await.is_err() {
+            error!(gateway.logger, "task begins anew"; "task" => name);
+            sleep(RESTART_PAUSE).await;
+        }
+    });
+}
--- a/crates/gateway/tests/absurd_figures.rs
+++ b/crates/gateway/tests/absurd_figures.rs
@@ -1,4 +1,4 @@
-//! Figures of an upstream that no clock can count with.
+//! Figures of an upstream that no clock can count with, and other responses on which a host fails.
 
 mod common;
 
@@ -39,3 +39,19 @@
     }
     assert_eq!(upstream.request_count(), 3 * IDLE_SECONDS.len());
 }
+
+/// Guards against a panic on a response that leaves the caller without an answer, or takes more than the request with it.
+#[test]
+fn failing_host() {
+    let upstream = Upstream::start(Box::new(|request, stream| {
+        let fatal = if request.body == b"fatal" { "Fatal: yes\r\n" } else { "" };
+        respond(request, stream, "200 OK", &format!("Signed: s\r\n{fatal}"), "booked")
+    }));
+    let host = Host::start(RetryMode::Once, 1, &[&upstream]);
+    for _ in 0..3 {
+        let response = host.request("", "fatal");
+        assert_eq!(response.status, 500);
+        assert!(response.body.contains("may have run"), "{}", response.body);
+        assert_eq!(host.request("", "deposit").status, 200);
+    }
+}
--- a/crates/gateway/tests/common/headers.rs
+++ b/crates/gateway/tests/common/headers.rs
@@ -67,6 +67,7 @@
     }
 
     fn told(&self, head: &Head<StatusLine>) -> ResponseInfo {
+        assert!(head.get("fatal").is_none(), "a header that the host fails on");
         ResponseInfo {
             id: head.get("id").map(str::to_owned),
             not_run: head.get("not-run").is_some(),
--- a/crates/state/src/duties/mod.rs
+++ b/crates/state/src/duties/mod.rs
@@ -19,6 +19,7 @@
 use slog::{Logger, info, warn};
 use telemetry::Clock;
 use telemetry::clock::wall_ms;
+use telemetry::panics;
 use tokio::sync::oneshot;
 
 use orders::Orders;
@@ -156,13 +157,14 @@
     /// # Errors
     /// Fails when the operating system refuses a thread.
     pub fn start(mut self) -> std::io::Result<()> {
+        let logger = self.logger.clone();
         let work = move || {
             loop {
                 thread::sleep(CHECK_INTERVAL);
                 self.turn();
             }
         };
-        thread::Builder::new().name("duties".to_owned()).spawn(work).map(drop)
+        panics::spawn_restarting("duties", &logger, work)
     }
 
     /// Does what is due, if this process may act; starts anew in a new term.
--- a/crates/state/src/lists.rs
+++ b/crates/state/src/lists.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use slog::{Logger, info, warn};
 use telemetry::Clock;
+use telemetry::panics;
 use tokio::sync::oneshot;
 use upstream::directory::Directory;
 
@@ -44,6 +45,7 @@
     /// # Errors
     /// Fails when the operating system refuses a thread.
     pub fn start(mut self) -> std::io::Result<()> {
+        let logger = self.logger.clone();
         let work = move || {
             let mut failures = 0;
             let mut stored = None;
@@ -54,7 +56,7 @@
                 thread::sleep(READ_PAUSE);
             }
         };
-        thread::Builder::new().name("lists".to_owned()).spawn(work).map(drop)
+        panics::spawn_restarting("lists", &logger, work)
     }
 
     /// Returns the term if this node leads.
--- a/crates/state/src/main.rs
+++ b/crates/state/src/main.rs
@@ -17,6 +17,7 @@
 use state::core::{MembershipMode, NodeConfig};
 use state::program::StateNode;
 use state::settings::Settings;
+use telemetry::panics;
 use telemetry::scrape::MetricsExporter;
 use telemetry::{ended, log};
 
@@ -42,6 +43,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
     signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
+    panics::report(logger);
     let scrape = MetricsExporter::install()?;
     let me = NodeConfig {
         node: settings.node.clone(),
--- a/crates/state/src/notices.rs
+++ b/crates/state/src/notices.rs
@@ -12,6 +12,7 @@
 use policy::reclaim::{ReclaimGroup, engines_to_probe};
 use slog::{Logger, debug, info};
 use telemetry::Clock;
+use telemetry::panics;
 use tokio::sync::oneshot;
 use upstream::directory::EngineProbe;
 
@@ -53,6 +54,7 @@
     /// # Errors
     /// Fails when the operating system refuses a thread.
     pub fn start(self) -> std::io::Result<()> {
+        let logger = self.logger.clone();
         let work = move || {
             let mut round = 0;
             let mut pauses = HashMap::new();
@@ -64,7 +66,7 @@
                 round += 1;
             }
         };
-        thread::Builder::new().name("notices".to_owned()).spawn(work).map(drop)
+        panics::spawn_restarting("notices", &logger, work)
     }
 
     /// Returns the term if this node leads.
--- a/crates/state/src/origins.rs
+++ b/crates/state/src/origins.rs
@@ -3,7 +3,6 @@
 
 use std::io;
 use std::path::Path;
-use std::thread;
 
 use contract::{Fingerprint, StreamOrigin};
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -13,6 +12,7 @@
 use policy::origins::{MEMORY_TIME, StreamOrigins};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
+use telemetry::panics;
 use wire::origins::{AskOrigin, KnownOrigin, TellOrigins, ToldOrigins};
 
 use crate::disk::RecentFile;
@@ -41,7 +41,7 @@
     /// Fails when the operating system refuses a thread.
     pub fn open(folder: &Path, clock: &Clock, logger: &Logger) -> io::Result<Self> {
         let now = clock.now();
-        let (file, known) = match RecentFile::open::<Streams>(folder, FILE_NAME, MEMORY_TIME, now) {
+        let (mut file, known) = match RecentFile::open::<Streams>(folder, FILE_NAME, MEMORY_TIME, now) {
             Ok((file, known)) => (Some(file), known),
             Err(error) => {
                 warn!(logger, "origins of streams not read"; "error" => %error);
@@ -55,8 +55,9 @@
         info!(logger, "origins of streams read"; "streams" => origins.len());
         let (unwritten, streams) = bounded(MAX_UNWRITTEN);
         let (clock, logger) = (clock.clone(), logger.clone());
-        let work = move || write_streams(file, &streams, &clock, &logger);
-        thread::Builder::new().name("origins".to_owned()).spawn(work)?;
+        let thread_logger = logger.clone();
+        let work = move || write_streams(&mut file, &streams, &clock, &logger);
+        panics::spawn_restarting("origins", &thread_logger, work)?;
         Ok(Self {
             run: rand::random(),
             origins: Mutex::new(origins),
@@ -91,7 +92,7 @@
 }
 
 /// Writes batches of streams until the store is dropped.
-fn write_streams(mut file: Option<RecentFile>, streams: &Receiver<Streams>, clock: &Clock, logger: &Logger) {
+fn write_streams(file: &mut Option<RecentFile>, streams: &Receiver<Streams>, clock: &Clock, logger: &Logger) {
     let mut is_failing = false;
     for batch in streams {
         let written = file.as_mut().map(|file| file.append(&batch, clock.now()));
--- a/crates/state/src/peers.rs
+++ b/crates/state/src/peers.rs
@@ -11,6 +11,8 @@
 use jsonrpsee::http_client::HttpClient;
 use metrics::counter;
 use serde::{Deserialize, Serialize};
+use slog::Logger;
+use telemetry::panics;
 use wire::Envelope;
 use wire::client::RpcRuntime;
 use wire::raft::{Packet, RaftRpcClient};
@@ -58,6 +60,7 @@
     id: MemberId,
     address: SocketAddr,
     queues: BTreeMap<SocketAddr, PeerQueue>,
+    logger: Logger,
 }
 
 /// Messages that wait for a peer.
@@ -85,13 +88,14 @@
 impl PeerSenders {
     /// Creates the sending side of a node; a sender thread is started with the first message to its peer.
     #[must_use]
-    pub const fn new(calls: RpcRuntime, node: NodeId, id: MemberId, address: SocketAddr) -> Self {
+    pub const fn new(calls: RpcRuntime, node: NodeId, id: MemberId, address: SocketAddr, logger: Logger) -> Self {
         Self {
             calls,
             node,
             id,
             address,
             queues: BTreeMap::new(),
+            logger,
         }
     }
 
@@ -128,8 +132,7 @@
                 }
             }
         };
-        let thread = std::thread::Builder::new().name(format!("to {to}"));
-        thread.spawn(work).ok()?;
+        panics::spawn_restarting(&format!("to {to}"), &self.logger, work).ok()?;
         Some(PeerQueue { messages: queue, bytes })
     }
 }
--- a/crates/state/src/program.rs
+++ b/crates/state/src/program.rs
@@ -1,6 +1,7 @@
 //! A state node: the thread that owns the state, the server of the inner protocol, and a client for the group.
 
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -132,11 +133,14 @@
         config.node.clone(),
         restored.id,
         config.address,
+        logger.clone(),
     );
     let core = Core::new(config, folder, restored, peers, clock, logger.clone())?;
     let stop = Arc::clone(stop);
     let work = move || {
-        if core.run(&queue).is_err() {
+        // After a panic the state may be half changed; the process starts again from the disk.
+        let ended = catch_unwind(AssertUnwindSafe(|| core.run(&queue)));
+        if !matches!(ended, Ok(Ok(()))) {
             stop.store(true, Ordering::Relaxed);
         }
     };
--- a/crates/state/src/rollouts.rs
+++ b/crates/state/src/rollouts.rs
@@ -12,6 +12,7 @@
 use policy::rollout::{Capacity, EndReason, Exposure, Situation, Step, next_step};
 use slog::{Logger, info, warn};
 use telemetry::Clock;
+use telemetry::panics;
 use tokio::sync::oneshot;
 use wire::rollout::{RolloutCall, RolloutPlan, RolloutReply};
 
@@ -113,6 +114,7 @@
     /// # Errors
     /// Fails when the operating system refuses a thread.
     pub fn start(self) -> std::io::Result<()> {
+        let logger = self.logger.clone();
         let work = move || {
             let mut progress = BTreeMap::new();
             loop {
@@ -120,7 +122,7 @@
                 thread::sleep(if running { STEP_INTERVAL } else { IDLE_INTERVAL });
             }
         };
-        thread::Builder::new().name("rollouts".to_owned()).spawn(work).map(drop)
+        panics::spawn_restarting("rollouts", &logger, work)
     }
 
     /// Takes the next step of each rollout; returns whether one runs.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 mod ended;
 pub mod log;
+pub mod panics;
 pub mod scrape;
 
 pub use clock::Clock;
