Take no end of a connection for whole after a reset

Statuses of 000 to 101 counted as interim, and a 200 behind them was passed on.

Cause: a socket reports its reset once. The write takes it, and the reads that follow return what has arrived and then an end as if the peer had closed in order. A relay kept the failed write to itself and marked the end as orderly; the HTTP library of the own door takes a reset read in a body for its end.

Why it works: an end marks a response only if the upstream has accepted the whole request, which is sent on while such a body is read; a relay marks an end only if all it got was passed on; the own door records failures of a call's connection. Statuses lie in 100 to 599, without 101.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
 use inbound::intake::Lease;
 use inbound::request_reader::{Body, reserve};
@@ -26,6 +26,8 @@
 /// responses out of order.
 const MAX_SKIPPED: usize = 4;
 
+/// Status after which other bytes than a response follow; no request asks for it.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Most interim responses (status 1xx) before a response.
 const MAX_INTERIM: usize = 8;
 /// Most bytes of the body of a response to an earlier request, which are skipped.
@@ -126,8 +128,8 @@
     pub decoder: BodyDecoder,
     /// Memory that the response takes.
     pub(crate) room: ResponseRoom,
-    /// Whether the whole request was sent before the response arrived.
-    request_sent: bool,
+    /// What of the request was sent.
+    upload: Upload,
     /// When the trailer lines of the body have to be complete; `None` before the last chunk.
     trailer_end: Option<Instant>,
 }
@@ -144,7 +146,7 @@
     codec: &dyn HeaderCodec,
     on_head: &mut dyn FnMut(&ResponseInfo),
 ) -> Result<UpstreamResponse, AttemptError> {
-    let (head, info, framing, request_sent) =
+    let (head, info, framing, upload) =
         send_and_read((&mut connection, &mut room), request, id, codec, on_head).await?;
     if info.not_run || info.wrong_incarnation {
         let (status, wrong_incarnation) = (head.start.status, info.wrong_incarnation);
@@ -160,11 +162,25 @@
         framing,
         decoder: BodyDecoder::new(framing),
         room,
-        request_sent,
+        upload,
         trailer_end: None,
     })
 }
 
+/// What of a request its upstream has not accepted when the response arrives.
+#[derive(Debug)]
+struct Upload {
+    rest: Bytes,
+    /// Whether the upstream accepts no more.
+    failed: bool,
+}
+
+impl Upload {
+    const fn is_accepted(&self) -> bool {
+        !self.failed && self.rest.is_empty()
+    }
+}
+
 /// Sends and reads at the same time, since an upstream may respond before it has read a long body and read the rest
 /// only later.
 async fn send_and_read(
@@ -173,7 +189,7 @@
     id: &str,
     codec: &dyn HeaderCodec,
     on_head: &mut dyn FnMut(&ResponseInfo),
-) -> Result<(Head<StatusLine>, ResponseInfo, Framing, bool), AttemptError> {
+) -> Result<(Head<StatusLine>, ResponseInfo, Framing, Upload), AttemptError> {
     let Connection {
         stream,
         buffer,
@@ -181,13 +197,8 @@
         ..
     } = connection;
     let (mut reader, mut writer) = stream.split();
-    let writing = async {
-        writer.write_all(&request.head).await?;
-        writer.write_all(&request.body).await
-    };
-    tokio::pin!(writing);
-    let mut request_sent = false;
-    let mut write_failed = false;
+    let mut unsent = request.head.as_slice().chain(request.body.clone());
+    let mut failed = false;
     let (mut skipped, mut interim) = (0, 0);
     let (mut scan, mut head_end) = (HeadScan::default(), None);
     loop {
@@ -198,7 +209,8 @@
         if let Some((head, info, framing)) = response? {
             on_head(&info);
             if info.id.as_deref().is_none_or(|answered_id| answered_id == id) {
-                return Ok((head, info, framing, request_sent && !write_failed));
+                let rest = unsent.copy_to_bytes(unsent.remaining());
+                return Ok((head, info, framing, Upload { rest, failed }));
             }
             // A response to an earlier request that was abandoned. No caller may get it, and the response to this
             // request may follow it.
@@ -223,11 +235,8 @@
         tokio::select! {
             // What has arrived is read before the time is judged, which may have passed while this host did not run.
             biased;
-            written = &mut writing, if !request_sent => {
-                request_sent = true;
-                // The response may have arrived, even if the upstream accepts no more of the request.
-                write_failed = written.is_err();
-            }
+            // The response may have arrived, even if the upstream accepts no more of the request.
+            written = writer.write_buf(&mut unsent), if unsent.has_remaining() && !failed => failed = is_refused(&written),
             read = room.read(&mut reader, buffer) => match read {
                 Ok(0) => return Err(AttemptError::closed("closed without an answer")),
                 Ok(_) => {}
@@ -240,6 +249,11 @@
     }
 }
 
+/// Returns whether a write shows that the other side accepts no more.
+fn is_refused(written: &std::io::Result<usize>) -> bool {
+    !matches!(written, Ok(1..))
+}
+
 /// Waits until a time; forever without one.
 async fn wait_until(end: Option<Instant>) {
     match end {
@@ -269,6 +283,9 @@
         let Some(head) = parsed else {
             return Ok(None);
         };
+        if head.start.status == SWITCHING_PROTOCOLS {
+            return Err(AttemptError::unknown("the upstream switches to another protocol"));
+        }
         if head.start.status < 200 {
             *interim += 1;
             if *interim > MAX_INTERIM {
@@ -337,25 +354,42 @@
                 return Ok(BodyChunk::End);
             }
             match self.read().await? {
+                0 if !self.decoder.ends_on_close() => return Err(AttemptError::closed("closed within the answer")),
+                // A write that fails takes the reset of the connection, and the end looks like an orderly one.
+                0 if !self.upload.is_accepted() => {
+                    return Err(AttemptError::closed("closed before the whole request was accepted"));
+                }
                 // A host that relays may end before it has passed on everything.
-                0 if self.decoder.ends_on_close() && self.connection.ended_in_order() => return Ok(BodyChunk::Closed),
-                0 => return Err(AttemptError::closed("closed within the answer")),
+                0 if !self.connection.ended_in_order() => return Err(AttemptError::closed("closed within the answer")),
+                0 => return Ok(BodyChunk::Closed),
                 _ => {}
             }
         }
     }
 
     /// Reads bytes into the buffer of the connection; returns their number.
+    ///
+    /// Goes on sending the request meanwhile if only the end of the connection marks that of the body: it shows that the
+    /// response is whole only if the upstream has taken the whole request.
     async fn read(&mut self) -> Result<usize, AttemptError> {
         if self.decoder.is_in_trailer() {
             self.trailer_end.get_or_insert_with(|| Instant::now() + TAIL_TIMEOUT);
         }
-        tokio::select! {
-            biased;
-            read = self.room.read(&mut self.connection.stream, &mut self.connection.buffer) => {
-                read.map_err(|error| AttemptError::closed(format!("read: {error}")))
+        let Connection { stream, buffer, .. } = &mut self.connection;
+        let (mut reader, mut writer) = stream.split();
+        let upload = &mut self.upload;
+        loop {
+            let sends = self.decoder.ends_on_close() && !upload.failed && !upload.rest.is_empty();
+            tokio::select! {
+                biased;
+                written = writer.write_buf(&mut upload.rest), if sends => upload.failed = is_refused(&written),
+                read = self.room.read(&mut reader, buffer) => {
+                    return read.map_err(|error| AttemptError::closed(format!("read: {error}")));
+                }
+                () = wait_until(self.trailer_end) => {
+                    return Err(AttemptError::unknown("the trailer of the answer does not end"));
+                }
             }
-            () = wait_until(self.trailer_end) => Err(AttemptError::unknown("the trailer of the answer does not end")),
         }
     }
 
@@ -404,8 +438,10 @@
     #[must_use]
     pub fn into_reusable(self) -> Option<(Connection, Option<Duration>)> {
         // The unread rest of a request body would be taken for the next request.
-        let is_clean =
-            self.request_sent && self.decoder.is_done() && self.connection.buffer.is_empty() && self.head.keeps_alive();
+        let is_clean = self.upload.is_accepted()
+            && self.decoder.is_done()
+            && self.connection.buffer.is_empty()
+            && self.head.keeps_alive();
         is_clean.then_some((self.connection, self.info.idle_timeout))
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use inbound::intake::Lease;
 use metrics::{counter, gauge};
 use policy::relays::Relays;
+use rustix::net::RecvFlags;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
@@ -213,13 +214,16 @@
     let (host_reader, mut host_writer) = host.split();
     let (upstream_reader, upstream_writer) = upstream.split();
     let last_byte = Cell::new(Instant::now());
+    let (uploading, answering) = (Cell::new(false), Cell::new(false));
     let ended = tokio::select! {
-        () = copy_requests(host_reader, upstream_writer, &last_byte) => return,
-        ended = copy(upstream_reader, &mut host_writer, &last_byte) => ended,
+        () = copy_requests(host_reader, upstream_writer, &last_byte, &uploading) => return,
+        ended = copy(upstream_reader, &mut host_writer, &last_byte, &answering) => ended,
         () = wait_idle(&last_byte) => return,
     };
+    // The end of a connection that has not taken the whole request may be a reset, which the write has seen.
+    let is_accepted = !uploading.get() && !has_unread(host_writer.as_ref());
     match ended {
-        Ok(()) => {
+        Ok(()) if is_accepted => {
             if let Some(mark) = end_mark {
                 // Without the mark, the other host takes the response for incomplete.
                 let _ = host_writer.write_all(&mark.0).await;
@@ -229,7 +233,7 @@
                 let _ = timeout(CLOSE_TIMEOUT, discard(host)).await;
             }
         }
-        Err(_broken) => {
+        Ok(()) | Err(_) => {
             // If this fails, the connection ends in order, which the other host takes for an incomplete response too.
             let _ = host.set_zero_linger();
         }
@@ -237,8 +241,13 @@
 }
 
 /// Copies requests until the other host closes. When only the upstream accepts no more, its response may still come.
-async fn copy_requests(reader: ReadHalf<'_>, mut writer: WriteHalf<'_>, last_byte: &Cell<Instant>) {
-    let copied = copy(reader, &mut writer, last_byte).await;
+async fn copy_requests(
+    reader: ReadHalf<'_>,
+    mut writer: WriteHalf<'_>,
+    last_byte: &Cell<Instant>,
+    is_writing: &Cell<bool>,
+) {
+    let copied = copy(reader, &mut writer, last_byte, is_writing).await;
     if copied.is_err_and(|side| side == Side::Writer) {
         std::future::pending::<()>().await;
     }
@@ -251,7 +260,19 @@
     Writer,
 }
 
-async fn copy(mut reader: ReadHalf<'_>, writer: &mut WriteHalf<'_>, last_byte: &Cell<Instant>) -> Result<(), Side> {
+/// Returns whether bytes have arrived that were not read yet.
+fn has_unread(stream: &TcpStream) -> bool {
+    let peek = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    rustix::net::recv(stream, &mut [0_u8], peek).is_ok_and(|(count, _)| count > 0)
+}
+
+/// Copies bytes from one side to the other; `is_writing` tells whether the other one has not accepted all of them.
+async fn copy(
+    mut reader: ReadHalf<'_>,
+    writer: &mut WriteHalf<'_>,
+    last_byte: &Cell<Instant>,
+    is_writing: &Cell<bool>,
+) -> Result<(), Side> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = reader.read(&mut buffer).await.map_err(|_broken| Side::Reader)?;
@@ -259,8 +280,10 @@
             return Ok(());
         }
         last_byte.set(Instant::now());
+        is_writing.set(true);
         let written = writer.write_all(&buffer[..count]).await;
         written.map_err(|_broken| Side::Writer)?;
+        is_writing.set(false);
     }
 }
 
--- a/crates/gateway/tests/common/upstream.rs
+++ b/crates/gateway/tests/common/upstream.rs
@@ -66,6 +66,32 @@
         }
     }
 
+    /// Starts an upstream that gets the id of a request and the connection as soon as it has read the head, and closes the
+    /// connection afterwards.
+    pub fn start_early(script: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests: Arc<Mutex<Vec<ReceivedRequest>>> = Arc::default();
+        let (received, script) = (Arc::clone(&requests), Arc::new(script));
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (received, script) = (Arc::clone(&received), Arc::clone(&script));
+                thread::spawn(move || {
+                    let Some(request) = read_head(&mut stream) else {
+                        return;
+                    };
+                    received.lock().push(request.clone());
+                    script(&request.get("Id").unwrap_or_default(), &mut stream);
+                });
+            }
+        });
+        Self {
+            address,
+            requests,
+            closed: Arc::default(),
+        }
+    }
+
     /// Starts an upstream that answers with 200; some time after a request with a certain body it closes its listener and
     /// the connection.
     pub fn start_mortal(deadly_body: &'static str, delay: Duration) -> Self {
@@ -180,6 +206,20 @@
     closed_at.lock().push(Instant::now());
 }
 
+/// Reads a head byte by byte, so that nothing of the body is taken.
+fn read_head(stream: &mut TcpStream) -> Option<ReceivedRequest> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    Some(ReceivedRequest {
+        head: String::from_utf8(head).ok()?,
+        body: Vec::new(),
+    })
+}
+
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
     let mut request = ReceivedRequest::default();
     loop {
--- a/crates/gateway/tests/head_syntax.rs
+++ b/crates/gateway/tests/head_syntax.rs
@@ -81,3 +81,38 @@
         }
     }
 }
+
+/// Guards against a response in whose head a field name holds a blank or a control byte, or that has a line without a name:
+/// what one parser takes for a field, another takes for the end of the head.
+#[test]
+fn odd_response_fields() {
+    for line in [
+        "A b: c",
+        "A : c",
+        " A: c",
+        "A\u{1}: c",
+        "A\tb: c",
+        "A\u{7f}: c",
+        ": c",
+        "no field",
+        "A: b\u{1}c",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 0\r\n\r\n");
+        let mut buffer = BytesMut::from(text.as_str());
+        assert_eq!(
+            take_response(&mut buffer, MAX_HEAD_BYTES),
+            Err(HeadError::Malformed),
+            "{line:?}"
+        );
+    }
+}
+
+/// Guards against a status code that is none.
+#[test]
+fn odd_statuses() {
+    for status in ["000", "099", "600", "999", "20", "2000", "2x0"] {
+        let mut buffer = BytesMut::from(format!("HTTP/1.1 {status} Odd\r\n\r\n").as_str());
+        let parsed = take_response(&mut buffer, MAX_HEAD_BYTES);
+        assert_eq!(parsed, Err(HeadError::Malformed), "{status}");
+    }
+}
--- a/crates/inbound/src/head.rs
+++ b/crates/inbound/src/head.rs
@@ -5,6 +5,8 @@
 
 /// Most headers of a message; common servers allow about as many.
 const MAX_HEADERS: usize = 100;
+/// Status codes that are defined or may be.
+const STATUS_RANGE: std::ops::RangeInclusive<u16> = 100..=599;
 /// Bytes that end a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -280,6 +282,9 @@
     let (Some(status), Some(minor)) = (response.code, response.version) else {
         return Err(HeadError::Malformed);
     };
+    if !STATUS_RANGE.contains(&status) {
+        return Err(HeadError::Malformed);
+    }
     let reason = response.reason.unwrap_or_default();
     let start = StatusLine {
         status,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod directory;
 pub mod engine;
 mod error;
+mod failures;
 pub mod kv;
 mod limits;
 pub mod orders;
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use ureq::Agent;
+use ureq::config::Config;
 use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ureq::http::{HeaderMap, Request};
-use ureq::unversioned::transport::TcpConnector;
+use ureq::unversioned::transport::{Connector, TcpConnector};
 
+use crate::failures::{ConnectionFailure, RecordingConnector};
 use crate::pulse::LiteralResolver;
 use crate::{Fate, UpstreamError};
 
@@ -60,10 +62,13 @@
     pub body: Vec<u8>,
 }
 
+/// Statuses of an answer after which no other one follows.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// An HTTP client for any plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceClient {
-    agent: Agent,
+    config: Config,
 }
 
 impl ServiceClient {
@@ -80,9 +85,7 @@
             .max_idle_connections(0)
             .proxy(None)
             .build();
-        Self {
-            agent: Agent::with_parts(config, TcpConnector::default(), LiteralResolver),
-        }
+        Self { config }
     }
 
     /// Sends a call, without retries.
@@ -106,13 +109,16 @@
             request = request.header(name, value);
         }
         let request = request.body(call.body).map_err(|error| to_error(error.into()))?;
-        let request = self
-            .agent
-            .configure_request(request)
-            .timeout_global(Some(timeout))
-            .build();
-        let mut response = self.agent.run(request).map_err(to_error)?;
+        let failure = ConnectionFailure::default();
+        let connector = TcpConnector::default().chain(RecordingConnector(failure.clone()));
+        let agent = Agent::with_parts(self.config.clone(), connector, LiteralResolver);
+        let request = agent.configure_request(request).timeout_global(Some(timeout)).build();
+        let mut response = agent.run(request).map_err(to_error)?;
         let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let reason = format!("the status {status} is none of a final answer");
+            return Err(UpstreamError::new(STEP, peer, Fate::Unknown, reason));
+        }
         let media = response
             .headers()
             .get("Content-Type")
@@ -130,6 +136,10 @@
             .map_err(to_error)?;
         // The kernel ends the connections of a killed process in order, which looks like the end of such a body.
         if ends_on_close && call.method != "HEAD" && !matches!(status, 204 | 304) {
+            if failure.is_set() {
+                let reason = "the connection failed, and nothing else marks the end of the answer";
+                return Err(UpstreamError::new(STEP, peer, Fate::Unknown, reason));
+            }
             confirm_running(peer).map_err(|error| {
                 let reason = format!("the end of the answer is not confirmed: {error}");
                 UpstreamError::new(STEP, peer, Fate::Unknown, reason)
