Plan no upstreams for a service without data centres

Cause: the plan spreads upstreams over the data centres of the prices and of the listed replicas, and divides by their number.

policy/fleet_plan::no_zones on the code before: test no_zones ... FAILED attempt to calculate the remainder with a divisor of zero

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -73,6 +73,9 @@
 #[must_use]
 pub fn plan(supplies: &BTreeMap<Zone, ZoneSupply>, scaling: &Scaling, needed: f64) -> BTreeMap<Zone, ZoneTarget> {
     let zones = by_price(supplies, scaling);
+    if zones.is_empty() {
+        return BTreeMap::new();
+    }
     let needed = (needed.ceil() as u32).max(MIN_NEEDED);
     if scaling.spot_price >= 1.0 {
         return all_on_demand(&zones, scaling, needed);
--- a/crates/policy/tests/fleet_plan.rs
+++ b/crates/policy/tests/fleet_plan.rs
@@ -39,6 +39,21 @@
 
 const START: [(u32, u32, bool); 4] = [(3, 0, false), (2, 0, false), (2, 0, false), (2, 0, false)];
 
+/// Guards against a service without prices and without upstreams that ends the thread of the leader's duties: no usage is
+/// reported and no capacity ordered any more.
+#[test]
+fn no_zones() {
+    for spot_price in [0.16, 1.0] {
+        let unpriced = Scaling {
+            prices: BTreeMap::new(),
+            ..scaling(spot_price)
+        };
+        for needed in [0.0, 10.0, f64::NAN] {
+            assert!(plan(&BTreeMap::new(), &unpriced, needed).is_empty());
+        }
+    }
+}
+
 /// Two data centres are lost, no reclaimable upstreams are available, and on-demand ones have replaced them. If some of
 /// those are given up as soon as the load allows it, they must be ordered again when it grows, and a fifth of all
 /// answers is late until they serve.
