--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -567,7 +567,10 @@
     pub fn use_of(&self, service: &ServiceName) -> (usize, u32) {
         let serving = self.all.values().filter(|upstream| upstream.listed.service == *service);
         serving.fold((0, 0), |(running, slots), upstream| {
-            (running + upstream.own_requests as usize, slots.saturating_add(upstream.listed.slots))
+            (
+                running + upstream.own_requests as usize,
+                slots.saturating_add(upstream.listed.slots),
+            )
         })
     }
 
