Let a learner whose voter is gone take the place of another

Its successor was to replace a voter that had been removed meanwhile; it counted as one with a task, and waited for a vote beside a lost voter that the group can't do without.

A learner counts as free if the voter that it was to replace is none any more.

--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -163,7 +163,9 @@
         node.remove(lost, now).ok()?;
         return Some(MemberEvent::Removed(lost));
     }
-    let is_free = |(id, member): &(&MemberId, &Member)| member.replaces.is_none() && node.awaits_promotion(**id, now);
+    // The voter that it was to replace may have been removed meanwhile.
+    let has_task = |member: &Member| member.replaces.is_some_and(|old| members.votes(old));
+    let is_free = |(id, member): &(&MemberId, &Member)| !has_task(member) && node.awaits_promotion(**id, now);
     let (learner, _) = members.0.iter().find(is_free)?;
     node.assign(*learner, lost, now).ok()?;
     Some(MemberEvent::Assigned(*learner, lost))
--- a/crates/state/tests/member_losses.rs
+++ b/crates/state/tests/member_losses.rs
@@ -196,3 +196,10 @@
 fn seven_beside_dark() {
     check_dark(7, 2);
 }
+
+/// Guards against a learner that waits for a vote for ever: the voter that it was to replace was removed, and another one is
+/// lost whose vote can't be spared.
+#[test]
+fn vacant_task() {
+    assert!(lose_machines(9_777_791_489_154_662_754, 7));
+}
