Print panics as before beside the log line

Found in the read-through: the hook that logs panics took the place of the one that prints them. A panic that ends the process may end it before the log is written, and then nothing told of it.

--- a/crates/telemetry/src/panics.rs
+++ b/crates/telemetry/src/panics.rs
@@ -21,10 +21,13 @@
 #[display("panicked")]
 pub struct Panicked;
 
-/// Has every panic of the process logged and counted.
+/// Has every panic of the process logged and counted, beside the message on standard error, which alone is written if the
+/// process ends with it.
 pub fn report(logger: &Logger) {
     let logger = logger.clone();
+    let print = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info: &PanicHookInfo<'_>| {
+        print(info);
         counter!("gentian_panics_total").increment(1);
         error!(logger, "panicked"; "thread" => thread::current().name(),
             "at" => info.location().map(ToString::to_string), "why" => message(info.payload()));
