Have every voter answer a newcomer's announcement before it is added

Cause: since a newcomer waits while a voter is silent, but a voter counts as silent only 0.4 s after its last answer. The newcomer came within 0.1 s, was added as a further voter, and the group of five could not do without the dead one.

test replaced_members ... FAILED timed out waiting for the removal of the lost node

A newcomer is added as a further voter only once every voter has answered something that was sent after it was first heard; a voter that was lost before has not, is lost after 2 s, and the newcomer takes its place.

--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -1,5 +1,6 @@
 //! Automatic membership: the leader adds, replaces and removes members without an operator.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
 pub struct AutoMembership {
     next_check: Tick,
     lost_disks: Option<usize>,
+    /// When each node that announces itself was first seen to do so.
+    first_heard: BTreeMap<MemberId, Tick>,
 }
 
 impl AutoMembership {
@@ -53,8 +56,10 @@
     /// as many as its number of voters allows.
     #[must_use]
     pub fn new(lost_disks: Option<usize>) -> Self {
-        let next_check = Tick::default();
-        Self { next_check, lost_disks }
+        Self {
+            lost_disks,
+            ..Self::default()
+        }
     }
 
     /// Adds a node that announced itself, in place of a lost member if there is one; if none can be added, removes a
@@ -64,9 +69,12 @@
             return None;
         }
         self.next_check = now + CHECK_INTERVAL;
+        let is_announced = |id: &MemberId| announced.iter().any(|newcomer| newcomer.id == *id);
+        self.first_heard.retain(|id, _| is_announced(id));
         let mut waits = None;
         for newcomer in announced {
-            match add_newcomer(node, newcomer, now) {
+            let since = *self.first_heard.entry(newcomer.id).or_insert(now);
+            match add_newcomer(node, newcomer, since, now) {
                 Ok(replaced) => return Some(MemberEvent::Joins(newcomer.clone(), replaced)),
                 Err(ChangeError::AlreadyMember) => {}
                 Err(why) => waits = waits.or_else(|| Some(MemberEvent::Waits(newcomer.clone(), why))),
@@ -76,9 +84,14 @@
     }
 }
 
-/// Starts to add a node, in place of the older incarnation at its address or of a member that does not answer; returns
+/// Starts to add a node that was first heard at `since`, in place of the older incarnation at its address or of a member that does not answer; returns
 /// the member that it replaces.
-fn add_newcomer(node: &mut Node, newcomer: &Announced, now: Tick) -> Result<Option<MemberId>, ChangeError> {
+fn add_newcomer(
+    node: &mut Node,
+    newcomer: &Announced,
+    since: Tick,
+    now: Tick,
+) -> Result<Option<MemberId>, ChangeError> {
     let member = Member {
         node: newcomer.node.clone(),
         address: newcomer.address,
@@ -95,7 +108,7 @@
     match old {
         Some(old) => node.replace(old, newcomer.id, member, now),
         // As a further voter it would make majorities larger, and with them what a voter that is gone for good costs.
-        None if !all_voters_answer(node, now) => Err(ChangeError::AwaitsVoter),
+        None if !all_voters_answer(node, since, now) => Err(ChangeError::AwaitsVoter),
         None => node.add(newcomer.id, member, now),
     }?;
     Ok(old)
@@ -119,12 +132,12 @@
         .map(|(id, _)| *id))
 }
 
-/// Returns whether each voter answers or is being replaced.
-fn all_voters_answer(node: &Node, now: Tick) -> bool {
-    let members = node.members();
-    members
-        .voters()
-        .all(|id| node.answers(id, now) || is_replaced(node, id, now))
+/// Returns whether each voter has answered what was sent after a time, or is being replaced. One that was lost right before
+/// a newcomer came has not, although its last answer is recent.
+fn all_voters_answer(node: &Node, since: Tick, now: Tick) -> bool {
+    let has_answered = |id| node.answers(id, now) && node.last_ack(id).is_none_or(|at| at >= since);
+    let mut voters = node.members().voters();
+    voters.all(|id| has_answered(id) || is_replaced(node, id, now))
 }
 
 /// Returns whether another member that answers takes the place of a member.
